Set down the shape: workspace, core types, the three state machines

Layout by life span (request, connection, version, process) in a core crate that knows no I/O and no encoding. Each role is a Machine: one event in, commands out, the time as an argument. Tests by a macro that names each case.

--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/agent/seen.rs
@@ -0,0 +1,36 @@
+//! Remembers submitted requests, to drop duplicates.
+
+use std::collections::{HashSet, VecDeque};
+
+use crate::request::Id;
+
+/// Submissions remembered; older ones are forgotten first.
+const CAPACITY: usize = 65_536;
+
+/// The submissions seen lately.
+#[derive(Debug, Default)]
+pub struct Seen {
+    set: HashSet<(Id, u32)>,
+    order: VecDeque<(Id, u32)>,
+}
+
+impl Seen {
+    /// Whether this attempt at the request was submitted before.
+    #[must_use]
+    pub fn contains(&self, id: Id, attempt: u32) -> bool {
+        self.set.contains(&(id, attempt))
+    }
+
+    /// Remembers a submission.
+    pub fn insert(&mut self, id: Id, attempt: u32) {
+        if !self.set.insert((id, attempt)) {
+            return;
+        }
+        self.order.push_back((id, attempt));
+        if self.order.len() > CAPACITY
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.set.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/directory.rs
@@ -0,0 +1,198 @@
+//! Who is in the fleet, with a revision per change.
+//!
+//! The control process keeps the one that counts; every other process holds a
+//! copy that it brings up to date with [`Directory::since`] and
+//! [`Directory::learn`]. A lost process is kept as a tombstone so that a copy
+//! learns of the loss.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::Member;
+use super::endpoint::Target;
+
+/// How long a process stays listed without a heartbeat.
+pub const LEASE: Duration = Duration::from_secs(4);
+
+/// Tombstones kept; a copy that is further behind gets a snapshot.
+const TOMBSTONES: usize = 1024;
+
+/// The members of the fleet by VM name.
+#[derive(Debug, Default)]
+pub struct Directory {
+    epoch: u64,
+    revision: u64,
+    /// Copies at an earlier revision can't be brought up to date by changes.
+    oldest: u64,
+    rows: BTreeMap<String, Row>,
+}
+
+#[derive(Debug)]
+struct Row {
+    revision: u64,
+    member: Option<Member>,
+    expires: Option<Instant>,
+}
+
+/// Up to which change a copy is complete.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Mark {
+    /// Identifies the run of the process that counts the revisions.
+    pub epoch: u64,
+    /// Counts the changes of that run.
+    pub revision: u64,
+}
+
+/// What brings a copy up to date.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Delta {
+    /// The mark of the copy after it learned this.
+    pub mark: Mark,
+    /// Whether the copy has to forget all it held before.
+    pub snapshot: bool,
+    /// Members that are new or changed.
+    pub members: Vec<Member>,
+    /// Names of VMs that left.
+    pub gone: Vec<String>,
+}
+
+impl Directory {
+    /// Opens an empty directory that counts its own revisions under `epoch`.
+    #[must_use]
+    pub fn open(epoch: u64) -> Self {
+        Self {
+            epoch,
+            ..Self::default()
+        }
+    }
+
+    /// Up to which change this copy is complete.
+    #[must_use]
+    pub fn mark(&self) -> Mark {
+        Mark {
+            epoch: self.epoch,
+            revision: self.revision,
+        }
+    }
+
+    /// The members listed now, in the order of their names.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.rows.values().filter_map(|row| row.member.as_ref())
+    }
+
+    /// One member by the name of its VM.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.rows.get(name)?.member.as_ref()
+    }
+
+    /// Whether an endpoint that serves `target` is listed.
+    #[must_use]
+    pub fn offers(&self, target: Target<'_>) -> bool {
+        let mut members = self.members();
+        members.any(|member| member.endpoints.iter().any(|row| row.serves(target)))
+    }
+
+    /// Takes a heartbeat in and renews the member's lease.
+    ///
+    /// A heartbeat of an earlier incarnation is ignored.
+    pub fn renew(&mut self, now: Instant, member: &Member) {
+        let row = self.rows.entry(member.vm.name.clone()).or_insert(Row {
+            revision: 0,
+            member: None,
+            expires: None,
+        });
+        let known = row.member.as_ref();
+        if known.is_some_and(|known| known.vm.incarnation > member.vm.incarnation) {
+            return;
+        }
+        row.expires = Some(now + LEASE);
+        if known != Some(member) {
+            self.revision += 1;
+            row.revision = self.revision;
+            row.member = Some(member.clone());
+        }
+    }
+
+    /// Drops the members whose lease ran out.
+    pub fn expire(&mut self, now: Instant) {
+        for row in self.rows.values_mut() {
+            if row.expires.is_some_and(|expires| expires <= now) {
+                self.revision += 1;
+                row.revision = self.revision;
+                row.member = None;
+                row.expires = None;
+            }
+        }
+        self.trim();
+    }
+
+    /// When the next lease runs out.
+    #[must_use]
+    pub fn deadline(&self) -> Option<Instant> {
+        self.rows.values().filter_map(|row| row.expires).min()
+    }
+
+    /// What a copy at `mark` has not learned yet.
+    #[must_use]
+    pub fn since(&self, mark: Mark) -> Delta {
+        let snapshot = mark.epoch != self.epoch
+            || mark.revision < self.oldest
+            || mark.revision > self.revision;
+        let known = if snapshot { 0 } else { mark.revision };
+        let mut delta = Delta {
+            mark: self.mark(),
+            snapshot,
+            ..Delta::default()
+        };
+        for (name, row) in self.rows.iter().filter(|(_, row)| row.revision > known) {
+            match &row.member {
+                Some(member) => delta.members.push(member.clone()),
+                None if snapshot => {}
+                None => delta.gone.push(name.clone()),
+            }
+        }
+        delta
+    }
+
+    /// Brings this copy up to date.
+    pub fn learn(&mut self, delta: &Delta) {
+        if delta.snapshot {
+            self.rows.clear();
+        }
+        for member in &delta.members {
+            let row = Row {
+                revision: delta.mark.revision,
+                member: Some(member.clone()),
+                expires: None,
+            };
+            self.rows.insert(member.vm.name.clone(), row);
+        }
+        for name in &delta.gone {
+            self.rows.remove(name);
+        }
+        self.epoch = delta.mark.epoch;
+        self.revision = delta.mark.revision;
+    }
+
+    fn trim(&mut self) {
+        let mut lost: Vec<u64> = self
+            .rows
+            .values()
+            .filter(|row| row.member.is_none())
+            .map(|row| row.revision)
+            .collect();
+        if lost.len() <= TOMBSTONES {
+            return;
+        }
+        lost.sort_unstable();
+        self.oldest = lost[lost.len() - TOMBSTONES - 1];
+        let oldest = self.oldest;
+        self.rows
+            .retain(|_, row| row.member.is_some() || row.revision > oldest);
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/mod.rs
@@ -0,0 +1,28 @@
+//! What lives as long as a process.
+//!
+//! Each role of the daemon is one [`machine::Machine`]: [`entry`], [`agent`]
+//! and [`control`]. They share the words for the fleet ([`vm`],
+//! [`data_centre`], [`endpoint`]) and the [`clock`].
+
+pub mod agent;
+pub mod clock;
+pub mod control;
+pub mod data_centre;
+pub mod directory;
+pub mod endpoint;
+pub mod entry;
+pub mod machine;
+pub mod member;
+pub mod news;
+pub mod vm;
+
+pub use agent::Agent;
+pub use clock::Clock;
+pub use control::Control;
+pub use data_centre::DataCentre;
+pub use directory::Directory;
+pub use endpoint::Endpoint;
+pub use entry::Entry;
+pub use machine::{Machine, Sink};
+pub use member::Member;
+pub use vm::Vm;
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/vm.rs
@@ -0,0 +1,18 @@
+//! Identifies a VM and one run of its process.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// A VM together with the run of the process on it.
+///
+/// A restarted process has the same name and a higher incarnation, so that
+/// messages of the earlier run are recognised.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[display("{name}#{incarnation}")]
+pub struct Vm {
+    /// The name from the settings, unique in the fleet.
+    pub name: String,
+    /// Milliseconds since the Unix epoch at the start of the process.
+    pub incarnation: u64,
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/request/admission.rs
@@ -0,0 +1,84 @@
+//! Judges an arrival by the configuration in force.
+//!
+//! Finds the plan behind the key, the grant behind the name, and whether the
+//! one may use the other. Rate, concurrency and token budgets are per process
+//! and judged afterwards.
+
+use super::arrival::{Destination, Subject};
+use super::{Arrival, Reason};
+use crate::version::grant::{self, Item, Repeat};
+use crate::version::{Configuration, Grant, Plan};
+
+/// An arrival that the configuration allows.
+#[derive(Clone, Debug)]
+pub struct Admission<'a> {
+    /// The plan that pays.
+    pub plan: &'a Plan,
+    /// What the request needs.
+    pub destination: Destination,
+    /// Whether it may run more than once.
+    pub repeat: Repeat,
+}
+
+/// Admits an arrival.
+///
+/// # Errors
+///
+/// The reason of the refusal; the request did not run.
+pub fn admit<'a>(
+    configuration: &'a Configuration,
+    arrival: &Arrival<'_>,
+) -> Result<Admission<'a>, Reason> {
+    let key = arrival.key.ok_or(Reason::BadKey)?;
+    let plan = configuration.plan_by_key(key).ok_or(Reason::BadKey)?;
+    let (grant, destination, repeat) = match arrival.subject {
+        Subject::Completion { name, .. } => {
+            let grant = configuration.model(name).ok_or(Reason::UnknownModel)?;
+            (grant, destination(&grant.item), Repeat::Repeatable)
+        }
+        Subject::Call {
+            service,
+            method,
+            path,
+        } => {
+            let grant = configuration
+                .service(service)
+                .ok_or(Reason::UnknownService)?;
+            let repeat = match &grant.item {
+                Item::Service { calls, .. } => grant::repeat(calls, method, path),
+                Item::Model { .. } | Item::Adapter { .. } => Repeat::Once,
+            };
+            (grant, destination(&grant.item), repeat)
+        }
+    };
+    if !allows(grant, plan) {
+        return Err(Reason::NotGranted);
+    }
+    Ok(Admission {
+        plan,
+        destination,
+        repeat: if arrival.once { Repeat::Once } else { repeat },
+    })
+}
+
+/// Whether a grant lets a plan use its item.
+#[must_use]
+pub fn allows(grant: &Grant, plan: &Plan) -> bool {
+    grant.plans.contains(&plan.name)
+}
+
+fn destination(item: &Item) -> Destination {
+    match item {
+        Item::Model { name, .. } => Destination::Model {
+            model: name.clone(),
+            adapter: None,
+        },
+        Item::Adapter { name, model, .. } => Destination::Model {
+            model: model.clone(),
+            adapter: Some(name.clone()),
+        },
+        Item::Service { name, .. } => Destination::Service {
+            service: name.clone(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/request/attempt.rs
@@ -0,0 +1,46 @@
+//! Decides what follows the end of an attempt.
+
+use super::{Reason, Verdict};
+use crate::version::grant::Repeat;
+
+/// Attempts at one request, the first included.
+pub const ATTEMPTS: u32 = 4;
+
+/// How far a request has come when an attempt ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Attempts made, the ended one included.
+    pub attempts: u32,
+    /// Whether any part of an answer reached the caller.
+    pub started: bool,
+    /// Whether the request may run more than once.
+    pub repeat: Repeat,
+}
+
+/// What follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Try again, elsewhere if possible.
+    Retry { reason: Reason },
+    /// Tell the caller.
+    Settle { verdict: Verdict },
+}
+
+/// Decides what follows when an attempt ends with `verdict`.
+///
+/// A request that did not run is retried; one that may have run is retried
+/// only when it is repeatable and nothing of the answer reached the caller.
+#[must_use]
+pub fn next(progress: Progress, verdict: Verdict) -> Next {
+    let settle = Next::Settle { verdict };
+    if progress.attempts >= ATTEMPTS || progress.started {
+        return settle;
+    }
+    match verdict {
+        Verdict::NotRun { reason } => Next::Retry { reason },
+        Verdict::MayHaveRun { reason } if progress.repeat == Repeat::Repeatable => {
+            Next::Retry { reason }
+        }
+        Verdict::MayHaveRun { .. } | Verdict::Ran => settle,
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/request/mod.rs
@@ -0,0 +1,22 @@
+//! What lives as long as one request.
+//!
+//! An [`arrival`] is what a caller asked for. Admission turns it into a
+//! request with an [`id`], routing picks an endpoint, and each attempt ends in
+//! a [`verdict`] that says whether the request may have run.
+
+pub mod admission;
+pub mod arrival;
+pub mod attempt;
+pub mod claim;
+pub mod id;
+pub mod reason;
+pub mod submission;
+pub mod verdict;
+
+pub use admission::Admission;
+pub use arrival::Arrival;
+pub use claim::Claim;
+pub use id::Id;
+pub use reason::Reason;
+pub use submission::Submission;
+pub use verdict::Verdict;
