Encode: capnp between processes, JSON for callers, INI for settings and lists

Generated code is committed; crates/nutmegyoke-wire/generate makes it again. Each complaint about an INI file names file, section, key and the mend.

--- /dev/null
+++ b/crates/nutmegyoke-wire/src/connection/mod.rs
@@ -0,0 +1,13 @@
+//! Encodings that live as long as a link.
+
+pub mod link;
+/// Generated from `schema/link.capnp`.
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    missing_docs,
+    unused_qualifications,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+pub mod link_capnp;
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/process/announcement.rs
@@ -0,0 +1,36 @@
+//! The JSON by which an endpoint announces itself to its agent.
+//!
+//! Endpoints send it to `POST /v1/endpoints` of the agent on their VM, at the
+//! start, on each change and every second.
+
+use std::net::SocketAddr;
+
+use nutmegyoke_core::process::Endpoint;
+use serde::{Deserialize, Serialize};
+
+/// What an endpoint tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Announcement {
+    /// Where the agent reaches the endpoint.
+    pub address: SocketAddr,
+    /// What the endpoint is.
+    pub endpoint: Endpoint,
+}
+
+impl Announcement {
+    /// Decodes an announcement.
+    ///
+    /// # Errors
+    ///
+    /// The text is not JSON or does not have the shape of an announcement.
+    pub fn decode(text: &[u8]) -> serde_json::Result<Self> {
+        serde_json::from_slice(text)
+    }
+
+    /// Encodes an announcement.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -0,0 +1,13 @@
+//! Encodings that live as long as a process.
+
+pub mod announcement;
+pub mod directory;
+pub mod ini;
+pub mod member;
+pub mod news;
+pub mod settings;
+pub mod status;
+
+pub use announcement::Announcement;
+pub use settings::Settings;
+pub use status::Status;
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/process/settings.rs
@@ -0,0 +1,136 @@
+//! The settings of the daemon.
+//!
+//! ```ini
+//! [process]
+//! role = entry
+//! name = entry-1
+//! data-centre = alp-a
+//! operators = 127.0.0.1:8471
+//! control = 127.0.0.1:8480, 127.0.0.1:8481
+//!
+//! [entry]
+//! callers = 127.0.0.1:8470
+//! ```
+
+use std::net::SocketAddr;
+
+use nutmegyoke_core::process::DataCentre;
+use nutmegyoke_core::process::member::Role;
+
+use super::ini::{Fault, File, Section};
+
+/// The longest request body that an entry takes unless set, in bytes.
+pub const DEFAULT_BODY_BYTES: usize = 1024 * 1024;
+
+const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:8470";
+
+/// The checked settings of one process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The name of its VM, unique in the fleet.
+    pub name: String,
+    /// Where it is.
+    pub data_centre: DataCentre,
+    /// Where the project's other processes reach it; of an entry, where callers do.
+    pub listen: SocketAddr,
+    /// Where operators reach it: metrics, health, the command-line tool.
+    pub operators: SocketAddr,
+    /// The control processes.
+    pub control: Vec<SocketAddr>,
+    /// The settings of the role.
+    pub own: Own,
+}
+
+/// What the process does, with the settings of that role.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Own {
+    /// Takes callers' requests.
+    Entry(Entry),
+    /// Runs beside the endpoints of a VM.
+    Agent,
+    /// Holds the state that survives.
+    Control,
+}
+
+/// The settings of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// The longest request body, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Settings {
+    /// Parses and checks the text of the settings file called `name`.
+    ///
+    /// # Errors
+    ///
+    /// The first fault, with file, section, key and what to do.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Fault> {
+        let file = File::parse(name, text)?;
+        let process = file.section("process")?;
+        let role: Role = process.required("role", "entry, agent or control")?;
+        let control = addresses(&process, "control")?;
+        if control.is_empty() && role != Role::Control {
+            let problem = "is missing: add the addresses of the control processes".to_owned();
+            return Err(process.fault("control", problem));
+        }
+        let data_centre: String = process.required("data-centre", "the data centre's name")?;
+        let own = match role {
+            Role::Entry => Own::Entry(entry(file.section("entry")?)?),
+            Role::Agent => Own::Agent,
+            Role::Control => Own::Control,
+        };
+        let listen = match &own {
+            Own::Entry(entry) => entry.callers,
+            Own::Agent | Own::Control => process.required("listen", ADDRESS)?,
+        };
+        let settings = Self {
+            name: process.required("name", "the name of the VM")?,
+            data_centre: data_centre.as_str().into(),
+            listen,
+            operators: process.required("operators", ADDRESS)?,
+            control,
+            own,
+        };
+        process.finish()?;
+        check_sections(&file, role)?;
+        Ok(settings)
+    }
+}
+
+fn entry(section: Section<'_>) -> Result<Entry, Fault> {
+    let entry = Entry {
+        callers: section.required("callers", ADDRESS)?,
+        body_bytes: section
+            .optional("body-bytes", "a number of bytes")?
+            .unwrap_or(DEFAULT_BODY_BYTES),
+    };
+    section.finish()?;
+    Ok(entry)
+}
+
+fn addresses(section: &Section<'_>, key: &'static str) -> Result<Vec<SocketAddr>, Fault> {
+    section
+        .names(key)?
+        .iter()
+        .map(|name| {
+            name.parse().map_err(|_| {
+                let problem = format!("`{name}` is not valid: write {ADDRESS}");
+                section.fault(key, problem)
+            })
+        })
+        .collect()
+}
+
+fn check_sections(file: &File<'_>, role: Role) -> Result<(), Fault> {
+    let own = role.to_string();
+    let unknown = file
+        .sections()
+        .find(|section| section.name != "process" && section.name != own);
+    match unknown {
+        Some(section) => Err(section.unknown(&format!("[process] and [{own}] for this role"))),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -0,0 +1,142 @@
+//! The JSON error that callers receive.
+
+use nutmegyoke_core::request::{Reason, Verdict};
+use serde::Serialize;
+
+/// The HTTP header that says whether the request may have run.
+pub const RAN_HEADER: &str = "nutmegyoke-ran";
+
+/// The HTTP header by which a caller declares a request as not repeatable.
+pub const REPEATABLE_HEADER: &str = "nutmegyoke-repeatable";
+
+/// A refusal or failure as callers see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Failure {
+    /// The HTTP status.
+    #[serde(skip)]
+    pub status: u16,
+    /// Seconds after which to try again, where that helps.
+    #[serde(skip)]
+    pub retry_after: Option<u32>,
+    error: Detail,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Detail {
+    code: &'static str,
+    message: String,
+    ran: Ran,
+}
+
+/// What is known of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// It did not run and will not.
+    No,
+    /// It may have run.
+    Unknown,
+}
+
+impl Ran {
+    /// The value of [`RAN_HEADER`].
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::No => "no",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl Failure {
+    /// Describes the end of a request that was not answered in whole.
+    #[must_use]
+    pub fn new(verdict: Verdict, message: &str) -> Self {
+        let reason = verdict.reason().unwrap_or(Reason::Truncated);
+        Self {
+            status: status(reason),
+            retry_after: retry_after(reason),
+            error: Detail {
+                code: reason.name(),
+                message: if message.is_empty() {
+                    advice(reason).to_owned()
+                } else {
+                    message.to_owned()
+                },
+                ran: match verdict {
+                    Verdict::NotRun { .. } => Ran::No,
+                    Verdict::MayHaveRun { .. } | Verdict::Ran => Ran::Unknown,
+                },
+            },
+        }
+    }
+
+    /// What is known of the request.
+    #[must_use]
+    pub fn ran(&self) -> Ran {
+        self.error.ran
+    }
+
+    /// The JSON text.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+}
+
+fn status(reason: Reason) -> u16 {
+    match reason {
+        Reason::BadKey => 401,
+        Reason::BadRequest => 400,
+        Reason::BodyTooLong => 413,
+        Reason::UnknownPath | Reason::UnknownModel | Reason::UnknownService => 404,
+        Reason::NotGranted => 403,
+        Reason::RateLimited | Reason::ConcurrencyLimited | Reason::TokensLimited => 429,
+        Reason::NoEndpoint
+        | Reason::Unreachable
+        | Reason::QueueFull
+        | Reason::Draining
+        | Reason::NotHeld
+        | Reason::StaleConfiguration => 503,
+        Reason::DeadlinePassed => 504,
+        Reason::LinkLost
+        | Reason::Duplicate
+        | Reason::EndpointFailed
+        | Reason::Truncated
+        | Reason::CallerLeft => 502,
+    }
+}
+
+fn retry_after(reason: Reason) -> Option<u32> {
+    matches!(status(reason), 429 | 503).then_some(1)
+}
+
+fn advice(reason: Reason) -> &'static str {
+    match reason {
+        Reason::BadKey => "send `Authorization: Bearer KEY` with the key of a plan",
+        Reason::BadRequest => "send a JSON object with at least the field `model`",
+        Reason::BodyTooLong => "send a shorter body",
+        Reason::UnknownPath => {
+            "use /v1/chat/completions, /v1/completions, /v1/models or /services/NAME/..."
+        }
+        Reason::UnknownModel => "name a model or adapter from /v1/models",
+        Reason::UnknownService => "name a service that is granted to the plan",
+        Reason::NotGranted => "the plan may not use this; ask the operator for a grant",
+        Reason::RateLimited => "the plan's request rate is used up; send more slowly",
+        Reason::ConcurrencyLimited => "the plan's concurrency is used up; wait for an answer first",
+        Reason::TokensLimited => "the plan's token budget is used up; send more slowly",
+        Reason::NoEndpoint => "no endpoint holds this now; try again",
+        Reason::Unreachable => "no agent could be reached; try again",
+        Reason::LinkLost => "the link to the endpoint broke after the request was sent",
+        Reason::QueueFull => "the endpoints are busy; try again",
+        Reason::DeadlinePassed => "the plan's deadline passed",
+        Reason::Draining => "this process is stopping; send to another one",
+        Reason::Duplicate => "the request was submitted before and may be running",
+        Reason::NotHeld => "the endpoint does not hold this any more; try again",
+        Reason::StaleConfiguration => "a newer configuration came into force; try again",
+        Reason::EndpointFailed => "the endpoint failed while it ran the request",
+        Reason::Truncated => "the answer broke off before it was whole",
+        Reason::CallerLeft => "the caller closed the connection",
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/request/mod.rs
@@ -0,0 +1,14 @@
+//! Encodings that live as long as a request.
+
+pub mod claim;
+pub mod completion;
+pub mod failure;
+pub mod id;
+pub mod models;
+pub mod payload;
+pub mod submission;
+pub mod verdict;
+
+pub use completion::Completion;
+pub use failure::Failure;
+pub use payload::Payload;
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/request/models.rs
@@ -0,0 +1,35 @@
+//! The list of models that callers receive.
+
+use nutmegyoke_core::version::Grant;
+use nutmegyoke_core::version::grant::Item;
+use serde::Serialize;
+
+#[derive(Serialize)]
+struct List<'a> {
+    object: &'static str,
+    data: Vec<Row<'a>>,
+}
+
+#[derive(Serialize)]
+struct Row<'a> {
+    id: &'a str,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+/// Encodes the models and adapters among `grants`.
+#[must_use]
+pub fn encode<'a>(grants: impl Iterator<Item = &'a Grant>) -> Vec<u8> {
+    let models = grants.filter(|grant| !matches!(grant.item, Item::Service { .. }));
+    let list = List {
+        object: "list",
+        data: models
+            .map(|grant| Row {
+                id: grant.item.name(),
+                object: "model",
+                owned_by: "nutmegyoke",
+            })
+            .collect(),
+    };
+    serde_json::to_vec(&list).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/version/ini.rs
@@ -0,0 +1,137 @@
+//! The operators' two lists as INI files.
+//!
+//! The plans list has a section `[plan NAME]` a plan. The grants list has a
+//! section `[model NAME]`, `[adapter NAME]` or `[service NAME]` an item, each
+//! with the plans that may use it.
+
+use std::time::Duration;
+
+use nutmegyoke_core::version::grant::{Call, Item, Repeat};
+use nutmegyoke_core::version::plan::DEFAULT_PRIORITY;
+use nutmegyoke_core::version::{Grant, Plan};
+
+use crate::process::ini::{Fault, File, Section};
+
+const NUMBER: &str = "a whole number";
+const BYTES_PER_MB: u64 = 1_000_000;
+
+/// Parses the plans list called `name`.
+///
+/// # Errors
+///
+/// The first fault, with file, section, key and what to do.
+pub fn plans(name: &str, text: &str) -> Result<Vec<Plan>, Fault> {
+    let file = File::parse(name, text)?;
+    file.sections().map(plan).collect()
+}
+
+/// Parses the grants list called `name`.
+///
+/// # Errors
+///
+/// The first fault, with file, section, key and what to do.
+pub fn grants(name: &str, text: &str) -> Result<Vec<Grant>, Fault> {
+    let file = File::parse(name, text)?;
+    file.sections().map(grant).collect()
+}
+
+fn plan(section: Section<'_>) -> Result<Plan, Fault> {
+    let Some(("plan", name)) = title(&section) else {
+        return Err(section.unknown("[plan NAME]"));
+    };
+    let customer: String = section.required("customer", "the customer's name")?;
+    let plan = Plan {
+        name: name.to_owned(),
+        customer: customer.as_str().into(),
+        key: section.required("key", "the bearer key of the plan's callers")?,
+        requests_per_second: section.required("requests-per-second", NUMBER)?,
+        concurrency: section.required("concurrency", NUMBER)?,
+        tokens_per_minute: section.required("tokens-per-minute", NUMBER)?,
+        priority: section
+            .optional("priority", "0 (most urgent) to 9")?
+            .unwrap_or(DEFAULT_PRIORITY),
+        first_token: duration(&section, "first-token-ms")?,
+        between_tokens: duration(&section, "between-tokens-ms")?,
+        deadline: duration(&section, "deadline-ms")?,
+    };
+    if plan.priority > 9 {
+        let problem = format!(
+            "`{}` is not valid: write 0 (most urgent) to 9",
+            plan.priority
+        );
+        return Err(section.fault("priority", problem));
+    }
+    section.finish()?;
+    Ok(plan)
+}
+
+fn grant(section: Section<'_>) -> Result<Grant, Fault> {
+    let item = match title(&section) {
+        Some(("model", name)) => Item::Model {
+            name: name.into(),
+            bytes: bytes(&section)?,
+        },
+        Some(("adapter", name)) => {
+            let model: String = section.required("model", "the model's name")?;
+            Item::Adapter {
+                name: name.into(),
+                model: model.as_str().into(),
+                bytes: bytes(&section)?,
+            }
+        }
+        Some(("service", name)) => Item::Service {
+            name: name.into(),
+            calls: calls(&section)?,
+        },
+        _ => return Err(section.unknown("[model NAME], [adapter NAME] or [service NAME]")),
+    };
+    let grant = Grant {
+        item,
+        plans: section.names("plans")?,
+    };
+    section.finish()?;
+    Ok(grant)
+}
+
+fn title<'a>(section: &Section<'a>) -> Option<(&'a str, &'a str)> {
+    let (kind, name) = section.name.split_once(' ')?;
+    let name = name.trim();
+    (!name.is_empty()).then_some((kind, name))
+}
+
+fn duration(section: &Section<'_>, key: &'static str) -> Result<Duration, Fault> {
+    let milliseconds: u64 = section.required(key, "a number of milliseconds")?;
+    if milliseconds == 0 {
+        return Err(section.fault(key, "is 0: write at least 1 millisecond".to_owned()));
+    }
+    Ok(Duration::from_millis(milliseconds))
+}
+
+fn bytes(section: &Section<'_>) -> Result<u64, Fault> {
+    let megabytes: u64 = section.required("memory-mb", "the accelerator memory in megabytes")?;
+    megabytes
+        .checked_mul(BYTES_PER_MB)
+        .ok_or_else(|| section.fault("memory-mb", "is too large: write megabytes".to_owned()))
+}
+
+fn calls(section: &Section<'_>) -> Result<Vec<Call>, Fault> {
+    let mut calls = Vec::new();
+    for (key, repeat) in [
+        ("repeatable", Repeat::Repeatable),
+        ("not-repeatable", Repeat::Once),
+    ] {
+        for text in section.names(key)? {
+            let call = text.split_once(' ').map(|(method, prefix)| Call {
+                method: method.to_owned(),
+                prefix: prefix.trim().to_owned(),
+                repeat,
+            });
+            calls.push(call.ok_or_else(|| {
+                let problem =
+                    format!("`{text}` is not valid: write METHOD /path, such as GET /prices");
+                section.fault(key, problem)
+            })?);
+        }
+    }
+    Ok(calls)
+}
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/version/mod.rs
@@ -0,0 +1,5 @@
+//! Encodings that live as long as a version of the configuration.
+
+pub mod ini;
+pub mod json;
+pub mod lists;
--- /dev/null
+++ b/crates/nutmegyoke-wire/tests/settings.rs
@@ -0,0 +1,67 @@
+//! Settings files: what is accepted, and how each fault is told.
+
+use nutmegyoke_cases::cases;
+use nutmegyoke_wire::process::Settings;
+
+const PROCESS: &str = "[process]\nrole = entry\nname = entry-1\ndata-centre = alp-a\n\
+                       operators = 127.0.0.1:8471\ncontrol = 127.0.0.1:8480, 127.0.0.1:8481\n";
+const ENTRY: &str = "[entry]\ncallers = 127.0.0.1:8470\n";
+
+#[test]
+fn whole_file_is_accepted() {
+    let settings = Settings::parse("e.ini", &format!("{PROCESS}{ENTRY}")).unwrap();
+    insta::assert_debug_snapshot!(settings);
+}
+
+fn complains(text: &str, expected: &str) {
+    let fault = Settings::parse("e.ini", text).unwrap_err();
+    assert_eq!(fault.to_string(), expected);
+}
+
+cases!(complains {
+    empty: ("", "e.ini: [process]: is missing: add the section"),
+    no_section: (
+        "role = entry\n",
+        "e.ini: the file: `role` stands before any section: move it below one"
+    ),
+    bad_line: (
+        "[process\n",
+        "e.ini: line 2: expecting \"[Some(']')]\" but found EOF.: write `key = value` or `[section]`"
+    ),
+    bad_role: (
+        &PROCESS.replace("entry\n", "baker\n"),
+        "e.ini: [process] role: `baker` is not valid: write entry, agent or control",
+    ),
+    missing_key: (
+        &PROCESS.replace("name = entry-1\n", ""),
+        "e.ini: [entry]: is missing: add the section",
+    ),
+    missing_name: (
+        &format!("{}{ENTRY}", PROCESS.replace("name = entry-1\n", "")),
+        "e.ini: [process] name: is missing: add the name of the VM",
+    ),
+    bad_address: (
+        &format!("{PROCESS}[entry]\ncallers = here\n"),
+        "e.ini: [entry] callers: `here` is not valid: write an IP address and port, such as 127.0.0.1:8470",
+    ),
+    bad_control: (
+        &format!("{}{ENTRY}", PROCESS.replace("127.0.0.1:8481", "there")),
+        "e.ini: [process] control: `there` is not valid: write an IP address and port, such as 127.0.0.1:8470",
+    ),
+    unknown_key: (
+        &format!("{PROCESS}{ENTRY}body-byte = 5\n"),
+        "e.ini: [entry] body-byte: is unknown: remove it or use one of body-bytes, callers",
+    ),
+    key_twice: (
+        &format!("{PROCESS}{ENTRY}callers = 127.0.0.1:1\n"),
+        "e.ini: [entry] callers: stands twice: remove one",
+    ),
+    section_twice: (
+        &format!("{PROCESS}{ENTRY}{ENTRY}"),
+        "e.ini: [entry]: stands twice: join or rename them",
+    ),
+    foreign_section: (
+        &format!("{PROCESS}{ENTRY}[agent]\n"),
+        "e.ini: [agent]: is unknown: use [process] and [entry] for this role",
+    ),
+});
