Serve on one compio loop: driver, links, HTTP, heartbeats, stand-ins

capnp-rpc over compio TCP fits between our processes; HTTP by hyper and cyper. A Driver owns a state machine and feeds it borrowed events; tasks of the same loop wait in mailboxes.

--- /dev/null
+++ b/crates/nutmegyoke-host/src/connection/http.rs
@@ -0,0 +1,54 @@
+//! Serves HTTP/1.1 on one connection.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use cyper_core::{CompioTimer, HyperStream};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+
+use crate::process::Event;
+use crate::request::Body;
+
+/// How long a connection may take to send its request line and headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Answers HTTP requests.
+pub trait Handler {
+    /// Answers one request.
+    fn handle(self: Rc<Self>, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
+
+    /// Whether connections shall be closed after the answer in progress.
+    fn closing(&self) -> bool;
+}
+
+/// Serves requests on `stream` until either side closes it.
+pub async fn serve<H: Handler>(handler: Rc<H>, stream: TcpStream, peer: SocketAddr) {
+    let service = service_fn(|request| {
+        let handler = Rc::clone(&handler);
+        async move {
+            let mut response = Rc::clone(&handler).handle(request).await;
+            if handler.closing() {
+                let close = hyper::header::HeaderValue::from_static("close");
+                response
+                    .headers_mut()
+                    .insert(hyper::header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let served = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(HyperStream::new_plain(stream), service)
+        .await;
+    if let Err(error) = served {
+        let why = error.to_string();
+        Event::ConnectionFailed { peer, why: &why }.log();
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-host/src/connection/listener.rs
@@ -0,0 +1,89 @@
+//! Accepts TCP connections until it is closed.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::{TcpListener, TcpStream};
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
+
+use crate::process::Failure;
+
+/// The pause after a failed accept.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A bound address that serves connections on the current loop.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    close: RefCell<Option<oneshot::Sender<()>>>,
+}
+
+/// Serves one accepted connection.
+pub trait Serve {
+    /// Serves until either side closes.
+    fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) -> impl Future<Output = ()>;
+}
+
+impl Listener {
+    /// Binds `address` and spawns a task for each connection.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound; `key` is the setting that names it.
+    pub async fn bind<S: Serve + 'static>(
+        address: SocketAddr,
+        key: &'static str,
+        service: Rc<S>,
+    ) -> Result<Self, Failure> {
+        let failure = |source| Failure::Bind {
+            address,
+            key,
+            source,
+        };
+        let listener = TcpListener::bind(address).await.map_err(failure)?;
+        let address = listener.local_addr().map_err(failure)?;
+        let (close, closed) = oneshot::channel();
+        compio::runtime::spawn(accept(listener, service, closed)).detach();
+        Ok(Self {
+            address,
+            close: RefCell::new(Some(close)),
+        })
+    }
+
+    /// The bound address, with the port that was chosen if it was 0.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts no further connection; those accepted go on.
+    pub fn close(&self) {
+        self.close.borrow_mut().take();
+    }
+}
+
+async fn accept<S: Serve + 'static>(
+    listener: TcpListener,
+    service: Rc<S>,
+    mut closed: oneshot::Receiver<()>,
+) {
+    loop {
+        let next = listener.accept();
+        pin_mut!(next);
+        match select(next, &mut closed).await {
+            Either::Left((Ok((stream, peer)), _)) => {
+                // Small messages must not wait for an acknowledgement.
+                let _ = stream.set_nodelay(true);
+                let service = Rc::clone(&service);
+                compio::runtime::spawn(service.serve(stream, peer)).detach();
+            }
+            // Out of file descriptors, or the peer left at once: go on after a pause.
+            Either::Left((Err(_), _)) => compio::time::sleep(PAUSE).await,
+            Either::Right(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -0,0 +1,197 @@
+//! The role that takes callers' requests.
+
+use std::cell::OnceCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use compio::net::TcpStream;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use nutmegyoke_core::process as decision;
+use nutmegyoke_core::process::endpoint::Target;
+use nutmegyoke_core::process::entry::{Command, Event as Input};
+use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::process::news::{Known, News};
+use nutmegyoke_core::process::{Clock, Member};
+use nutmegyoke_wire::connection::link_capnp::agent;
+use nutmegyoke_wire::process::Settings;
+use nutmegyoke_wire::process::settings;
+use prometheus::Registry;
+
+use super::driver::Addressed;
+use super::heartbeat::{Heartbeat, Learner};
+use super::operators::{self, Operators};
+use super::{Driver, Event, Failure, Metrics};
+use crate::connection::http::{self, Handler};
+use crate::connection::listener::Serve;
+use crate::connection::{Listener, Pool};
+use crate::request::{Body, caller};
+
+/// A running entry.
+pub struct Entry<C: Clock + 'static> {
+    driver: Rc<Driver<decision::Entry, C>>,
+    pool: Rc<Pool<agent::Client>>,
+    metrics: Metrics,
+    body_bytes: usize,
+    member: Member,
+    heartbeat: OnceCell<Heartbeat>,
+    listeners: OnceCell<[Listener; 2]>,
+}
+
+impl Addressed for Command {
+    fn addressee(&self) -> Option<u64> {
+        match self {
+            Self::Dispatch { number, .. } | Self::Settle { number, .. } => Some(*number),
+            Self::Retried { .. } => None,
+        }
+    }
+}
+
+impl<C: Clock + 'static> Entry<C> {
+    /// Spawns an entry on the current loop.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound.
+    pub async fn spawn(
+        settings: &Settings,
+        own: &settings::Entry,
+        clock: C,
+        registry: &Registry,
+    ) -> Result<Rc<Self>, Failure> {
+        let member = super::member(settings, &clock, Role::Entry);
+        let run = super::run(&member.vm);
+        let machine = decision::Entry::open(run, &settings.data_centre, run);
+        let (driver, background) = Driver::spawn(machine, clock);
+        let entry = Rc::new(Self {
+            driver,
+            pool: Rc::default(),
+            metrics: Metrics::open(registry, &member)?,
+            body_bytes: own.body_bytes,
+            member,
+            heartbeat: OnceCell::new(),
+            listeners: OnceCell::new(),
+        });
+        let callers = Listener::bind(own.callers, "callers", Rc::clone(&entry)).await?;
+        let operators = Operators::open(&entry);
+        let operators = Listener::bind(settings.operators, "operators", operators).await?;
+        super::log_start(&entry.member, callers.address(), operators.address());
+        let _ = entry.listeners.set([callers, operators]);
+        let heartbeat = Heartbeat::spawn(Rc::clone(&entry), settings.control.clone());
+        let _ = entry.heartbeat.set(heartbeat);
+        compio::runtime::spawn(count(background, entry.metrics.clone())).detach();
+        Ok(entry)
+    }
+
+    /// Where callers reach it.
+    #[must_use]
+    pub fn callers(&self) -> Option<SocketAddr> {
+        let [callers, _] = self.listeners.get()?;
+        Some(callers.address())
+    }
+
+    /// Whether the directory shows an endpoint for each of `targets`.
+    #[must_use]
+    pub fn serves(&self, targets: &[Target<'_>]) -> bool {
+        let machine = self.driver.machine();
+        let directory = machine.directory();
+        machine.ready() && targets.iter().all(|&target| directory.offers(target))
+    }
+
+    /// The state machine.
+    pub fn driver(&self) -> &Rc<Driver<decision::Entry, C>> {
+        &self.driver
+    }
+
+    /// The links to agents.
+    pub fn pool(&self) -> &Rc<Pool<agent::Client>> {
+        &self.pool
+    }
+
+    /// The counters.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// The longest request body, in bytes.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
+    /// Takes nothing new and waits until nothing is in flight.
+    pub async fn drain(&self) {
+        self.driver.feed(Input::Drained);
+        if let Some([callers, _]) = self.listeners.get() {
+            callers.close();
+        }
+        super::drained(|| self.driver.machine().in_flight()).await;
+    }
+}
+
+/// Counts what no request waits for.
+async fn count(mut background: mpsc::UnboundedReceiver<Command>, metrics: Metrics) {
+    while let Some(command) = background.next().await {
+        if let Command::Retried { reason } = command {
+            metrics.retried(reason);
+        }
+    }
+}
+
+impl<C: Clock + 'static> Serve for Entry<C> {
+    async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        http::serve(self, stream, peer).await;
+    }
+}
+
+impl<C: Clock + 'static> Handler for Entry<C> {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        caller::answer(&self, request).await
+    }
+
+    fn closing(&self) -> bool {
+        !self.driver.machine().ready()
+    }
+}
+
+impl<C: Clock + 'static> Learner for Entry<C> {
+    fn member(&self) -> Member {
+        let mut member = self.member.clone();
+        member.configuration = self.driver.machine().configuration().number();
+        member
+    }
+
+    fn known(&self) -> Known {
+        let machine = self.driver.machine();
+        Known {
+            configuration: machine.configuration().number(),
+            directory: machine.directory().mark(),
+        }
+    }
+
+    fn learn(&self, news: &News) {
+        self.driver.feed(Input::Taught { news });
+        super::log_configuration(&self.metrics, news);
+    }
+}
+
+impl<C: Clock + 'static> operators::Role for Entry<C> {
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn ready(&self) -> bool {
+        self.driver.machine().ready()
+    }
+
+    async fn answer(self: Rc<Self>, _: Request<Incoming>) -> Option<Response<Body>> {
+        None
+    }
+}
+
+impl<C: Clock + 'static> Drop for Entry<C> {
+    fn drop(&mut self) {
+        Event::Stopped.log();
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -0,0 +1,91 @@
+//! Numbered log events; docs/EVENTS.md is their catalogue.
+
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use nutmegyoke_core::process::Vm;
+use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::request::Reason;
+use spdlog::Level;
+
+/// Something worth a line in the log.
+#[derive(Clone, Debug, Display)]
+pub enum Event<'a> {
+    /// The process runs.
+    #[display("{role} {vm} listens on {listen}, operators on {operators}")]
+    Started {
+        role: Role,
+        vm: &'a Vm,
+        listen: SocketAddr,
+        operators: SocketAddr,
+    },
+    /// The process was asked to stop and finishes what is in flight.
+    #[display("draining: {in_flight} requests in flight")]
+    Draining { in_flight: usize },
+    /// The process ends.
+    #[display("stopped")]
+    Stopped,
+    /// A newer configuration is in force in this process.
+    #[display("configuration {number} in force")]
+    Configured { number: u64 },
+    /// An operator's configuration was accepted.
+    #[display("configuration {number} accepted, digest {digest:016x}")]
+    Accepted { number: u64, digest: u64 },
+    /// An operator's configuration was not accepted.
+    #[display("configuration {number} not accepted: {why}")]
+    Rejected { number: u64, why: &'a str },
+    /// A request ended without a whole answer.
+    #[display("request {number} not answered: {reason}")]
+    Refused { number: u64, reason: Reason },
+    /// No control process answers.
+    #[display("no control process answers: {why}; serving on the last known state")]
+    ControlLost { why: &'a str },
+    /// A control process answers again.
+    #[display("control process {address} answers")]
+    ControlFound { address: SocketAddr },
+    /// A connection ended with an error.
+    #[display("connection of {peer} failed: {why}")]
+    ConnectionFailed { peer: SocketAddr, why: &'a str },
+    /// An endpoint announced itself for the first time.
+    #[display("endpoint {name} at {address} announced itself")]
+    Announced { name: &'a str, address: SocketAddr },
+    /// An endpoint's announcement was refused.
+    #[display("announcement refused: {why}")]
+    AnnouncementRefused { why: &'a str },
+}
+
+impl Event<'_> {
+    /// The number under which the catalogue describes the event.
+    #[must_use]
+    pub fn number(&self) -> u32 {
+        match self {
+            Self::Started { .. } => 100,
+            Self::Draining { .. } => 101,
+            Self::Stopped => 102,
+            Self::Configured { .. } => 200,
+            Self::Accepted { .. } => 201,
+            Self::Rejected { .. } => 202,
+            Self::Refused { .. } => 300,
+            Self::ControlLost { .. } => 400,
+            Self::ControlFound { .. } => 401,
+            Self::ConnectionFailed { .. } => 402,
+            Self::Announced { .. } => 500,
+            Self::AnnouncementRefused { .. } => 501,
+        }
+    }
+
+    fn level(&self) -> Level {
+        match self {
+            Self::ControlLost { .. } | Self::Rejected { .. } | Self::AnnouncementRefused { .. } => {
+                Level::Warn
+            }
+            Self::Refused { .. } | Self::ConnectionFailed { .. } => Level::Debug,
+            _ => Level::Info,
+        }
+    }
+
+    /// Writes the event to the log.
+    pub fn log(&self) {
+        spdlog::log!(self.level(), "NY{:04} {self}", self.number());
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/failure.rs
@@ -0,0 +1,24 @@
+//! Why a process could not start.
+
+use std::io;
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error};
+
+/// A failure to start, with what to do about it.
+#[derive(Debug, Display, Error)]
+pub enum Failure {
+    /// An address could not be bound.
+    #[display("cannot listen on {address}: {source}; set `{key}` to a free address of this VM")]
+    Bind {
+        address: SocketAddr,
+        key: &'static str,
+        source: io::Error,
+    },
+    /// The HTTP client could not be built.
+    #[display("cannot build the HTTP client: {source}")]
+    Client { source: cyper::Error },
+    /// The metrics could not be registered.
+    #[display("cannot register metrics: {source}")]
+    Metrics { source: prometheus::Error },
+}
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters, as operators scrape them at `/metrics`.
+
+use nutmegyoke_core::process::Member;
+use nutmegyoke_core::request::Reason;
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use strum::IntoEnumIterator;
+
+use super::Failure;
+
+/// The metrics of one role; every role of a process shares its registry.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests taken from callers or entries.
+    pub requests: IntCounter,
+    /// Requests not answered in whole, by reason.
+    pub refusals: IntCounterVec,
+    /// Attempts repeated, by the reason of the failed one.
+    pub retries: IntCounterVec,
+    /// Chunks dropped as duplicate, out of order or foreign.
+    pub dropped: IntCounterVec,
+    /// The number of the configuration in force.
+    pub configuration: IntGauge,
+}
+
+impl Metrics {
+    /// Registers the metrics of `member`, with every reason at 0.
+    ///
+    /// # Errors
+    ///
+    /// The registry has metrics of this VM and role already.
+    pub fn open(registry: &Registry, member: &Member) -> Result<Self, Failure> {
+        let labels = Labels {
+            role: member.role.to_string(),
+            vm: &member.vm.name,
+        };
+        Self::register(registry, &labels).map_err(|source| Failure::Metrics { source })
+    }
+
+    fn register(registry: &Registry, labels: &Labels<'_>) -> prometheus::Result<Self> {
+        let opts = |name, help| labels.opts(name, help);
+        let requests = opts("nutmegyoke_requests_total", "Requests taken.");
+        let dropped = opts("nutmegyoke_chunks_dropped_total", "Chunks dropped.");
+        let configuration = opts(
+            "nutmegyoke_configuration",
+            "The number of the configuration in force.",
+        );
+        let refusals = opts(
+            "nutmegyoke_refusals_total",
+            "Requests refused or failed, by reason.",
+        );
+        let retries = opts(
+            "nutmegyoke_retries_total",
+            "Attempts repeated, by the reason of the failed one.",
+        );
+        let metrics = Self {
+            registry: registry.clone(),
+            requests: IntCounter::with_opts(requests)?,
+            refusals: by_reason(refusals)?,
+            retries: by_reason(retries)?,
+            dropped: IntCounterVec::new(dropped, &["cause"])?,
+            configuration: IntGauge::with_opts(configuration)?,
+        };
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.refusals.clone()))?;
+        registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.dropped.clone()))?;
+        registry.register(Box::new(metrics.configuration.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: Reason) {
+        self.refusals.with_label_values(&[reason.name()]).inc();
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, reason: Reason) {
+        self.retries.with_label_values(&[reason.name()]).inc();
+    }
+
+    /// The text that a scrape receives.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory fails only on a metric without a name.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
+
+/// Tells apart the roles that share a registry.
+struct Labels<'a> {
+    role: String,
+    vm: &'a str,
+}
+
+impl Labels<'_> {
+    fn opts(&self, name: &str, help: &str) -> Opts {
+        let opts = Opts::new(name, help).const_label("role", &self.role);
+        opts.const_label("vm", self.vm)
+    }
+}
+
+fn by_reason(opts: Opts) -> prometheus::Result<IntCounterVec> {
+    let counters = IntCounterVec::new(opts, &["reason"])?;
+    for reason in Reason::iter() {
+        counters.with_label_values(&[reason.name()]);
+    }
+    Ok(counters)
+}
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -0,0 +1,85 @@
+//! What lives as long as the process: roles, their driver, logs and metrics.
+
+pub mod agent;
+pub mod control;
+pub mod driver;
+pub mod entry;
+pub mod event;
+pub mod failure;
+pub mod heartbeat;
+pub mod metrics;
+pub mod operators;
+pub mod signal;
+
+pub use agent::Agent;
+pub use control::Control;
+pub use driver::Driver;
+pub use entry::Entry;
+pub use event::Event;
+pub use failure::Failure;
+pub use metrics::Metrics;
+
+use std::net::SocketAddr;
+use std::time::{Duration, UNIX_EPOCH};
+
+use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::process::news::News;
+use nutmegyoke_core::process::{Clock, Member, Vm};
+use nutmegyoke_wire::process::Settings;
+use rapidhash::v3::rapidhash_v3;
+
+/// How often a stopping process looks whether it is idle.
+const DRAIN_PERIOD: Duration = Duration::from_millis(20);
+
+/// Hashes a run of a process to a number.
+fn run(vm: &Vm) -> u64 {
+    rapidhash_v3(vm.to_string().as_bytes())
+}
+
+/// Describes the process, with the run that begins now.
+fn member(settings: &Settings, clock: &impl Clock, role: Role) -> Member {
+    let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Member {
+        vm: Vm {
+            name: settings.name.clone(),
+            incarnation: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+        },
+        role,
+        data_centre: settings.data_centre.clone(),
+        address: settings.listen,
+        endpoints: Vec::new(),
+        configuration: 0,
+    }
+}
+
+fn log_start(member: &Member, listen: SocketAddr, operators: SocketAddr) {
+    Event::Started {
+        role: member.role,
+        vm: &member.vm,
+        listen,
+        operators,
+    }
+    .log();
+}
+
+fn log_configuration(metrics: &Metrics, news: &News) {
+    let Some(configuration) = &news.configuration else {
+        return;
+    };
+    let number = configuration.number();
+    metrics
+        .configuration
+        .set(i64::try_from(number).unwrap_or(i64::MAX));
+    Event::Configured { number }.log();
+}
+
+/// Waits until nothing is in flight.
+async fn drained(in_flight: impl Fn() -> usize) {
+    Event::Draining {
+        in_flight: in_flight(),
+    }
+    .log();
+    while in_flight() > 0 {
+        compio::time::sleep(DRAIN_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/operators.rs
@@ -0,0 +1,89 @@
+//! What every role offers to operators over HTTP: metrics and health.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use compio::net::TcpStream;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+
+use super::Metrics;
+use crate::connection::http::{self, Handler};
+use crate::connection::listener::Serve;
+use crate::request::Body;
+
+/// A role's part of the operators' interface.
+pub trait Role {
+    /// The metrics, brought up to date.
+    fn metrics(&self) -> &Metrics;
+    /// Whether the process can do its work.
+    fn ready(&self) -> bool;
+    /// Answers a path that is particular to the role; `None` if there is no such path.
+    fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Option<Response<Body>>>;
+}
+
+/// Serves the operators' interface of a role.
+#[derive(Debug)]
+pub struct Operators<R> {
+    role: Rc<R>,
+}
+
+impl<R: Role> Operators<R> {
+    /// Opens the interface of `role`.
+    pub fn open(role: &Rc<R>) -> Rc<Self> {
+        Rc::new(Self {
+            role: Rc::clone(role),
+        })
+    }
+}
+
+impl<R: Role + 'static> Serve for Operators<R> {
+    async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        http::serve(self, stream, peer).await;
+    }
+}
+
+impl<R: Role + 'static> Handler for Operators<R> {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/metrics") => {
+                let text = self.role.metrics().encode();
+                respond(StatusCode::OK, "text/plain; version=0.0.4", text)
+            }
+            (&Method::GET, "/healthz") => respond(StatusCode::OK, "text/plain", b"ok\n".to_vec()),
+            (&Method::GET, "/readyz") => {
+                if self.role.ready() {
+                    respond(StatusCode::OK, "text/plain", b"ready\n".to_vec())
+                } else {
+                    let text = b"not ready\n".to_vec();
+                    respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text)
+                }
+            }
+            _ => {
+                let answer = Rc::clone(&self.role).answer(request).await;
+                answer.unwrap_or_else(|| {
+                    let text = b"no such path\n".to_vec();
+                    respond(StatusCode::NOT_FOUND, "text/plain", text)
+                })
+            }
+        }
+    }
+
+    fn closing(&self) -> bool {
+        false
+    }
+}
+
+/// Builds a response.
+#[must_use]
+pub fn respond(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    let value = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/crates/nutmegyoke-host/src/request/attempt.rs
@@ -0,0 +1,121 @@
+//! One attempt at a request: submits it to an agent and takes the answer.
+
+use std::pin::Pin;
+use std::task::Poll;
+
+use capnp::capability::Promise;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::future::poll_fn;
+use nutmegyoke_core::request::{Reason, Submission, Verdict};
+use nutmegyoke_wire::connection::link_capnp::{agent, answer};
+use nutmegyoke_wire::request::{Payload, submission, verdict};
+
+use super::answer::Part;
+
+/// A submission in progress. Dropping it cancels the request at the agent.
+pub struct Attempt {
+    result: Option<Promise<(Verdict, u64), capnp::Error>>,
+    parts: mpsc::Receiver<Part>,
+    received: u64,
+    end: Option<(Verdict, u64)>,
+}
+
+/// What an attempt yields.
+#[derive(Debug)]
+pub enum Step {
+    /// The next part of the answer.
+    Part { part: Part },
+    /// The end; [`Verdict::Ran`] means that every part has been yielded.
+    End { verdict: Verdict },
+}
+
+impl Attempt {
+    /// Submits a request to the agent behind `client`.
+    #[must_use]
+    pub fn spawn(
+        client: &agent::Client,
+        submission: &Submission,
+        payload: &Payload<'_>,
+        (answer, parts): (answer::Client, mpsc::Receiver<Part>),
+    ) -> Self {
+        let mut request = client.submit_request();
+        let mut params = request.get();
+        submission::write(submission, params.reborrow().init_submission());
+        payload.write(params.reborrow().init_payload());
+        params.set_answer(answer);
+        let sent = request.send();
+        let result = Promise::from_future(async move {
+            let response = sent.promise.await?;
+            let results = response.get()?;
+            let verdict = verdict::read(results.get_verdict()?)?;
+            Ok((verdict, results.get_chunks()))
+        });
+        Self {
+            result: Some(result),
+            parts,
+            received: 0,
+            end: None,
+        }
+    }
+
+    /// Waits for the next part or the end.
+    pub async fn next(&mut self) -> Step {
+        if self.end.is_none()
+            && let Some(part) = self.part_or_result().await
+        {
+            return self.step(part);
+        }
+        // The agent has sent all; what it sent is in the queue already.
+        match self.parts.try_recv() {
+            Ok(part) => self.step(part),
+            Err(_) => Step::End {
+                verdict: self.verdict(),
+            },
+        }
+    }
+
+    fn step(&mut self, part: Part) -> Step {
+        if matches!(part, Part::Chunk { .. }) {
+            self.received += 1;
+        }
+        Step::Part { part }
+    }
+
+    /// The agent's verdict, unless the answer lacks a part.
+    fn verdict(&self) -> Verdict {
+        match self.end {
+            Some((Verdict::Ran, sent)) if sent != self.received => Verdict::MayHaveRun {
+                reason: Reason::Truncated,
+            },
+            Some((verdict, _)) => verdict,
+            None => LOST,
+        }
+    }
+
+    /// Returns a part, or `None` once the result has been stored.
+    async fn part_or_result(&mut self) -> Option<Part> {
+        poll_fn(|context| {
+            if let Poll::Ready(Some(part)) = self.parts.poll_next_unpin(context) {
+                return Poll::Ready(Some(part));
+            }
+            let Some(result) = &mut self.result else {
+                return Poll::Ready(None);
+            };
+            match Pin::new(result).poll(context) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(result) => {
+                    self.end = Some(result.unwrap_or((LOST, 0)));
+                    self.result = None;
+                    Poll::Ready(None)
+                }
+            }
+        })
+        .await
+    }
+}
+
+/// The request was sent and the link broke: nobody here knows whether it ran.
+const LOST: Verdict = Verdict::MayHaveRun {
+    reason: Reason::LinkLost,
+};
--- /dev/null
+++ b/crates/nutmegyoke-host/src/request/body.rs
@@ -0,0 +1,99 @@
+//! The body of an HTTP response.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures_channel::{mpsc, oneshot};
+use futures_util::Stream;
+use hyper::body::{Frame, SizeHint};
+
+/// A response body, whole or streamed.
+#[derive(Debug)]
+pub enum Body {
+    /// The whole body.
+    Whole { bytes: Bytes },
+    /// Parts as they come; an error aborts the connection. Dropping `open`
+    /// tells the writer that the caller left.
+    Stream {
+        parts: mpsc::Receiver<Result<Bytes, Truncated>>,
+        open: oneshot::Sender<()>,
+    },
+}
+
+/// The writing side of a streamed body.
+#[derive(Debug)]
+pub struct Writer {
+    /// Takes the parts.
+    pub parts: mpsc::Sender<Result<Bytes, Truncated>>,
+    /// Resolves when the caller left.
+    pub left: oneshot::Receiver<()>,
+}
+
+/// Parts that wait for the caller's connection at most.
+const WINDOW: usize = 4;
+
+impl Body {
+    /// Opens a streamed body.
+    #[must_use]
+    pub fn stream() -> (Writer, Self) {
+        let (sender, parts) = mpsc::channel(WINDOW);
+        let (open, left) = oneshot::channel();
+        let writer = Writer {
+            parts: sender,
+            left,
+        };
+        (writer, Self::Stream { parts, open })
+    }
+}
+
+/// The answer broke off; the caller must not take it for whole.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("the answer broke off before it was whole")]
+pub struct Truncated;
+
+impl Default for Body {
+    fn default() -> Self {
+        Self::Whole {
+            bytes: Bytes::new(),
+        }
+    }
+}
+
+impl From<Vec<u8>> for Body {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self::Whole {
+            bytes: bytes.into(),
+        }
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        match self.get_mut() {
+            Self::Whole { bytes } if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole { bytes } => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Stream { parts, .. } => Pin::new(parts)
+                .poll_next(context)
+                .map(|part| part.map(|part| part.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole { bytes } if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole { bytes } => SizeHint::with_exact(bytes.len() as u64),
+            Self::Stream { .. } => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-standin/src/desk.rs
@@ -0,0 +1,123 @@
+//! A stand-in for a plain service: a booking desk.
+
+use std::cell::Cell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use nutmegyoke_core::process::Endpoint;
+use nutmegyoke_core::process::endpoint::{Holding, Phase};
+use nutmegyoke_host::connection::Listener;
+use nutmegyoke_host::connection::http::{self, Handler};
+use nutmegyoke_host::connection::listener::Serve;
+use nutmegyoke_host::process::Failure;
+use nutmegyoke_host::process::operators::respond;
+use nutmegyoke_host::request::Body;
+use nutmegyoke_wire::process::Announcement;
+use serde_json::json;
+
+use crate::Announcer;
+
+/// The time that a booking takes.
+pub const BOOKING: Duration = Duration::from_millis(200);
+
+/// Requests that the desk runs at once.
+const SLOTS: u32 = 8;
+
+/// A running stand-in booking desk, the service `desk`.
+#[derive(Debug)]
+pub struct Desk {
+    address: Cell<SocketAddr>,
+    bookings: Cell<u64>,
+}
+
+impl Desk {
+    /// Binds a desk to a free port and serves on the current loop.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub async fn bind() -> Result<Rc<Self>, Failure> {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let desk = Rc::new(Self {
+            address: Cell::new(address),
+            bookings: Cell::new(0),
+        });
+        let listener = Listener::bind(address, "desk", Rc::clone(&desk)).await?;
+        desk.address.set(listener.address());
+        // The listener closes with the loop.
+        std::mem::forget(listener);
+        Ok(desk)
+    }
+
+    /// Where it serves.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    /// Bookings made.
+    #[must_use]
+    pub fn bookings(&self) -> u64 {
+        self.bookings.get()
+    }
+
+    async fn book(&self) -> Response<Body> {
+        // Counted before the wait: a booking that is cut off has still been made.
+        self.bookings.set(self.bookings.get() + 1);
+        let number = self.bookings.get();
+        compio::time::sleep(BOOKING).await;
+        answer(&json!({ "booking": number }))
+    }
+}
+
+fn answer(value: &serde_json::Value) -> Response<Body> {
+    respond(
+        StatusCode::OK,
+        "application/json",
+        value.to_string().into_bytes(),
+    )
+}
+
+impl Announcer for Desk {
+    fn announcement(&self) -> Announcement {
+        Announcement {
+            address: self.address(),
+            endpoint: Endpoint {
+                name: "desk".to_owned(),
+                holding: Holding::Service {
+                    service: "desk".into(),
+                },
+                slots: SLOTS,
+                phase: Phase::Ready,
+            },
+        }
+    }
+}
+
+impl Serve for Desk {
+    async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        http::serve(self, stream, peer).await;
+    }
+}
+
+impl Handler for Desk {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/bookings") => self.book().await,
+            (&Method::GET, "/bookings") => answer(&json!({ "count": self.bookings() })),
+            _ => respond(
+                StatusCode::NOT_FOUND,
+                "text/plain",
+                b"no such path".to_vec(),
+            ),
+        }
+    }
+
+    fn closing(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-standin/src/engine.rs
@@ -0,0 +1,189 @@
+//! A stand-in for a model engine.
+
+use std::cell::Cell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use futures_util::SinkExt;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use nutmegyoke_core::process::Endpoint;
+use nutmegyoke_core::process::endpoint::{Holding, Phase};
+use nutmegyoke_host::connection::Listener;
+use nutmegyoke_host::connection::http::{self, Handler};
+use nutmegyoke_host::connection::listener::Serve;
+use nutmegyoke_host::process::Failure;
+use nutmegyoke_host::process::operators::respond;
+use nutmegyoke_host::request::Body;
+use nutmegyoke_host::request::body::Writer;
+use nutmegyoke_wire::process::Announcement;
+use nutmegyoke_wire::request::Completion;
+use serde_json::json;
+
+use crate::Announcer;
+
+/// What the engine generates, in turn.
+const WORDS: [&str; 8] = [
+    "dry", "husk", "grade", "two", "fetches", "a", "fair", "price",
+];
+
+/// How an engine behaves.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    /// Its name on its VM.
+    pub name: String,
+    /// The models that it holds.
+    pub models: Vec<&'static str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// The time to each token.
+    pub token: Duration,
+}
+
+/// A running stand-in engine.
+#[derive(Debug)]
+pub struct Engine {
+    behaviour: Behaviour,
+    address: Cell<SocketAddr>,
+    runs: Cell<u64>,
+}
+
+impl Engine {
+    /// Binds an engine to a free port and serves on the current loop.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub async fn bind(behaviour: Behaviour) -> Result<Rc<Self>, Failure> {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let engine = Rc::new(Self {
+            behaviour,
+            address: Cell::new(address),
+            runs: Cell::new(0),
+        });
+        let listener = Listener::bind(address, "engine", Rc::clone(&engine)).await?;
+        engine.address.set(listener.address());
+        // The listener closes with the loop.
+        std::mem::forget(listener);
+        Ok(engine)
+    }
+
+    /// Where it serves.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    /// Completions begun.
+    #[must_use]
+    pub fn runs(&self) -> u64 {
+        self.runs.get()
+    }
+
+    async fn complete(&self, request: Request<Incoming>) -> Response<Body> {
+        let Ok(body) = request.into_body().collect().await else {
+            return refuse(StatusCode::BAD_REQUEST, "the body broke off");
+        };
+        let body = body.to_bytes();
+        let Ok(completion) = Completion::decode(&body) else {
+            return refuse(StatusCode::BAD_REQUEST, "the body is no completion request");
+        };
+        self.runs.set(self.runs.get() + 1);
+        let tokens = completion.max_tokens.unwrap_or(8);
+        let token = self.behaviour.token;
+        if completion.stream {
+            let (writer, body) = Body::stream();
+            let model = completion.model.into_owned();
+            compio::runtime::spawn(generate(writer, model, tokens, token)).detach();
+            return respond_with("text/event-stream", body);
+        }
+        compio::time::sleep(token * tokens).await;
+        let words: Vec<&str> = (0..tokens).map(word).collect();
+        let answer = json!({
+            "id": "completion",
+            "object": "chat.completion",
+            "model": completion.model,
+            "choices": [{
+                "index": 0,
+                "message": {"role": "assistant", "content": words.join(" ")},
+                "finish_reason": "stop",
+            }],
+            "usage": {"completion_tokens": tokens},
+        });
+        respond_with("application/json", answer.to_string().into_bytes().into())
+    }
+}
+
+fn word(index: u32) -> &'static str {
+    WORDS[index as usize % WORDS.len()]
+}
+
+async fn generate(writer: Writer, model: String, tokens: u32, token: Duration) {
+    let Writer { mut parts, .. } = writer;
+    for index in 0..tokens {
+        compio::time::sleep(token).await;
+        let chunk = json!({
+            "id": "completion",
+            "object": "chat.completion.chunk",
+            "model": model,
+            "choices": [{"index": 0, "delta": {"content": word(index)}}],
+        });
+        let event = format!("data: {chunk}\n\n");
+        if parts.send(Ok(event.into())).await.is_err() {
+            return;
+        }
+    }
+    let _ = parts.send(Ok("data: [DONE]\n\n".into())).await;
+}
+
+fn refuse(status: StatusCode, why: &str) -> Response<Body> {
+    respond(status, "text/plain", why.as_bytes().to_vec())
+}
+
+fn respond_with(content_type: &'static str, body: Body) -> Response<Body> {
+    respond(StatusCode::OK, content_type, Vec::new()).map(|_| body)
+}
+
+impl Announcer for Engine {
+    fn announcement(&self) -> Announcement {
+        Announcement {
+            address: self.address(),
+            endpoint: Endpoint {
+                name: self.behaviour.name.clone(),
+                holding: Holding::Engine {
+                    models: self
+                        .behaviour
+                        .models
+                        .iter()
+                        .map(|&name| name.into())
+                        .collect(),
+                    adapters: Vec::new(),
+                },
+                slots: self.behaviour.slots,
+                phase: Phase::Ready,
+            },
+        }
+    }
+}
+
+impl Serve for Engine {
+    async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        http::serve(self, stream, peer).await;
+    }
+}
+
+impl Handler for Engine {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        match request.uri().path() {
+            "/v1/chat/completions" | "/v1/completions" => self.complete(request).await,
+            _ => refuse(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn closing(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-standin/src/lib.rs
@@ -0,0 +1,13 @@
+//! Small stand-in endpoints for the demo, the tests and the benches.
+//!
+//! An [`engine`] answers completions token by token; the [`desk`] is a plain
+//! service that counts bookings. Both announce themselves to their agent as a
+//! real endpoint does, through [`announcer`].
+
+pub mod announcer;
+pub mod desk;
+pub mod engine;
+
+pub use announcer::Announcer;
+pub use desk::Desk;
+pub use engine::Engine;
