--- /dev/null
+++ b/src/bin/nutmegyoke/commands/apply.rs
@@ -0,0 +1,71 @@
+//! `nutmegyoke apply`: submits the two lists under a version number.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Args;
+use nutmegyoke_core::process::control::Acceptance;
+use nutmegyoke_host::version::lists;
+use nutmegyoke_wire::version::json;
+
+use crate::operators::{self, Failure};
+
+/// Submit the two lists; sending the same again is safe.
+#[derive(Debug, Args)]
+pub struct Apply {
+    /// The operators' address of a control process.
+    #[arg(long, value_name = "ADDR")]
+    control: SocketAddr,
+
+    /// The version number, higher than the one in force.
+    #[arg(long, value_name = "NUMBER", value_parser = clap::value_parser!(u64).range(1..))]
+    number: u64,
+
+    /// The plans list.
+    #[arg(long, value_name = "FILE")]
+    plans: PathBuf,
+
+    /// The grants list.
+    #[arg(long, value_name = "FILE")]
+    grants: PathBuf,
+
+    /// Print the outcome as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+impl Apply {
+    pub fn run(&self) -> Result<(), Failure> {
+        let lists = lists::read(self.number, &self.plans, &self.grants)?;
+        let answer = operators::post(self.control, "/v1/configuration", json::encode(&lists))?;
+        if !matches!(answer.status, 200 | 409) {
+            let why = String::from_utf8_lossy(&answer.body).into_owned();
+            return Err(Failure::Refused { why });
+        }
+        let acceptance = json::decode_acceptance(&answer.body);
+        let acceptance = acceptance.map_err(|source| Failure::Answer {
+            address: self.control,
+            source,
+        })?;
+        if self.json {
+            println!("{}", String::from_utf8_lossy(&answer.body));
+        }
+        match acceptance {
+            Acceptance::Accepted { number, digest } => {
+                if !self.json {
+                    println!("configuration {number} is accepted, digest {digest:016x}");
+                }
+                Ok(())
+            }
+            Acceptance::Conflict { number, digest } => Err(Failure::Refused {
+                why: format!(
+                    "number {number} holds other content, digest {digest:016x}: \
+                     look at it with `nutmegyoke status`, then apply under a higher number"
+                ),
+            }),
+            Acceptance::Stale { number } => Err(Failure::Refused {
+                why: format!("number {number} is in force: apply under a higher number"),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/nutmegyoke/commands/mod.rs
@@ -0,0 +1,28 @@
+//! The subcommands, one file each.
+
+mod apply;
+mod check;
+mod status;
+
+use clap::Subcommand;
+
+use super::operators::Failure;
+
+/// What the tool can do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    Check(check::Check),
+    Apply(apply::Apply),
+    Status(status::Status),
+}
+
+impl Command {
+    /// Runs the subcommand.
+    pub fn run(&self) -> Result<(), Failure> {
+        match self {
+            Self::Check(command) => command.run(),
+            Self::Apply(command) => command.run(),
+            Self::Status(command) => command.run(),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/nutmegyoked/main.rs
@@ -0,0 +1,63 @@
+//! The daemon: one process of a fleet, or the demo of a whole one.
+//!
+//! `nutmegyoked --settings FILE.ini` runs the role that the file names until
+//! SIGTERM, then finishes what is in flight. `nutmegyoked --demo` runs every
+//! role and small stand-in endpoints in one process.
+//!
+//! Exit codes: 0 after a graceful stop, 1 when the process can't start, 2 when
+//! the command line or the settings are wrong.
+
+mod demo;
+mod run;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+
+/// Serves many language models and their adapters from fewer accelerators.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+struct Options {
+    /// Run the role that this INI file names.
+    #[arg(long, value_name = "FILE", required_unless_present = "demo")]
+    settings: Option<PathBuf>,
+
+    /// Run every role and small stand-in endpoints in this one process.
+    #[arg(long, conflicts_with = "settings")]
+    demo: bool,
+
+    /// Where the demo takes callers' requests.
+    #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:8470")]
+    callers: SocketAddr,
+
+    /// Where the demo serves operators.
+    #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:8471")]
+    operators: SocketAddr,
+}
+
+const EXIT_START: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("nutmegyoked: cannot start the event loop: {error}");
+            return ExitCode::from(EXIT_START);
+        }
+    };
+    let result = match &options.settings {
+        Some(path) => runtime.block_on(run::run(path)),
+        None => runtime.block_on(demo::run(options.callers, options.operators)),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("nutmegyoked: {failure}");
+            ExitCode::from(failure.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,79 @@
+//! A small fleet, each part its own process; endpoints stand in the test's own thread.
+
+use std::net::SocketAddr;
+use std::process::Command;
+
+use tempfile::TempDir;
+
+use super::{Daemon, free_address};
+
+/// A fleet with its settings in a temporary folder.
+pub struct Fleet {
+    folder: TempDir,
+    /// Where callers reach the entry.
+    pub callers: SocketAddr,
+    /// Where operators reach the control process.
+    pub operators: SocketAddr,
+    /// Where endpoints announce themselves to the agent.
+    pub announce: SocketAddr,
+    /// The control process.
+    pub control: Daemon,
+    /// The agent.
+    pub agent: Daemon,
+    /// The entry.
+    pub entry: Daemon,
+}
+
+impl Fleet {
+    /// Spawns one process of each role.
+    pub fn spawn() -> Self {
+        let folder = TempDir::new().unwrap();
+        let [callers, operators, announce, listen, control] = [(); 5].map(|()| free_address());
+        let common = |role: &str, operators: SocketAddr| {
+            format!(
+                "[process]\nrole = {role}\nname = {role}-1\ndata-centre = alp-a\n\
+                 operators = {operators}\n"
+            )
+        };
+        let text = format!("{}listen = {control}\n", common("control", operators));
+        let control_process = spawn(&folder, "control", &text);
+        let text = common("agent", announce);
+        let text = format!("{text}listen = {listen}\ncontrol = {control}\n");
+        let agent = spawn(&folder, "agent", &text);
+        let text = common("entry", free_address());
+        let text = format!("{text}control = {control}\n[entry]\ncallers = {callers}\n");
+        let entry = spawn(&folder, "entry", &text);
+        Self {
+            folder,
+            callers,
+            operators,
+            announce,
+            control: control_process,
+            agent,
+            entry,
+        }
+    }
+
+    /// Applies the demo's lists under `number` with the command-line tool.
+    pub fn apply(&self, number: u64) -> std::process::Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegyoke"));
+        command.args(["apply", "--control", &self.operators.to_string()]);
+        command.args(["--number", &number.to_string()]);
+        command.args(["--plans", "examples/demo/plans.ini"]);
+        command.args(["--grants", "examples/demo/grants.ini"]);
+        command.output().unwrap()
+    }
+
+    /// The folder of the settings files.
+    pub fn folder(&self) -> &std::path::Path {
+        self.folder.path()
+    }
+}
+
+fn spawn(folder: &TempDir, role: &str, settings: &str) -> Daemon {
+    let path = folder.path().join(format!("{role}.ini"));
+    std::fs::write(&path, settings).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegyoked"));
+    command.arg("--settings").arg(path);
+    Daemon::spawn(command, "NY0100")
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,106 @@
+//! Helpers shared by the tests of real processes.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod fleet;
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// How long a process may take to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A running daemon, killed when dropped.
+pub struct Daemon {
+    child: Child,
+}
+
+/// A running demo of the whole fleet.
+pub struct Demo {
+    /// The process.
+    pub daemon: Daemon,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+}
+
+/// A loopback address with a port that was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Demo {
+    /// Spawns the demo and waits until it is ready.
+    pub fn spawn() -> Self {
+        let (callers, operators) = (free_address(), free_address());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegyoked"));
+        command.arg("--demo");
+        command.arg("--callers").arg(callers.to_string());
+        command.arg("--operators").arg(operators.to_string());
+        let daemon = Daemon::spawn(command, "curl -X POST");
+        Self {
+            daemon,
+            callers,
+            operators,
+        }
+    }
+}
+
+impl Daemon {
+    /// Spawns a daemon and waits until it prints a line that contains `ready`.
+    pub fn spawn(mut command: Command, ready: &str) -> Self {
+        let mut child = command
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let output = child.stdout.take().unwrap();
+        let (sender, lines) = mpsc::channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                let _ = sender.send(line);
+            }
+        });
+        let daemon = Self { child };
+        loop {
+            let line = lines
+                .recv_timeout(READY_TIMEOUT)
+                .expect("the daemon is ready");
+            if line.contains(ready) {
+                return daemon;
+            }
+        }
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for the process to end and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+
+    /// Processor time used so far, in clock ticks.
+    pub fn ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let (_, fields) = stat.rsplit_once(')').unwrap();
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
