--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -1,12 +1,16 @@
 //! The decisions of a control process: configuration and directory.
 
+pub mod claims;
 pub mod event;
+pub mod replica;
+pub mod store;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Instant;
 
 pub use event::{Acceptance, Command, Event};
+pub use store::Store;
 
 use super::news::{Known, News};
 use super::{Directory, Machine, Member, Sink};
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/control/replica/join.rs
@@ -0,0 +1,207 @@
+//! How a fleet is founded and how replicas come and go.
+//!
+//! A replica with an empty disk asks for a place and becomes a learner. The
+//! leader makes it a voter once it has synced all that is committed; an
+//! earlier life of the same VM's disk leaves the membership just before. Each
+//! step is a membership of its own, and the next waits until it is committed.
+//!
+//! A fleet is founded by the first VM of the settings' list, by name, once all
+//! the others have told that they hold no state either.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use super::{
+    Body, Command, Content, Entry, Id, Membership, Message, Peer, Position, Replica, Role, Seed,
+    Sink, State, Wish,
+};
+
+impl<S: State> Replica<S> {
+    /// Asks for a place, or founds the fleet; for a replica that doesn't vote.
+    pub(super) fn look_for_fleet<K>(&mut self, now: Instant, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        self.alarm = now + self.heartbeat();
+        if !self.is_fresh() || self.leader.is_some() {
+            return;
+        }
+        let others: Vec<Seed> = self.others().cloned().collect();
+        if others.iter().all(|seed| self.setup.seed.name < seed.name) {
+            if others.iter().all(|seed| self.fresh.contains(&seed.name)) {
+                self.found(now);
+                return;
+            }
+            for seed in &others {
+                self.call(seed.address, None, Body::Probe, out);
+            }
+        }
+        for seed in others {
+            let body = Body::Join {
+                seed: self.setup.seed.clone(),
+            };
+            self.call(seed.address, None, body, out);
+        }
+    }
+
+    fn others(&self) -> impl Iterator<Item = &Seed> {
+        let own = &self.setup.seed.name;
+        self.setup
+            .seeds
+            .iter()
+            .filter(move |seed| &seed.name != own)
+    }
+
+    fn found(&mut self, now: Instant) {
+        let names = self.others().map(|seed| seed.name.clone());
+        let own = &self.setup.seed;
+        let membership = Membership {
+            names: names.chain([own.name.clone()]).collect(),
+            peers: vec![Peer {
+                id: self.setup.id,
+                seed: own.clone(),
+                voter: true,
+            }],
+        };
+        self.vote.term = 1;
+        self.log.push(Entry {
+            position: Position { term: 1, index: 1 },
+            content: Content::Membership(membership),
+        });
+        self.find_membership();
+        self.alarm = now;
+    }
+
+    fn call<K>(&self, address: SocketAddr, to: Option<Id>, body: Body<S>, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let message = Message {
+            from: self.setup.id,
+            reply: self.setup.seed.address,
+            to,
+            term: self.vote.term,
+            body,
+        };
+        out.push(Command::Send { address, message });
+    }
+
+    pub(super) fn answer_probe<K>(&self, message: &Message<S>, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let body = Body::Probed {
+            name: self.setup.seed.name.clone(),
+            fresh: self.is_fresh(),
+        };
+        self.call(message.reply, Some(message.from), body, out);
+    }
+
+    pub(super) fn take_probed(&mut self, name: &str, fresh: bool) {
+        if fresh {
+            self.fresh.insert(name.to_owned());
+        } else {
+            self.fresh.remove(name);
+        }
+    }
+
+    /// Whether the membership may change: one change at a time, and only after
+    /// an entry of the present term is committed.
+    fn may_change(&self) -> bool {
+        match self.role {
+            Role::Leader { first, .. } => {
+                self.commit >= first.max(self.membership_index) && !self.disk.stalled
+            }
+            _ => false,
+        }
+    }
+
+    fn change<K>(&mut self, now: Instant, membership: Membership, out: &mut K) -> u64
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let index = self.append(Content::Membership(membership.clone()));
+        self.membership = membership;
+        self.membership_index = index;
+        self.adopt_peers(now);
+        self.replicate(now, false, out);
+        index
+    }
+
+    pub(super) fn take_join<K>(&mut self, now: Instant, from: Id, seed: &Seed, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let known = self.membership.peer(from).is_some();
+        if known || !self.may_change() || !self.membership.names.contains(&seed.name) {
+            return;
+        }
+        let mut membership = self.membership.clone();
+        // A learner of the same VM is an earlier life of its disk.
+        membership
+            .peers
+            .retain(|peer| peer.voter || peer.seed.name != seed.name);
+        membership.peers.push(Peer {
+            id: from,
+            seed: seed.clone(),
+            voter: false,
+        });
+        self.change(now, membership, out);
+    }
+
+    /// Moves a learner that has caught up one step towards its vote.
+    pub(super) fn tend<K>(&mut self, now: Instant, id: Id, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let caught_up = self
+            .matched(id)
+            .is_some_and(|matched| matched >= self.commit);
+        let learner = self.membership.peer(id).filter(|peer| !peer.voter);
+        let Some(learner) = learner.filter(|_| caught_up && self.may_change()) else {
+            return;
+        };
+        let name = learner.seed.name.clone();
+        let mut membership = self.membership.clone();
+        let earlier = |peer: &Peer| peer.id != id && peer.seed.name == name;
+        if membership.peers.iter().any(earlier) {
+            membership.peers.retain(|peer| !earlier(peer));
+        } else {
+            for peer in membership.peers.iter_mut().filter(|peer| peer.id == id) {
+                peer.voter = true;
+            }
+        }
+        self.change(now, membership, out);
+    }
+
+    pub(super) fn wish<K>(&mut self, now: Instant, call: u64, wish: Wish<'_>, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let mut membership = self.membership.clone();
+        match wish {
+            Wish::Add(name) => {
+                membership.names.insert(name.to_owned());
+            }
+            Wish::Remove(name) => {
+                membership.names.remove(name);
+                membership.peers.retain(|peer| peer.seed.name != name);
+            }
+        }
+        if self.leads() && membership == self.membership && self.may_change() {
+            out.push(Command::Granted { call });
+            return;
+        }
+        let leaves = membership.peer(self.setup.id).is_none();
+        if !self.may_change() || membership.voters().next().is_none() {
+            out.push(Command::Lost { call });
+        } else if leaves {
+            // Another leader carries out the removal of this one.
+            out.push(Command::Lost { call });
+            self.resign(now, out);
+        } else {
+            let index = self.change(now, membership, out);
+            self.waiting.insert(index, call);
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/control/replica/mod.rs
@@ -0,0 +1,392 @@
+//! One replica of the log that holds the state which must survive.
+//!
+//! A leader, elected by a majority of the voters for a term, appends changes
+//! and sends them to the others. A change is committed once a majority has it
+//! synced; every replica applies the committed changes in the same order.
+//!
+//! * [`election`]: who leads, and when a leader stops by itself;
+//! * [`replication`]: how the leader brings the others up to date;
+//! * [`follower`]: how the others take it in;
+//! * [`snapshot`]: how a long log is replaced by the state;
+//! * [`join`]: how a fleet is founded and how replicas come and go;
+//! * [`disk`]: what is synced. Nothing is acknowledged before.
+
+pub mod disk;
+pub mod election;
+pub mod event;
+pub mod follower;
+pub mod join;
+pub mod log;
+pub mod membership;
+pub mod message;
+pub mod replication;
+pub mod snapshot;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+pub use disk::Disk;
+pub use event::{Batch, Command, Event, Recovered, Setup, Vote};
+pub use log::{Content, Entry, Log, Position};
+pub use membership::{Id, Membership, Peer, Seed, Wish};
+pub use message::{Body, Message};
+pub use replication::Progress;
+pub use snapshot::Snapshot;
+
+use crate::process::{Machine, Sink};
+
+/// Heartbeats of a leader in one election timeout.
+const HEARTBEATS: u32 = 5;
+
+/// What the log changes. All replicas apply the same changes in the same order.
+pub trait State: Clone + Debug + Default {
+    /// A change as the log holds it.
+    type Change: Clone + Debug;
+    /// What the one who proposed it learns.
+    type Outcome: Debug;
+
+    /// Applies one change; depends on nothing but the state and the change.
+    fn apply(&mut self, change: &Self::Change) -> Self::Outcome;
+
+    /// About how many bytes a change takes in the log.
+    fn weight(change: &Self::Change) -> usize;
+
+    /// About how many bytes a snapshot of the state takes.
+    fn size(&self) -> usize;
+}
+
+/// What a replica is at the moment.
+#[derive(Clone, Debug)]
+pub enum Role {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether an election could be won, without disturbing a leader.
+    Polling { granted: BTreeSet<Id> },
+    /// Stands for election.
+    Candidate { granted: BTreeSet<Id> },
+    /// Leads: the only one that proposes changes.
+    Leader {
+        progress: BTreeMap<Id, Progress>,
+        /// Its first entry; what comes before is committed along with it.
+        first: u64,
+    },
+}
+
+/// A replica's decision state.
+#[derive(Debug)]
+pub struct Replica<S: State> {
+    setup: Setup,
+    random: fastrand::Rng,
+    opened: Instant,
+    role: Role,
+    leader: Option<Id>,
+    /// When a leader was last heard of; at the start, as if just now.
+    heard: Instant,
+    /// When to act next in the present role.
+    alarm: Instant,
+    vote: Vote,
+    log: Log<S::Change>,
+    disk: Disk,
+    snapshot: Option<Rc<Snapshot<S>>>,
+    /// Bytes in the log since the last snapshot.
+    unsnapped: usize,
+    state: S,
+    commit: u64,
+    applied: u64,
+    applied_membership: Membership,
+    membership: Membership,
+    membership_index: u64,
+    /// Up to where the log is known to agree with this term's leader.
+    verified: u64,
+    /// The stamp of the leader's latest message.
+    stamp: u64,
+    /// Messages that may leave once the vote is synced.
+    held: Vec<(Id, Message<S>)>,
+    /// The calls that wait for an entry, by its index.
+    waiting: BTreeMap<u64, u64>,
+    /// Where the latest messages came from.
+    addresses: BTreeMap<Id, SocketAddr>,
+    /// Peers of the settings that told that they hold no state.
+    fresh: BTreeSet<String>,
+}
+
+impl<S: State> Replica<S> {
+    /// Opens a replica with what its disk holds.
+    #[must_use]
+    pub fn open(now: Instant, setup: Setup, recovered: Recovered<S>) -> Self {
+        let snapshot = recovered.snapshot;
+        let base = snapshot.as_ref().map(|held| held.position);
+        let base = base.unwrap_or_default();
+        let mut log = Log::open(base);
+        for entry in recovered.entries {
+            if entry.position.index > base.index {
+                log.truncate(entry.position.index);
+                log.push(entry);
+            }
+        }
+        let (state, membership) = snapshot.as_ref().map_or_else(Default::default, |held| {
+            (held.state.clone(), held.membership.clone())
+        });
+        let random = fastrand::Rng::with_seed(setup.random);
+        let mut replica = Self {
+            random,
+            opened: now,
+            role: Role::Follower,
+            leader: None,
+            heard: now,
+            alarm: now,
+            vote: recovered.vote,
+            disk: Disk::open(recovered.vote, log.last().index),
+            log,
+            snapshot,
+            unsnapped: 0,
+            state,
+            commit: base.index,
+            applied: base.index,
+            applied_membership: membership.clone(),
+            membership,
+            membership_index: base.index,
+            verified: 0,
+            stamp: 0,
+            held: Vec::new(),
+            waiting: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            fresh: BTreeSet::new(),
+            setup,
+        };
+        replica.find_membership();
+        if replica.votes() {
+            replica.rest(now);
+        }
+        replica
+    }
+
+    /// The replica's own id.
+    #[must_use]
+    pub fn id(&self) -> Id {
+        self.setup.id
+    }
+
+    /// The state after the last applied change.
+    #[must_use]
+    pub fn state(&self) -> &S {
+        &self.state
+    }
+
+    /// The highest term seen.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.vote.term
+    }
+
+    /// Whether this replica leads in [`Replica::term`].
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader { .. })
+    }
+
+    /// Whether this replica leads and has committed an entry of its own term, so
+    /// that its state includes all that was ever acknowledged.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        matches!(self.role, Role::Leader { first, .. } if self.applied >= first)
+    }
+
+    /// The replica that is known to lead, itself included.
+    #[must_use]
+    pub fn leader(&self) -> Option<&Peer> {
+        self.membership.peer(self.leader?)
+    }
+
+    /// The latest membership in the log.
+    #[must_use]
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// The last committed index known here.
+    #[must_use]
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// The log held in memory.
+    #[must_use]
+    pub fn log(&self) -> &Log<S::Change> {
+        &self.log
+    }
+
+    /// As the leader, how far `id` has acknowledged the log.
+    #[must_use]
+    pub fn matched(&self, id: Id) -> Option<u64> {
+        let Role::Leader { progress, .. } = &self.role else {
+            return None;
+        };
+        if id == self.setup.id {
+            return Some(self.disk.synced);
+        }
+        progress.get(&id).map(|progress| progress.matched)
+    }
+
+    /// Whether a membership of this log has this replica as a voter.
+    fn votes(&self) -> bool {
+        self.membership.votes(self.setup.id)
+    }
+
+    /// Whether the replica holds no state of any fleet.
+    fn is_fresh(&self) -> bool {
+        self.log.last().index == 0
+    }
+
+    fn heartbeat(&self) -> Duration {
+        self.setup.election / HEARTBEATS
+    }
+
+    /// Sends a message, after the vote it depends on is synced.
+    fn send<K>(&mut self, to: Id, body: Body<S>, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let message = Message {
+            from: self.setup.id,
+            reply: self.setup.seed.address,
+            to: Some(to),
+            term: self.vote.term,
+            body,
+        };
+        if self.disk.vote == self.vote {
+            self.emit(to, message, out);
+        } else {
+            self.held.push((to, message));
+        }
+    }
+
+    fn emit<K>(&self, to: Id, message: Message<S>, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        // A new replica knows the others only from what they sent.
+        let peer = self.membership.peer(to).map(|peer| peer.seed.address);
+        if let Some(address) = peer.or_else(|| self.addresses.get(&to).copied()) {
+            out.push(Command::Send { address, message });
+        }
+    }
+
+    fn persist<K>(&mut self, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let last = self.log.last();
+        if !self.disk.wants(self.vote, last) {
+            return;
+        }
+        let entries = self.log.from(self.disk.next).cloned().collect();
+        let whole = self.disk.whole;
+        let ticket = self.disk.start(self.vote, last);
+        let batch = Batch {
+            ticket,
+            vote: self.vote,
+            snapshot: self.snapshot.clone().filter(|_| whole),
+            entries,
+        };
+        out.push(Command::Persist { batch });
+    }
+
+    fn synced<K>(&mut self, now: Instant, ticket: u64, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        self.disk.finish(ticket, &self.log);
+        if self.disk.vote == self.vote {
+            for (to, message) in std::mem::take(&mut self.held) {
+                self.emit(to, message, out);
+            }
+            self.count_own_vote(now, out);
+        }
+        if self.leads() {
+            self.advance(out);
+        } else {
+            self.acknowledge(out);
+        }
+    }
+
+    /// Applies what is committed.
+    fn apply<K>(&mut self, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        while self.applied < self.commit {
+            let index = self.applied + 1;
+            let Some(entry) = self.log.entry(index) else {
+                return;
+            };
+            self.applied = index;
+            // Callers wait only while this replica leads, so the entry is theirs.
+            let waiter = self.waiting.remove(&index);
+            match &entry.content {
+                Content::Blank => {}
+                Content::Membership(membership) => {
+                    self.applied_membership = membership.clone();
+                    if let Some(call) = waiter {
+                        out.push(Command::Granted { call });
+                    }
+                }
+                Content::Change(change) => {
+                    self.unsnapped += S::weight(change);
+                    let outcome = self.state.apply(change);
+                    if let Some(call) = waiter {
+                        out.push(Command::Outcome { call, outcome });
+                    }
+                }
+            }
+        }
+        self.compact();
+    }
+
+    /// Tells all who wait that another replica has to answer them.
+    fn lose<K>(&mut self, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        for call in std::mem::take(&mut self.waiting).into_values() {
+            out.push(Command::Lost { call });
+        }
+    }
+}
+
+impl<S: State + 'static> Machine for Replica<S> {
+    type Event<'a> = Event<'a, S>;
+    type Command = Command<S>;
+
+    fn handle<K>(&mut self, now: Instant, event: Event<'_, S>, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        // A process that was paused must not act on a lease that ran out meanwhile.
+        self.check_lease(now, out);
+        match event {
+            Event::Received { message } => self.receive(now, message, out),
+            Event::Synced { ticket } => self.synced(now, ticket, out),
+            Event::Stalled => self.stall(now, out),
+            Event::Proposed { call, change } => self.propose(now, call, change, out),
+            Event::Wished { call, wish } => self.wish(now, call, wish, out),
+            Event::Resigned => self.resign(now, out),
+            Event::Ticked => {}
+        }
+        if now >= self.alarm {
+            self.ring(now, out);
+        }
+        self.persist(out);
+    }
+
+    fn tick() -> Event<'static, S> {
+        Event::Ticked
+    }
+
+    fn deadline(&self) -> Option<Instant> {
+        Some(self.alarm)
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -0,0 +1,223 @@
+//! How the leader brings the other replicas up to date.
+
+use std::time::{Duration, Instant};
+
+use super::{Body, Command, Content, Entry, Id, Position, Replica, Role, Sink, State};
+
+/// The most entries in one message.
+const MESSAGE_ENTRIES: usize = 512;
+
+/// The size in bytes after which a message takes no further entry.
+const MESSAGE_BYTES: usize = 1024 * 1024;
+
+/// The most entries on the way to one replica.
+const WINDOW: u64 = 4096;
+
+/// How far the leader knows another replica to be.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// The next index to send.
+    pub next: u64,
+    /// The last index that it has synced.
+    pub matched: u64,
+    /// When the latest message that it answered was sent.
+    pub answered: Instant,
+    /// Until when a snapshot is taken to be on its way.
+    installing: Option<Instant>,
+}
+
+impl<S: State> Replica<S> {
+    /// Starts to track the replicas of the membership, and stops for those that left.
+    pub(super) fn adopt_peers(&mut self, now: Instant) {
+        let next = self.log.last().index + 1;
+        let Role::Leader { progress, .. } = &mut self.role else {
+            return;
+        };
+        progress.retain(|&id, _| self.membership.peer(id).is_some());
+        for peer in &self.membership.peers {
+            // A majority has just voted, so nobody counts as silent yet.
+            progress.entry(peer.id).or_insert(Progress {
+                next,
+                matched: 0,
+                answered: now,
+                installing: None,
+            });
+        }
+    }
+
+    pub(super) fn propose<K>(&mut self, now: Instant, call: u64, change: &S::Change, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        if !self.leads() || self.disk.stalled {
+            out.push(Command::Lost { call });
+            return;
+        }
+        let index = self.append(Content::Change(change.clone()));
+        self.waiting.insert(index, call);
+        self.replicate(now, false, out);
+    }
+
+    /// Appends an entry as the leader and returns its index.
+    pub(super) fn append(&mut self, content: Content<S::Change>) -> u64 {
+        let position = Position {
+            term: self.vote.term,
+            index: self.log.last().index + 1,
+        };
+        self.log.push(Entry { position, content });
+        position.index
+    }
+
+    /// Sends everyone what is missing; a heartbeat also where nothing is.
+    pub(super) fn replicate<K>(&mut self, now: Instant, heartbeat: bool, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let own = self.setup.id;
+        let ids: Vec<Id> = self.membership.peers.iter().map(|peer| peer.id).collect();
+        for id in ids.into_iter().filter(|&id| id != own) {
+            self.feed(now, id, heartbeat, out);
+        }
+    }
+
+    fn feed<K>(&mut self, now: Instant, id: Id, heartbeat: bool, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let stamp = self.stamp(now);
+        let resend = now + self.setup.election;
+        let Role::Leader { progress, .. } = &mut self.role else {
+            return;
+        };
+        let Some(row) = progress.get_mut(&id) else {
+            return;
+        };
+        if row.next <= self.log.base().index {
+            if row.installing.is_some_and(|until| now < until) {
+                return;
+            }
+            row.installing = Some(resend);
+            self.send_snapshot(id, stamp, out);
+            return;
+        }
+        row.installing = None;
+        let open = row.next <= row.matched + WINDOW;
+        let entries = if open {
+            message::<S>(self.log.from(row.next))
+        } else {
+            Vec::new()
+        };
+        if entries.is_empty() && !heartbeat {
+            return;
+        }
+        let index = row.next - 1;
+        let term = self.log.term(index).unwrap_or_default();
+        row.next += entries.len() as u64;
+        let body = Body::Append {
+            previous: Position { term, index },
+            entries,
+            commit: self.commit,
+            stamp,
+        };
+        self.send(id, body, out);
+    }
+
+    fn stamp(&self, now: Instant) -> u64 {
+        let since = now.saturating_duration_since(self.opened);
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Notes that `id` answered a message of this term.
+    fn note(&mut self, id: Id, stamp: u64) -> Option<&mut Progress> {
+        let Role::Leader { progress, .. } = &mut self.role else {
+            return None;
+        };
+        let row = progress.get_mut(&id)?;
+        row.answered = row.answered.max(self.opened + Duration::from_millis(stamp));
+        Some(row)
+    }
+
+    pub(super) fn take_appended<K>(
+        &mut self,
+        now: Instant,
+        from: Id,
+        matched: u64,
+        stamp: u64,
+        out: &mut K,
+    ) where
+        K: Sink<Command = Command<S>>,
+    {
+        let Some(row) = self.note(from, stamp) else {
+            return;
+        };
+        row.matched = row.matched.max(matched);
+        row.next = row.next.max(matched + 1);
+        self.advance(out);
+        self.tend(now, from, out);
+        self.feed(now, from, false, out);
+    }
+
+    pub(super) fn take_diverged<K>(
+        &mut self,
+        now: Instant,
+        from: Id,
+        [previous, last]: [u64; 2],
+        stamp: u64,
+        out: &mut K,
+    ) where
+        K: Sink<Command = Command<S>>,
+    {
+        let Some(row) = self.note(from, stamp) else {
+            return;
+        };
+        // An answer to a message sent before the latest step back says nothing new.
+        if previous > row.matched && previous < row.next {
+            row.next = (row.matched + 1).max(previous.min(last + 1));
+            self.feed(now, from, false, out);
+        }
+    }
+
+    /// Commits what a majority has synced.
+    pub(super) fn advance<K>(&mut self, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let Role::Leader { progress, .. } = &self.role else {
+            return;
+        };
+        let matched = |id| match progress.get(&id) {
+            _ if id == self.setup.id => self.disk.synced,
+            Some(row) => row.matched,
+            None => 0,
+        };
+        let mut synced: Vec<u64> = self
+            .membership
+            .voters()
+            .map(|peer| matched(peer.id))
+            .collect();
+        synced.sort_unstable_by(|one, other| other.cmp(one));
+        let Some(&index) = synced.get(self.membership.quorum() - 1) else {
+            return;
+        };
+        // Entries of earlier terms are committed only along with one of this term.
+        if index > self.commit && self.log.term(index) == Some(self.vote.term) {
+            self.commit = index;
+            self.apply(out);
+        }
+    }
+}
+
+/// The entries that go into one message.
+fn message<'a, S: State + 'a>(
+    entries: impl Iterator<Item = &'a Entry<S::Change>>,
+) -> Vec<Entry<S::Change>> {
+    let mut bytes = 0;
+    let fitting = entries.take(MESSAGE_ENTRIES).take_while(|entry| {
+        let full = bytes >= MESSAGE_BYTES;
+        if let Content::Change(change) = &entry.content {
+            bytes += S::weight(change);
+        }
+        !full
+    });
+    fitting.cloned().collect()
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
@@ -0,0 +1,101 @@
+//! Replaces a long log by the state that it led to.
+
+use std::rc::Rc;
+
+use super::log::{Content, Log};
+use super::{Body, Command, Id, Membership, Position, Replica, Sink, State};
+
+/// Entries kept behind a snapshot, so that a replica that is a little behind needs none.
+const TAIL: u64 = 1024;
+
+/// The smallest size of the log, in bytes, at which a snapshot replaces it.
+const LEAST_BYTES: usize = 4 * 1024 * 1024;
+
+/// The state after a place in the log.
+#[derive(Clone, Debug)]
+pub struct Snapshot<S> {
+    /// The last entry that the state includes.
+    pub position: Position,
+    /// The membership at that place.
+    pub membership: Membership,
+    /// The state.
+    pub state: S,
+}
+
+impl<S: State> Replica<S> {
+    /// Takes a snapshot once the log has grown as large as the state.
+    pub(super) fn compact(&mut self) {
+        if self.unsnapped < LEAST_BYTES.max(self.state.size()) {
+            return;
+        }
+        self.force_snapshot();
+    }
+
+    /// Takes a snapshot of what is applied, however short the log is.
+    pub fn force_snapshot(&mut self) {
+        let Some(term) = self.log.term(self.applied) else {
+            return;
+        };
+        let position = Position {
+            term,
+            index: self.applied,
+        };
+        self.unsnapped = 0;
+        self.snapshot = Some(Rc::new(Snapshot {
+            position,
+            membership: self.applied_membership.clone(),
+            state: self.state.clone(),
+        }));
+        self.log.compact(self.applied.saturating_sub(TAIL));
+        self.disk.rewrite(self.log.base().index + 1);
+    }
+
+    /// Replaces log and state by the leader's snapshot, unless they reach as far.
+    pub(super) fn install(&mut self, snapshot: &Rc<Snapshot<S>>) {
+        if snapshot.position.index <= self.commit {
+            return;
+        }
+        let index = snapshot.position.index;
+        if self.log.term(index) == Some(snapshot.position.term) {
+            self.log.compact(index);
+        } else {
+            self.log = Log::open(snapshot.position);
+            // What was synced after the last commit may differ from the snapshot.
+            self.disk.truncate(self.commit + 1);
+        }
+        self.state = snapshot.state.clone();
+        self.applied_membership = snapshot.membership.clone();
+        self.snapshot = Some(Rc::clone(snapshot));
+        self.commit = index;
+        self.applied = index;
+        self.unsnapped = 0;
+        self.disk.rewrite(index + 1);
+        self.find_membership();
+    }
+
+    pub(super) fn send_snapshot<K>(&mut self, to: Id, stamp: u64, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        self.send(to, Body::Install { snapshot, stamp }, out);
+    }
+
+    /// The latest membership in the log counts, committed or not.
+    pub(super) fn find_membership(&mut self) {
+        let latest = self
+            .log
+            .from(0)
+            .rev()
+            .find_map(|entry| match &entry.content {
+                Content::Membership(membership) => Some((entry.position.index, membership.clone())),
+                _ => None,
+            });
+        let (index, membership) =
+            latest.unwrap_or_else(|| (self.applied, self.applied_membership.clone()));
+        self.membership = membership;
+        self.membership_index = index;
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/control/store.rs
@@ -0,0 +1,116 @@
+//! The state that survives: the configuration in force and the claims.
+
+use std::cmp::Ordering;
+use std::rc::Rc;
+
+use super::claims::{self, Claims};
+use super::event::Acceptance;
+use super::replica::State;
+use crate::request::claim::{self, Key};
+use crate::request::{Id, Verdict};
+use crate::version::Configuration;
+
+/// About how many bytes a claim takes in the log or a snapshot.
+const CLAIM_BYTES: usize = 80;
+
+/// About how many bytes a plan or a grant takes in the log or a snapshot.
+const ROW_BYTES: usize = 160;
+
+/// The replicated state.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    /// The configuration in force.
+    pub configuration: Rc<Configuration>,
+    /// The claims within their retention.
+    pub claims: Claims,
+}
+
+/// A change of the replicated state.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// An operator submitted a configuration.
+    Configure { configuration: Rc<Configuration> },
+    /// An entry wants a claim.
+    Claim { wish: claims::Wish },
+    /// An entry tells how a claimed request ended.
+    Conclude {
+        key: Key,
+        holder: Id,
+        verdict: Verdict,
+        vm: Rc<str>,
+    },
+}
+
+/// What the one who proposed a change learns.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// Whether the configuration is accepted.
+    Answered { acceptance: Acceptance },
+    /// Whether the claim is granted.
+    Judged { outcome: claim::Outcome },
+    /// The end of the claimed request is recorded.
+    Recorded,
+}
+
+impl Store {
+    /// Compares the submitted version number with the accepted one and sets it.
+    fn configure(&mut self, submitted: &Rc<Configuration>) -> Acceptance {
+        let accepted = &self.configuration;
+        let (number, digest) = (accepted.number(), accepted.digest());
+        match submitted.number().cmp(&number) {
+            Ordering::Less => Acceptance::Stale { number },
+            Ordering::Equal if submitted.digest() == digest => {
+                Acceptance::Accepted { number, digest }
+            }
+            Ordering::Equal => Acceptance::Conflict { number, digest },
+            Ordering::Greater => {
+                self.configuration = Rc::clone(submitted);
+                Acceptance::Accepted {
+                    number: submitted.number(),
+                    digest: submitted.digest(),
+                }
+            }
+        }
+    }
+}
+
+impl State for Store {
+    type Change = Change;
+    type Outcome = Outcome;
+
+    fn apply(&mut self, change: &Change) -> Outcome {
+        match change {
+            Change::Configure { configuration } => Outcome::Answered {
+                acceptance: self.configure(configuration),
+            },
+            Change::Claim { wish } => Outcome::Judged {
+                outcome: self.claims.grant(*wish),
+            },
+            Change::Conclude {
+                key,
+                holder,
+                verdict,
+                vm,
+            } => {
+                self.claims.conclude(*key, *holder, *verdict, vm);
+                Outcome::Recorded
+            }
+        }
+    }
+
+    fn weight(change: &Change) -> usize {
+        match change {
+            Change::Configure { configuration } => rows(configuration) * ROW_BYTES,
+            Change::Claim { .. } | Change::Conclude { .. } => CLAIM_BYTES,
+        }
+    }
+
+    fn size(&self) -> usize {
+        rows(&self.configuration) * ROW_BYTES + self.claims.len() * CLAIM_BYTES
+    }
+}
+
+fn rows(configuration: &Configuration) -> usize {
+    let lists = configuration.lists();
+    lists.plans.len() + lists.grants.len()
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/tests/replica.rs
@@ -0,0 +1,454 @@
+//! The replicated log under loss, delay, duplication, reordering, crashes,
+//! full and empty disks and partitions.
+//!
+//! `NUTMEGYOKE_CASES=2000 NUTMEGYOKE_SEED=7 cargo test --release -p nutmegyoke-core --test replica`
+//! runs other seeds.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegyoke_cases::cases;
+use nutmegyoke_core::process::control::Acceptance;
+use nutmegyoke_core::process::control::claims::Wish;
+use nutmegyoke_core::process::control::replica::{Event, Replica, State};
+use nutmegyoke_core::process::control::store::{Change, Outcome, Store};
+use nutmegyoke_core::request::Id;
+use nutmegyoke_core::request::claim::{self, Name};
+use nutmegyoke_core::version::Configuration;
+use nutmegyoke_core::version::configuration::Lists;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use support::{Simulation, Weather};
+
+const CALM: Weather = Weather {
+    loss: 0,
+    twice: 0,
+    delay: 2,
+};
+
+/// Time after which a group without faults has repaired itself.
+const REPAIR: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill(usize),
+    Start(usize),
+    Wipe(usize),
+    Cut(usize),
+    Heal,
+    Fill(usize),
+    Empty(usize),
+    Pause,
+    Resign(usize),
+    Configure { vm: usize, number: u64 },
+    Claim { vm: usize, key: u64 },
+}
+
+fn faults() -> impl Strategy<Value = Vec<(u64, Fault)>> {
+    let vm = || 0..3_usize;
+    let fault = prop_oneof![
+        2 => vm().prop_map(Fault::Kill),
+        3 => vm().prop_map(Fault::Start),
+        1 => vm().prop_map(Fault::Wipe),
+        2 => vm().prop_map(Fault::Cut),
+        3 => Just(Fault::Heal),
+        1 => vm().prop_map(Fault::Fill),
+        2 => vm().prop_map(Fault::Empty),
+        2 => Just(Fault::Pause),
+        1 => vm().prop_map(Fault::Resign),
+        6 => (vm(), 1..12_u64).prop_map(|(vm, number)| Fault::Configure { vm, number }),
+        6 => (vm(), 0..4_u64).prop_map(|(vm, key)| Fault::Claim { vm, key }),
+    ];
+    prop::collection::vec((0..600_u64, fault), 1..60)
+}
+
+fn configuration(number: u64) -> Rc<Configuration> {
+    let lists = Lists {
+        number,
+        ..Lists::default()
+    };
+    Configuration::open(lists).unwrap()
+}
+
+fn wish(key: u64, holder: u64, at: u64) -> Wish {
+    let name = Name {
+        customer: "kayal".into(),
+        key: format!("lot-{key}"),
+    };
+    Wish {
+        key: name.key(),
+        holder: Id {
+            entry: 1,
+            number: holder,
+        },
+        digest: 7,
+        at,
+    }
+}
+
+/// What callers and observers saw.
+#[derive(Default)]
+struct Witness {
+    next: u64,
+    claims: BTreeMap<u64, u64>,
+    versions: [u64; 3],
+}
+
+impl Witness {
+    fn act(&mut self, simulation: &mut Simulation<Store>, fault: Fault) {
+        match fault {
+            Fault::Kill(vm) => simulation.kill(vm),
+            Fault::Start(vm) => {
+                // A restarted process has applied nothing yet; what it shows
+                // counts again from the first entry that it knows as committed.
+                simulation.start(vm);
+            }
+            Fault::Wipe(vm) if simulation.may_wipe(vm) => {
+                simulation.wipe(vm);
+                self.versions[vm] = 0;
+            }
+            Fault::Wipe(_) => {}
+            Fault::Cut(vm) => {
+                simulation.cut = [vm].into();
+            }
+            Fault::Heal => simulation.cut.clear(),
+            Fault::Fill(vm) => simulation.vms[vm].full = true,
+            Fault::Empty(vm) => simulation.vms[vm].full = false,
+            Fault::Pause => simulation.run(Duration::from_secs(2)),
+            Fault::Resign(vm) => simulation.feed(vm, Event::Resigned),
+            Fault::Configure { vm, number } => {
+                let configuration = configuration(number);
+                self.propose(simulation, vm, &Change::Configure { configuration });
+            }
+            Fault::Claim { vm, key } => {
+                self.claims.insert(self.next, key);
+                let wish = wish(key, self.next, self.next);
+                self.propose(simulation, vm, &Change::Claim { wish });
+            }
+        }
+    }
+
+    fn propose(&mut self, simulation: &mut Simulation<Store>, vm: usize, change: &Change) {
+        let vm = simulation.leader().unwrap_or(vm);
+        let call = self.next;
+        self.next += 1;
+        simulation.feed(vm, Event::Proposed { call, change });
+    }
+
+    /// What a process that learns from the leader has in force never goes back.
+    fn watch(&mut self, simulation: &Simulation<Store>) {
+        for (vm, version) in self.versions.iter_mut().enumerate() {
+            let replica = simulation.vms[vm].replica.as_ref();
+            if let Some(replica) = replica.filter(|replica| replica.leads()) {
+                let number = replica.state().configuration.number();
+                // A new leader teaches once it has committed in its own term.
+                if replica.is_current() {
+                    assert!(number >= *version, "version went back");
+                    *version = number;
+                }
+            }
+        }
+    }
+
+    fn check(&self, simulation: &Simulation<Store>) {
+        let mut granted: BTreeMap<u64, u64> = BTreeMap::new();
+        let mut accepted = 0;
+        for (call, outcome) in &simulation.outcomes {
+            match outcome {
+                Outcome::Judged {
+                    outcome: claim::Outcome::Granted,
+                } => {
+                    let key = self.claims[call];
+                    let first = *granted.entry(key).or_insert(*call);
+                    assert_eq!(first, *call, "claim {key} granted twice");
+                }
+                Outcome::Answered {
+                    acceptance: Acceptance::Accepted { number, .. },
+                } => accepted = accepted.max(*number),
+                _ => {}
+            }
+        }
+        let leader = simulation.leader().expect("a leader after the repair");
+        let state = simulation.vms[leader].replica.as_ref().unwrap().state();
+        assert!(
+            state.configuration.number() >= accepted,
+            "accepted version lost"
+        );
+        for (key, call) in granted {
+            let wish = wish(key, u64::MAX, u64::MAX / 2);
+            let held = state.claims.rows().find(|(held, _)| *held == wish.key);
+            assert_eq!(held.unwrap().1.holder.number, call, "claim {key} lost");
+        }
+    }
+}
+
+fn survives((seed, loss, twice, delay): (u64, u32, u32, u64), faults: &[(u64, Fault)]) {
+    let weather = Weather { loss, twice, delay };
+    let mut simulation = Simulation::open(3, seed, weather);
+    let mut witness = Witness::default();
+    simulation.run(Duration::from_secs(3));
+    for &(gap, fault) in faults {
+        witness.act(&mut simulation, fault);
+        for _ in 0..gap / 20 + 1 {
+            simulation.run(Duration::from_millis(20));
+            witness.watch(&simulation);
+        }
+    }
+    simulation.cut.clear();
+    simulation.weather = CALM;
+    for vm in 0..3 {
+        simulation.vms[vm].full = false;
+        simulation.start(vm);
+    }
+    simulation.run(REPAIR);
+    witness.watch(&simulation);
+    witness.check(&simulation);
+    let commit = |vm: usize| simulation.vms[vm].replica.as_ref().map(Replica::commit);
+    assert_eq!(commit(0), commit(1), "all replicas caught up");
+    assert_eq!(commit(1), commit(2), "all replicas caught up");
+    assert_eq!(simulation.membership.voters().count(), 3);
+}
+
+fn variable(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |text| text.parse().expect("a whole number"))
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_under_faults() {
+    let cases = u32::try_from(variable("NUTMEGYOKE_CASES", 60)).unwrap();
+    let mut runner = TestRunner::new(Config {
+        cases,
+        rng_seed: RngSeed::Fixed(variable("NUTMEGYOKE_SEED", 20_261_204)),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    });
+    let weather = (any::<u64>(), 0..20_u32, 0..20_u32, 1..80_u64);
+    let run = runner.run(&(weather, faults()), |(weather, faults)| {
+        survives(weather, &faults);
+        Ok(())
+    });
+    if let Err(error) = run {
+        panic!("{error}");
+    }
+}
+
+/// A group that has accepted version 1.
+fn group(count: usize) -> Simulation<Store> {
+    let mut simulation = Simulation::open(count, 1, CALM);
+    simulation.run(Duration::from_secs(10));
+    apply(&mut simulation, 1);
+    simulation
+}
+
+fn apply(simulation: &mut Simulation<Store>, number: u64) {
+    let leader = simulation.leader().expect("a leader");
+    let change = Change::Configure {
+        configuration: configuration(number),
+    };
+    let event = Event::Proposed {
+        call: number,
+        change: &change,
+    };
+    simulation.feed(leader, event);
+    simulation.run(Duration::from_secs(1));
+    assert!(
+        simulation.outcomes.contains_key(&number),
+        "{number} is accepted"
+    );
+}
+
+fn number(simulation: &Simulation<Store>, vm: usize) -> u64 {
+    let replica = simulation.vms[vm].replica.as_ref().unwrap();
+    replica.state().configuration.number()
+}
+
+fn founds(count: usize) {
+    let simulation = group(count);
+    assert_eq!(simulation.membership.voters().count(), count);
+    for vm in 0..count {
+        assert_eq!(number(&simulation, vm), 1);
+    }
+}
+
+cases!(founds {
+    one: (1),
+    three: (3),
+    five: (5),
+});
+
+#[test]
+fn isolated_leader_steps_down_before_another_is_elected() {
+    let mut simulation = group(3);
+    let old = simulation.leader().unwrap();
+    simulation.cut = [old].into();
+    for _ in 0..10_000 {
+        simulation.run(Duration::from_millis(1));
+        let leads = |vm: usize| simulation.vms[vm].replica.as_ref().unwrap().leads();
+        if !leads(old) {
+            break;
+        }
+        assert!(
+            (0..3).all(|vm| vm == old || !leads(vm)),
+            "two lead at a time"
+        );
+    }
+    simulation.run(Duration::from_secs(10));
+    assert_ne!(simulation.leader(), Some(old));
+    apply(&mut simulation, 2);
+    simulation.cut.clear();
+    let term = simulation.vms[simulation.leader().unwrap()]
+        .replica
+        .as_ref()
+        .unwrap()
+        .term();
+    simulation.run(Duration::from_secs(5));
+    assert_eq!(number(&simulation, old), 2);
+    let leader = simulation.leader().unwrap();
+    let replica = simulation.vms[leader].replica.as_ref().unwrap();
+    assert_eq!(replica.term(), term, "the returned replica deposed nobody");
+}
+
+#[test]
+fn second_vm_lost_right_after_a_repair() {
+    let mut simulation = group(3);
+    simulation.wipe(0);
+    simulation.run(Duration::from_secs(5));
+    simulation.start(0);
+    let repaired = simulation.vms[0].id;
+    for _ in 0..20_000 {
+        simulation.run(Duration::from_millis(1));
+        if simulation.membership.votes(repaired) {
+            break;
+        }
+    }
+    assert!(simulation.membership.votes(repaired));
+    simulation.wipe(1);
+    simulation.run(Duration::from_secs(10));
+    apply(&mut simulation, 2);
+    assert_eq!(number(&simulation, 0), 2);
+    assert_eq!(simulation.membership.voters().count(), 3);
+}
+
+#[test]
+fn empty_disk_does_not_vote_for_a_group_without_majority() {
+    let mut simulation = group(3);
+    simulation.kill(1);
+    simulation.kill(2);
+    simulation.wipe(0);
+    simulation.start(0);
+    simulation.start(1);
+    simulation.run(Duration::from_secs(20));
+    assert_eq!(
+        simulation.leader(),
+        None,
+        "one disk of three is no majority"
+    );
+    simulation.start(2);
+    simulation.run(Duration::from_secs(20));
+    assert_eq!(number(&simulation, simulation.leader().unwrap()), 1);
+}
+
+/// Found under faults: a voter in a higher term refused the only replica with
+/// the whole log for ever.
+#[test]
+fn higher_term_of_a_shorter_log_blocks_no_election() {
+    let mut simulation = group(3);
+    let ahead = simulation.leader().unwrap();
+    let behind = (ahead + 1) % 3;
+    simulation.kill(behind);
+    apply(&mut simulation, 2);
+    simulation.kill(ahead);
+    simulation.kill((ahead + 2) % 3);
+    simulation.vms[behind].disk.vote.term += 10;
+    simulation.start(behind);
+    simulation.start(ahead);
+    simulation.run(Duration::from_secs(20));
+    assert_eq!(simulation.leader(), Some(ahead));
+    assert_eq!(number(&simulation, behind), 2);
+}
+
+#[test]
+fn replica_far_behind_catches_up_by_snapshot() {
+    let mut simulation = group(3);
+    let behind = (simulation.leader().unwrap() + 1) % 3;
+    simulation.kill(behind);
+    simulation.run(Duration::from_secs(5));
+    let leader = simulation.leader().unwrap();
+    for number in 2..1600 {
+        let change = Change::Configure {
+            configuration: configuration(number),
+        };
+        let event = Event::Proposed {
+            call: number,
+            change: &change,
+        };
+        simulation.feed(leader, event);
+    }
+    simulation.run(Duration::from_secs(2));
+    for vm in 0..3 {
+        if let Some(replica) = &mut simulation.vms[vm].replica {
+            replica.force_snapshot();
+        }
+    }
+    simulation.run(Duration::from_secs(1));
+    let base = simulation.vms[leader]
+        .replica
+        .as_ref()
+        .unwrap()
+        .log()
+        .base();
+    assert!(base.index > 0, "the log is truncated");
+    simulation.start(behind);
+    simulation.run(Duration::from_secs(10));
+    assert_eq!(number(&simulation, behind), 1599);
+    // What was installed survives a restart.
+    simulation.kill(behind);
+    simulation.start(behind);
+    let replica = simulation.vms[behind].replica.as_ref().unwrap();
+    assert!(replica.state().configuration.number() > 0);
+}
+
+#[test]
+fn full_disk_refuses_and_recovers() {
+    let mut simulation = group(3);
+    for vm in 0..3 {
+        simulation.vms[vm].full = true;
+    }
+    let leader = simulation.leader().unwrap();
+    let change = Change::Configure {
+        configuration: configuration(2),
+    };
+    let event = Event::Proposed {
+        call: 2,
+        change: &change,
+    };
+    simulation.feed(leader, event);
+    simulation.run(Duration::from_secs(5));
+    assert!(simulation.lost.contains(&2), "nothing is acknowledged");
+    for vm in 0..3 {
+        simulation.vms[vm].full = false;
+    }
+    simulation.run(Duration::from_secs(10));
+    apply(&mut simulation, 3);
+}
+
+#[test]
+fn apply_outcomes_of_the_state() {
+    let mut store = Store::default();
+    let configure = |store: &mut Store, configuration: &Rc<Configuration>| {
+        let configuration = Rc::clone(configuration);
+        store.apply(&Change::Configure { configuration })
+    };
+    let five = configuration(5);
+    let accepted = configure(&mut store, &five);
+    assert_eq!(configure(&mut store, &five), accepted, "resent");
+    let stale = Outcome::Answered {
+        acceptance: Acceptance::Stale { number: 5 },
+    };
+    assert_eq!(configure(&mut store, &configuration(4)), stale);
+}
