--- a/crates/nutmegyoke-core/src/process/control/claims.rs
+++ b/crates/nutmegyoke-core/src/process/control/claims.rs
@@ -11,7 +11,7 @@
 use crate::request::{Claim, Id, Verdict};
 
 /// How long after its grant a claim is known. A key that carries an older time is refused.
-pub const RETENTION: Duration = Duration::from_secs(120);
+pub const RETENTION: Duration = Duration::from_mins(2);
 
 /// How far a key's time may be ahead of the leader's clock.
 pub const SKEW: Duration = Duration::from_secs(10);
@@ -78,11 +78,10 @@
 
     /// The claims in the order of their grants.
     pub fn rows(&self) -> impl Iterator<Item = (Key, &Row)> {
-        let current = self.order.iter().filter_map(|&(at, key)| {
+        self.order.iter().filter_map(|&(at, key)| {
             let row = self.rows.get(&key)?;
             (row.at == at).then_some((key, row))
-        });
-        current
+        })
     }
 
     /// Rebuilds the claims from [`Claims::time`] and [`Claims::rows`].
--- a/crates/nutmegyoke-core/src/process/control/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/event.rs
@@ -1,9 +1,12 @@
 //! What a control process is told and what it tells its host to do.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
+use super::Store;
+use super::replica::{Batch, Message, Wish};
 use crate::process::Member;
 use crate::process::news::{Known, News};
 use crate::request::{Id, Verdict, claim};
@@ -29,6 +32,8 @@
         name: &'a claim::Name,
         holder: Id,
         digest: u64,
+        /// Milliseconds since the Unix epoch.
+        wall: u64,
     },
     /// An entry tells how a claimed request ended.
     Concluded {
@@ -38,6 +43,16 @@
         verdict: Verdict,
         vm: &'a str,
     },
+    /// An operator wants a change of the replicas.
+    Wished { call: u64, wish: Wish<'a> },
+    /// A message of another replica arrived.
+    Received { message: &'a Message<Store> },
+    /// A batch is on the disk for good.
+    Synced { ticket: u64 },
+    /// The disk is full.
+    Stalled,
+    /// The process is about to stop.
+    Resigned,
     /// The machine's deadline passed.
     Ticked,
 }
@@ -53,6 +68,17 @@
     Record { call: u64 },
     /// Answer an operator.
     Answer { call: u64, acceptance: Acceptance },
+    /// Answer that a wished change of the replicas is committed.
+    Grant { call: u64 },
+    /// Ask the replica that leads instead; the call may have had its effect.
+    Redirect { call: u64 },
+    /// Send a message to another replica; it may get lost.
+    Send {
+        address: SocketAddr,
+        message: Message<Store>,
+    },
+    /// Write and sync a batch, then report it.
+    Persist { batch: Batch<Store> },
 }
 
 /// The outcome of submitting a configuration.
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/control/history.rs
@@ -0,0 +1,71 @@
+//! The latest changes of the configuration, to teach a process that is not far behind.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use crate::version::Configuration;
+use crate::version::diff::Diff;
+
+/// The most changes kept.
+const CHANGES: usize = 512;
+
+/// The changes that led to the configuration in force, in order.
+#[derive(Debug, Default)]
+pub struct History {
+    latest: Rc<Configuration>,
+    changes: VecDeque<Rc<Diff>>,
+}
+
+/// What brings a process up to date.
+#[derive(Clone, Debug)]
+pub enum Lesson {
+    /// It is up to date.
+    Nothing,
+    /// These changes, in order.
+    Changes(Vec<Rc<Diff>>),
+    /// The whole configuration.
+    Whole(Rc<Configuration>),
+}
+
+impl History {
+    /// Opens a history that begins with `latest`.
+    #[must_use]
+    pub fn open(latest: &Rc<Configuration>) -> Self {
+        Self {
+            latest: Rc::clone(latest),
+            changes: VecDeque::new(),
+        }
+    }
+
+    /// Notes the configuration in force.
+    pub fn note(&mut self, configuration: &Rc<Configuration>) {
+        if Rc::ptr_eq(&self.latest, configuration) {
+            return;
+        }
+        let diff = Diff::between(&self.latest, configuration);
+        self.latest = Rc::clone(configuration);
+        self.changes.push_back(Rc::new(diff));
+        if self.changes.len() > CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    /// What a process lacks that has the configuration `number` in force.
+    #[must_use]
+    pub fn since(&self, number: u64) -> Lesson {
+        if number >= self.latest.number() {
+            return Lesson::Nothing;
+        }
+        let first = self.changes.iter().position(|diff| diff.from == number);
+        let changes = first.map(|first| self.changes.range(first..));
+        let lists = self.latest.lists();
+        let whole = lists.plans.len() + lists.grants.len();
+        match changes {
+            // Changes that carry as many rows as the whole save nothing.
+            Some(changes) if changes.clone().map(|diff| diff.rows()).sum::<usize>() < whole => {
+                Lesson::Changes(changes.cloned().collect())
+            }
+            _ => Lesson::Whole(Rc::clone(&self.latest)),
+        }
+    }
+}
--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -1,120 +1,182 @@
-//! The decisions of a control process: configuration and directory.
+//! The decisions of a control process.
+//!
+//! What must survive, the configuration and the [`claims`], is a [`store`]
+//! that the [`replica`] keeps the same on all control VMs. The directory is
+//! rebuilt from heartbeats by whichever replica leads. A replica that doesn't
+//! lead redirects every call.
 
 pub mod claims;
 pub mod event;
+pub mod history;
 pub mod replica;
 pub mod store;
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Instant;
 
 pub use event::{Acceptance, Command, Event};
+pub use history::{History, Lesson};
 pub use store::Store;
 
+use self::replica::{Recovered, Replica, Setup};
+use self::store::{Change, Outcome};
+use super::directory::{Delta, LEASE};
 use super::news::{Known, News};
 use super::{Directory, Machine, Member, Sink};
-use crate::request::{Claim, Id, Verdict, claim};
 use crate::version::Configuration;
 
 /// A control process's decision state.
 #[derive(Debug)]
 pub struct Control {
-    configuration: Rc<Configuration>,
+    epoch: u64,
+    replica: Replica<Store>,
+    history: History,
     directory: Directory,
-    claims: BTreeMap<claim::Name, Claim>,
+    /// The term in which the directory is kept, and until when it may lack members.
+    tenure: Option<Tenure>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Tenure {
+    term: u64,
+    complete: Instant,
 }
 
 impl Control {
     /// Opens a control process; `epoch` identifies this run of it.
     #[must_use]
-    pub fn open(epoch: u64) -> Self {
+    pub fn open(now: Instant, epoch: u64, setup: Setup, recovered: Recovered<Store>) -> Self {
+        let replica = Replica::open(now, setup, recovered);
         Self {
-            configuration: Rc::default(),
+            epoch,
+            history: History::open(&replica.state().configuration),
+            replica,
             directory: Directory::open(epoch),
-            claims: BTreeMap::new(),
+            tenure: None,
         }
     }
 
-    /// The configuration in force.
+    /// The configuration in force, as far as this replica knows.
     #[must_use]
     pub fn configuration(&self) -> &Rc<Configuration> {
-        &self.configuration
+        &self.replica.state().configuration
     }
 
-    /// The members of the fleet.
+    /// The members of the fleet, if this replica leads.
     #[must_use]
     pub fn directory(&self) -> &Directory {
         &self.directory
     }
 
-    fn exchange(&mut self, now: Instant, member: &Member, known: Known) -> News {
-        self.directory.expire(now);
-        self.directory.renew(now, member);
-        let newer = self.configuration.number() > known.configuration;
-        News {
-            configuration: newer.then(|| Rc::clone(&self.configuration)),
-            directory: self.directory.since(known.directory),
-        }
+    /// The replica of the state that survives.
+    #[must_use]
+    pub fn replica(&self) -> &Replica<Store> {
+        &self.replica
     }
 
-    fn claim(&mut self, name: &claim::Name, holder: Id, digest: u64) -> claim::Outcome {
-        let held = self.claims.get(name);
-        let outcome = claim::judge(held, holder, digest);
-        if held.is_none() {
-            let claim = Claim {
-                holder,
-                digest,
-                verdict: None,
-                vm: String::new(),
-            };
-            self.claims.insert(name.clone(), claim);
-        }
-        outcome
+    /// The term in which this process leads; orders are fenced by it.
+    #[must_use]
+    pub fn leading(&self) -> Option<u64> {
+        self.replica.is_current().then(|| self.replica.term())
     }
 
-    fn conclude(&mut self, name: &claim::Name, holder: Id, verdict: Verdict, vm: &str) {
-        let Some(claim) = self.claims.get_mut(name) else {
+    fn exchange<S>(&mut self, now: Instant, call: u64, member: &Member, known: Known, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let Some(complete) = self.take_tenure(now) else {
+            out.push(Command::Redirect { call });
             return;
         };
-        if claim.holder != holder {
-            return;
-        }
-        if let Verdict::NotRun { .. } = verdict {
-            // Nothing ran, so the next request with this key may.
-            self.claims.remove(name);
-        } else {
-            claim.verdict = Some(verdict);
-            vm.clone_into(&mut claim.vm);
+        self.directory.expire(now);
+        self.directory.renew(now, member);
+        let mut news = News {
+            directory: if complete {
+                self.directory.since(known.directory)
+            } else {
+                self.additions(known)
+            },
+            ..News::default()
+        };
+        match self.history.since(known.configuration) {
+            Lesson::Nothing => {}
+            Lesson::Changes(changes) => news.changes = changes,
+            Lesson::Whole(configuration) => news.configuration = Some(configuration),
         }
+        out.push(Command::Teach { call, news });
     }
 
-    /// Compares the submitted version number with the accepted one and sets it.
-    fn apply(&mut self, submitted: &Rc<Configuration>) -> Acceptance {
-        let accepted = &self.configuration;
-        match submitted.number().cmp(&accepted.number()) {
-            std::cmp::Ordering::Less => Acceptance::Stale {
-                number: accepted.number(),
-            },
-            std::cmp::Ordering::Equal if submitted.digest() == accepted.digest() => {
-                Acceptance::Accepted {
-                    number: accepted.number(),
-                    digest: accepted.digest(),
-                }
-            }
-            std::cmp::Ordering::Equal => Acceptance::Conflict {
-                number: accepted.number(),
-                digest: accepted.digest(),
-            },
-            std::cmp::Ordering::Greater => {
-                self.configuration = Rc::clone(submitted);
-                Acceptance::Accepted {
-                    number: submitted.number(),
-                    digest: submitted.digest(),
+    /// Begins to keep the directory in the present term, if this replica leads.
+    ///
+    /// Returns whether all living members have had the time to report.
+    fn take_tenure(&mut self, now: Instant) -> Option<bool> {
+        let term = self.leading()?;
+        let tenure = match self.tenure {
+            Some(tenure) if tenure.term == term => tenure,
+            _ => {
+                self.directory = Directory::open(self.epoch.wrapping_add(term));
+                Tenure {
+                    term,
+                    complete: now + LEASE,
                 }
             }
+        };
+        self.tenure = Some(tenure);
+        Some(now >= tenure.complete)
+    }
+
+    /// What a new leader's directory holds already. It removes nothing from a
+    /// copy, because members that have not reported yet may well live.
+    fn additions(&self, known: Known) -> Delta {
+        Delta {
+            mark: known.directory,
+            snapshot: false,
+            members: self.directory.members().cloned().collect(),
+            gone: Vec::new(),
+        }
+    }
+
+    /// Feeds the replica and passes its commands on.
+    fn drive<S>(&mut self, now: Instant, event: replica::Event<'_, Store>, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        self.replica.handle(now, event, &mut Relay { out });
+        self.history.note(&self.replica.state().configuration);
+        if !self.replica.leads() {
+            self.tenure = None;
         }
     }
+
+    fn propose<S>(&mut self, now: Instant, call: u64, change: &Change, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        self.drive(now, replica::Event::Proposed { call, change }, out);
+    }
+}
+
+/// Turns a replica's commands into those of the process.
+struct Relay<'a, S> {
+    out: &'a mut S,
+}
+
+impl<S: Sink<Command = Command>> Sink for Relay<'_, S> {
+    type Command = replica::Command<Store>;
+
+    fn push(&mut self, command: replica::Command<Store>) {
+        self.out.push(match command {
+            replica::Command::Send { address, message } => Command::Send { address, message },
+            replica::Command::Persist { batch } => Command::Persist { batch },
+            replica::Command::Granted { call } => Command::Grant { call },
+            replica::Command::Lost { call } => Command::Redirect { call },
+            replica::Command::Outcome { call, outcome } => match outcome {
+                Outcome::Answered { acceptance } => Command::Answer { call, acceptance },
+                Outcome::Judged { outcome } => Command::Judge { call, outcome },
+                Outcome::Recorded => Command::Record { call },
+            },
+        });
+    }
 }
 
 impl Machine for Control {
@@ -131,24 +193,31 @@
                 member,
                 known,
             } => {
-                let news = self.exchange(now, member, known);
-                out.push(Command::Teach { call, news });
+                // A leader whose lease ran out must notice before it teaches.
+                self.drive(now, replica::Event::Ticked, out);
+                self.exchange(now, call, member, known, out);
             }
             Event::Applied {
                 call,
                 configuration,
             } => {
-                let acceptance = self.apply(configuration);
-                out.push(Command::Answer { call, acceptance });
+                let configuration = Rc::clone(configuration);
+                self.propose(now, call, &Change::Configure { configuration }, out);
             }
             Event::Claimed {
                 call,
                 name,
                 holder,
                 digest,
+                wall,
             } => {
-                let outcome = self.claim(name, holder, digest);
-                out.push(Command::Judge { call, outcome });
+                let wish = claims::Wish {
+                    key: name.key(),
+                    holder,
+                    digest,
+                    at: wall,
+                };
+                self.propose(now, call, &Change::Claim { wish }, out);
             }
             Event::Concluded {
                 call,
@@ -157,10 +226,27 @@
                 verdict,
                 vm,
             } => {
-                self.conclude(name, holder, verdict, vm);
-                out.push(Command::Record { call });
+                let change = Change::Conclude {
+                    key: name.key(),
+                    holder,
+                    verdict,
+                    vm: vm.into(),
+                };
+                self.propose(now, call, &change, out);
+            }
+            Event::Wished { call, wish } => {
+                self.drive(now, replica::Event::Wished { call, wish }, out);
+            }
+            Event::Received { message } => {
+                self.drive(now, replica::Event::Received { message }, out);
+            }
+            Event::Synced { ticket } => self.drive(now, replica::Event::Synced { ticket }, out),
+            Event::Stalled => self.drive(now, replica::Event::Stalled, out),
+            Event::Resigned => self.drive(now, replica::Event::Resigned, out),
+            Event::Ticked => {
+                self.drive(now, replica::Event::Ticked, out);
+                self.directory.expire(now);
             }
-            Event::Ticked => self.directory.expire(now),
         }
     }
 
@@ -169,6 +255,9 @@
     }
 
     fn deadline(&self) -> Option<Instant> {
-        self.directory.deadline()
+        [self.replica.deadline(), self.directory.deadline()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 }
--- a/crates/nutmegyoke-core/src/process/news.rs
+++ b/crates/nutmegyoke-core/src/process/news.rs
@@ -4,6 +4,7 @@
 
 use super::directory::{Delta, Mark};
 use crate::version::Configuration;
+use crate::version::diff::Diff;
 
 /// What a process knows already, sent with its heartbeat.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -17,8 +18,11 @@
 /// What the process did not know yet.
 #[derive(Clone, Debug, Default)]
 pub struct News {
-    /// A newer configuration.
+    /// A newer configuration, whole.
     pub configuration: Option<Rc<Configuration>>,
+    /// What leads to the newer configuration from the one that the process has,
+    /// where that is shorter; the wire turns it into [`News::configuration`].
+    pub changes: Vec<Rc<Diff>>,
     /// Changes of the directory.
     pub directory: Delta,
 }
--- a/crates/nutmegyoke-core/src/version/mod.rs
+++ b/crates/nutmegyoke-core/src/version/mod.rs
@@ -7,6 +7,7 @@
 pub mod adapter;
 pub mod configuration;
 pub mod customer;
+pub mod diff;
 pub mod grant;
 pub mod model;
 pub mod name;
--- a/crates/nutmegyoke-core/tests/replica.rs
+++ b/crates/nutmegyoke-core/tests/replica.rs
@@ -192,7 +192,7 @@
     simulation.run(Duration::from_secs(3));
     for &(gap, fault) in faults {
         witness.act(&mut simulation, fault);
-        for _ in 0..gap / 20 + 1 {
+        for _ in 0..=gap / 20 {
             simulation.run(Duration::from_millis(20));
             witness.watch(&simulation);
         }
@@ -437,6 +437,22 @@
     apply(&mut simulation, 3);
 }
 
+/// A learner that can't write has not caught up, however long it listens.
+#[test]
+fn learner_votes_only_with_all_that_is_committed_on_its_disk() {
+    let mut simulation = group(3);
+    simulation.wipe(0);
+    simulation.vms[0].full = true;
+    simulation.start(0);
+    simulation.run(Duration::from_secs(10));
+    let learner = simulation.vms[0].id;
+    assert!(simulation.membership.peer(learner).is_some(), "it joined");
+    assert!(!simulation.membership.votes(learner));
+    simulation.vms[0].full = false;
+    simulation.run(Duration::from_secs(10));
+    assert!(simulation.membership.votes(learner));
+}
+
 #[test]
 fn apply_outcomes_of_the_state() {
     let mut store = Store::default();
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -11,7 +11,7 @@
     Setup, State, Vote,
 };
 
-pub const ELECTION: Duration = Duration::from_millis(1000);
+pub const ELECTION: Duration = Duration::from_secs(1);
 
 /// What a fake VM has synced.
 #[derive(Clone)]
@@ -189,7 +189,7 @@
 
     fn obey(&mut self, vm: usize, command: Command<S>) {
         match command {
-            Command::Send { address, message } => self.post(vm, address, message),
+            Command::Send { address, message } => self.post(vm, address, &message),
             Command::Persist { batch } => {
                 let at = self.now + Duration::from_millis(self.random.u64(1..20));
                 self.vms[vm].flight = Some((at, batch));
@@ -204,7 +204,7 @@
         }
     }
 
-    fn post(&mut self, vm: usize, to: SocketAddr, message: Message<S>) {
+    fn post(&mut self, vm: usize, to: SocketAddr, message: &Message<S>) {
         let other = usize::from(to.port()) - 1;
         if self.cut.contains(&vm) != self.cut.contains(&other) {
             return;
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -15,6 +15,7 @@
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::news::{Known, News};
 use nutmegyoke_core::process::{Clock, Member};
+use nutmegyoke_core::version::Configuration;
 use nutmegyoke_wire::connection::link_capnp::agent;
 use nutmegyoke_wire::process::Settings;
 use nutmegyoke_wire::process::settings;
@@ -170,6 +171,10 @@
         }
     }
 
+    fn configuration(&self) -> Rc<Configuration> {
+        Rc::clone(self.driver.machine().configuration())
+    }
+
     fn learn(&self, news: &News) {
         self.driver.feed(Input::Taught { news });
         super::log_configuration(&self.metrics, news);
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -46,6 +46,15 @@
     /// A connection ended with an error.
     #[display("connection of {peer} failed: {why}")]
     ConnectionFailed { peer: SocketAddr, why: &'a str },
+    /// The process keeps its state in memory only.
+    #[display("no data folder is set: the state ends with this process")]
+    Volatile,
+    /// The journal's disk is full.
+    #[display("{why}; nothing is accepted until there is room")]
+    DiskFull { why: &'a str },
+    /// The journal can't be written any more.
+    #[display("{why}; the process stops")]
+    JournalFailed { why: &'a str },
     /// An endpoint announced itself for the first time.
     #[display("endpoint {name} at {address} announced itself")]
     Announced { name: &'a str, address: SocketAddr },
@@ -69,6 +78,9 @@
             Self::ControlLost { .. } => 400,
             Self::ControlFound { .. } => 401,
             Self::ConnectionFailed { .. } => 402,
+            Self::Volatile => 410,
+            Self::DiskFull { .. } => 411,
+            Self::JournalFailed { .. } => 412,
             Self::Announced { .. } => 500,
             Self::AnnouncementRefused { .. } => 501,
         }
@@ -76,9 +88,12 @@
 
     fn level(&self) -> Level {
         match self {
-            Self::ControlLost { .. } | Self::Rejected { .. } | Self::AnnouncementRefused { .. } => {
-                Level::Warn
-            }
+            Self::ControlLost { .. }
+            | Self::Rejected { .. }
+            | Self::Volatile
+            | Self::DiskFull { .. }
+            | Self::AnnouncementRefused { .. } => Level::Warn,
+            Self::JournalFailed { .. } => Level::Error,
             Self::Refused { .. } | Self::ConnectionFailed { .. } => Level::Debug,
             _ => Level::Info,
         }
--- a/crates/nutmegyoke-host/src/process/failure.rs
+++ b/crates/nutmegyoke-host/src/process/failure.rs
@@ -5,6 +5,8 @@
 
 use derive_more::{Display, Error};
 
+use super::journal;
+
 /// A failure to start, with what to do about it.
 #[derive(Debug, Display, Error)]
 pub enum Failure {
@@ -21,4 +23,7 @@
     /// The metrics could not be registered.
     #[display("cannot register metrics: {source}")]
     Metrics { source: prometheus::Error },
+    /// The journal can't be opened.
+    #[display("{source}")]
+    Journal { source: journal::Failure },
 }
--- a/crates/nutmegyoke-host/src/process/heartbeat.rs
+++ b/crates/nutmegyoke-host/src/process/heartbeat.rs
@@ -12,6 +12,7 @@
 use futures_util::pin_mut;
 use nutmegyoke_core::process::Member;
 use nutmegyoke_core::process::news::{Known, News};
+use nutmegyoke_core::version::Configuration;
 use nutmegyoke_wire::connection::link_capnp::control;
 use nutmegyoke_wire::process::{member, news};
 
@@ -30,6 +31,8 @@
     fn member(&self) -> Member;
     /// What it knows already.
     fn known(&self) -> Known;
+    /// The configuration in force in it.
+    fn configuration(&self) -> Rc<Configuration>;
     /// Takes in what it did not know.
     fn learn(&self, news: &News);
 }
@@ -108,7 +111,7 @@
     member::write(&learner.member(), params.reborrow().init_member());
     news::write_known(learner.known(), params.init_known());
     let response = compio::time::timeout(TIMEOUT, request.send().promise).await??;
-    let news = news::read(response.get()?.get_news()?)?;
+    let news = news::read(response.get()?.get_news()?, &learner.configuration())?;
     learner.learn(&news);
     Ok(())
 }
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod failure;
 pub mod heartbeat;
+pub mod journal;
 pub mod metrics;
 pub mod operators;
 pub mod signal;
--- a/crates/nutmegyoke-wire/schema/link.capnp
+++ b/crates/nutmegyoke-wire/schema/link.capnp
@@ -138,6 +138,29 @@
   grants @2 :List(Grant);
 }
 
+# A step of an edited list: rows that stay, or a new row.
+struct PlanStep {
+  start @0 :UInt32;
+  count @1 :UInt32;  # 0: the new row counts
+  row @2 :Plan;
+}
+
+struct GrantStep {
+  start @0 :UInt32;
+  count @1 :UInt32;  # 0: the new row counts
+  row @2 :Grant;
+}
+
+# What leads from one configuration to the next.
+struct Diff {
+  from @0 :UInt64;
+  fromDigest @1 :UInt64;
+  number @2 :UInt64;
+  digest @3 :UInt64;
+  plans @4 :List(PlanStep);
+  grants @5 :List(GrantStep);
+}
+
 struct Delta {
   mark @0 :Mark;
   snapshot @1 :Bool;
@@ -148,6 +171,7 @@
 struct News {
   configuration @0 :Lists;  # null: nothing newer
   directory @1 :Delta;
+  changes @2 :List(Diff);  # in order, in place of the configuration
 }
 
 struct ClaimName {
@@ -167,6 +191,8 @@
     granted @0 :Void;
     held @1 :Claim;
     mismatch @2 :Void;
+    expired @3 :Void;
+    full @4 :Void;
   }
 }
 
--- /dev/null
+++ b/crates/nutmegyoke-wire/schema/replica.capnp
@@ -0,0 +1,147 @@
+@0xe1b46c0f7a9d2c53;
+# Messages between the control replicas and records of their journal.
+
+using Link = import "link.capnp";
+
+struct Seed {
+  name @0 :Text;
+  address @1 :Text;
+}
+
+struct Peer {
+  id @0 :UInt64;
+  seed @1 :Seed;
+  voter @2 :Bool;
+}
+
+struct Membership {
+  names @0 :List(Text);
+  peers @1 :List(Peer);
+}
+
+struct Position {
+  term @0 :UInt64;
+  index @1 :UInt64;
+}
+
+struct Key {
+  high @0 :UInt64;
+  low @1 :UInt64;
+  born @2 :UInt64;  # 0: the key carries no time
+}
+
+struct Wish {
+  key @0 :Key;
+  holder @1 :Link.Id;
+  digest @2 :UInt64;
+  at @3 :UInt64;
+}
+
+struct Conclusion {
+  key @0 :Key;
+  holder @1 :Link.Id;
+  verdict @2 :Link.Verdict;
+  vm @3 :Text;
+}
+
+struct Entry {
+  position @0 :Position;
+  union {
+    blank @1 :Void;
+    membership @2 :Membership;
+    configure @3 :Link.Lists;
+    claim @4 :Wish;
+    conclude @5 :Conclusion;
+  }
+}
+
+struct ClaimRow {
+  key @0 :Key;
+  holder @1 :Link.Id;
+  digest @2 :UInt64;
+  at @3 :UInt64;
+  verdict @4 :Link.Verdict;  # null: may be running
+  vm @5 :Text;
+}
+
+struct Snapshot {
+  position @0 :Position;
+  membership @1 :Membership;
+  configuration @2 :Link.Lists;
+  time @3 :UInt64;
+  claims @4 :List(ClaimRow);
+}
+
+struct Message {
+  from @0 :UInt64;
+  reply @1 :Text;
+  to @2 :UInt64;  # 0: whoever is reached
+  term @3 :UInt64;
+  union {
+    poll @4 :Position;
+    polled @5 :Bool;
+    solicit :group {
+      last @6 :Position;
+      forced @7 :Bool;
+    }
+    voted @8 :Void;
+    append :group {
+      previous @9 :Position;
+      entries @10 :List(Entry);
+      commit @11 :UInt64;
+      stamp @12 :UInt64;
+    }
+    appended :group {
+      matched @13 :UInt64;
+      stamp @14 :UInt64;
+    }
+    diverged :group {
+      previous @15 :UInt64;
+      last @16 :UInt64;
+      stamp @17 :UInt64;
+    }
+    install :group {
+      snapshot @18 :Snapshot;
+      stamp @19 :UInt64;
+    }
+    handover @20 :Void;
+    outdated @21 :Void;
+    join @22 :Seed;
+    probe @23 :Void;
+    probed :group {
+      name @24 :Text;
+      fresh @25 :Bool;
+    }
+  }
+}
+
+# What the journal writes and syncs together.
+struct Record {
+  id @0 :UInt64;  # of the replica
+  term @1 :UInt64;
+  candidate @2 :UInt64;  # 0: none
+  snapshot @3 :Snapshot;  # null: the record only appends
+  entries @4 :List(Entry);
+}
+
+struct Acceptance {
+  union {
+    accepted :group {
+      number @0 :UInt64;
+      digest @1 :UInt64;
+    }
+    conflict :group {
+      number @2 :UInt64;
+      digest @3 :UInt64;
+    }
+    stale @4 :UInt64;
+  }
+}
+
+# What a control process offers to the others, beside what it offers to all.
+interface Replica extends(Link.Control) {
+  deliver @0 (message :Message) -> ();
+  apply @1 (lists :Link.Lists) -> (acceptance :Acceptance);
+  wish @2 (name :Text, remove :Bool) -> ();
+  status @3 () -> (json :Data);
+}
--- a/crates/nutmegyoke-wire/src/connection/link_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/link_capnp.rs
@@ -7221,6 +7221,905 @@
     }
 }
 
+pub mod plan_step {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_start(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_row(self) -> ::capnp::Result<crate::link_capnp::plan::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_row(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_start(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_start(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_count(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_row(self) -> ::capnp::Result<crate::link_capnp::plan::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_row(&mut self, value: crate::link_capnp::plan::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_row(self, ) -> crate::link_capnp::plan::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_row(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_row(&self) -> crate::link_capnp::plan::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(106, 194, 77, 78, 82, 35, 7, 135),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(150, 74, 179, 240, 225, 165, 199, 210),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 108, 97, 110, 83),
+            ::capnp::word(116, 101, 112, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 119, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 54, 61, 134, 104, 119, 89, 159),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::link_capnp::plan::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) const TYPE_ID: u64 = 0x8707_2352_4e4d_c26a;
+    }
+}
+
+pub mod grant_step {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_start(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_row(self) -> ::capnp::Result<crate::link_capnp::grant::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_row(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_start(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_start(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_count(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_row(self) -> ::capnp::Result<crate::link_capnp::grant::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_row(&mut self, value: crate::link_capnp::grant::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_row(self, ) -> crate::link_capnp::grant::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_row(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_row(&self) -> crate::link_capnp::grant::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(48, 165, 28, 40, 219, 232, 5, 244),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(150, 74, 179, 240, 225, 165, 199, 210),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 71, 114, 97, 110, 116),
+            ::capnp::word(83, 116, 101, 112, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 119, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(34, 195, 246, 232, 168, 136, 144, 139),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::link_capnp::grant::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) const TYPE_ID: u64 = 0xf405_e8db_281c_a530;
+    }
+}
+
+pub mod diff {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_from(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_from_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_plans(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link_capnp::plan_step::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_plans(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_grants(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link_capnp::grant_step::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_grants(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_from(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_from(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_from_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_from_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_plans(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link_capnp::plan_step::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_plans(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link_capnp::plan_step::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_plans(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link_capnp::plan_step::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_plans(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_grants(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link_capnp::grant_step::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_grants(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link_capnp::grant_step::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_grants(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link_capnp::grant_step::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_grants(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 115] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(139, 59, 29, 94, 92, 119, 148, 158),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(150, 74, 179, 240, 225, 165, 199, 210),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 68, 105, 102, 102, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 111, 109, 68, 105, 103, 101),
+            ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 108, 97, 110, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(106, 194, 77, 78, 82, 35, 7, 135),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 165, 28, 40, 219, 232, 5, 244),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::link_capnp::plan_step::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::link_capnp::grant_step::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,5,2,4];
+        pub(crate) const TYPE_ID: u64 = 0x9e94_775c_5e1d_3b8b;
+    }
+}
+
 pub mod delta {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -7625,11 +8524,19 @@
         pub fn has_directory(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link_capnp::diff::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7711,6 +8618,22 @@
         pub fn has_directory(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link_capnp::diff::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_changes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link_capnp::diff::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_changes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link_capnp::diff::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7728,37 +8651,44 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(14, 193, 41, 155, 199, 120, 244, 253),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(150, 74, 179, 240, 225, 165, 199, 210),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
             ::capnp::word(97, 116, 105, 111, 110, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -7777,11 +8707,24 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(139, 59, 29, 94, 92, 119, 148, 158),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::link_capnp::lists::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::link_capnp::delta::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::link_capnp::diff::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7795,9 +8738,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
         pub(crate) const TYPE_ID: u64 = 0xfdf4_78c7_9b29_c10e;
     }
 }
@@ -8372,7 +9315,7 @@
 }
 
 pub mod claim_outcome {
-    pub use self::Which::{Granted,Held,Mismatch};
+    pub use self::Which::{Granted,Held,Mismatch,Expired,Full};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -8457,6 +9400,16 @@
                         ()
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Expired(
+                        ()
+                    ))
+                }
+                4 => {
+                    ::core::result::Result::Ok(Full(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -8538,6 +9491,14 @@
             self.builder.set_data_field::<u16>(0, 2);
         }
         #[inline]
+        pub fn set_expired(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 3);
+        }
+        #[inline]
+        pub fn set_full(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 4);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -8555,6 +9516,16 @@
                         ()
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Expired(
+                        ()
+                    ))
+                }
+                4 => {
+                    ::core::result::Result::Ok(Full(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -8569,45 +9540,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(224, 253, 132, 157, 130, 221, 185, 194),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(150, 74, 179, 240, 225, 165, 199, 210),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 5, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 97, 105, 109),
             ::capnp::word(79, 117, 116, 99, 111, 109, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8633,12 +9618,30 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 112, 105, 114, 101, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 117, 108, 108, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <() as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::link_capnp::claim::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <() as ::capnp::introspect::Introspect>::introspect(),
+                3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8653,14 +9656,16 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,0,1,2];
         pub(crate) const TYPE_ID: u64 = 0xc2b9_dd82_9d84_fde0;
     }
     pub enum Which<A0> {
         Granted(()),
         Held(A0),
         Mismatch(()),
+        Expired(()),
+        Full(()),
     }
     pub type WhichReader<'a,> = Which<::capnp::Result<crate::link_capnp::claim::Reader<'a>>>;
     pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::link_capnp::claim::Builder<'a>>>;
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -5,6 +5,8 @@
 pub mod ini;
 pub mod member;
 pub mod news;
+pub mod record;
+pub mod replica;
 pub mod settings;
 pub mod status;
 
--- a/crates/nutmegyoke-wire/src/process/settings.rs
+++ b/crates/nutmegyoke-wire/src/process/settings.rs
@@ -13,8 +13,12 @@
 //! ```
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::time::Duration;
 
 use nutmegyoke_core::process::DataCentre;
+use nutmegyoke_core::process::control::replica::Seed;
 use nutmegyoke_core::process::member::Role;
 
 use super::ini::{Fault, File, Section};
@@ -22,6 +26,12 @@
 /// The longest request body that an entry takes unless set, in bytes.
 pub const DEFAULT_BODY_BYTES: usize = 1024 * 1024;
 
+/// How long a leader is missed before another is elected, unless set.
+pub const DEFAULT_ELECTION: Duration = Duration::from_secs(1);
+
+const ELECTION_RANGE: RangeInclusive<Duration> =
+    Duration::from_millis(100)..=Duration::from_mins(1);
+
 const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:8470";
 
 /// The checked settings of one process.
@@ -49,7 +59,7 @@
     /// Runs beside the endpoints of a VM.
     Agent,
     /// Holds the state that survives.
-    Control,
+    Control(Control),
 }
 
 /// The settings of an entry.
@@ -61,6 +71,27 @@
     pub body_bytes: usize,
 }
 
+/// The settings of a control process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Control {
+    /// The data folder; without one the state ends with the process.
+    pub data: Option<PathBuf>,
+    /// All control VMs of the fleet; empty for a single one.
+    pub peers: Vec<Seed>,
+    /// How long a leader is missed before another is elected.
+    pub election: Duration,
+}
+
+impl Default for Control {
+    fn default() -> Self {
+        Self {
+            data: None,
+            peers: Vec::new(),
+            election: DEFAULT_ELECTION,
+        }
+    }
+}
+
 impl Settings {
     /// Parses and checks the text of the settings file called `name`.
     ///
@@ -80,11 +111,11 @@
         let own = match role {
             Role::Entry => Own::Entry(entry(file.section("entry")?)?),
             Role::Agent => Own::Agent,
-            Role::Control => Own::Control,
+            Role::Control => Own::Control(control_section(&file, &process)?),
         };
         let listen = match &own {
             Own::Entry(entry) => entry.callers,
-            Own::Agent | Own::Control => process.required("listen", ADDRESS)?,
+            Own::Agent | Own::Control(_) => process.required("listen", ADDRESS)?,
         };
         let settings = Self {
             name: process.required("name", "the name of the VM")?,
@@ -111,6 +142,49 @@
     Ok(entry)
 }
 
+fn control_section(file: &File<'_>, process: &Section<'_>) -> Result<Control, Fault> {
+    if !file.sections().any(|section| section.name == "control") {
+        return Ok(Control::default());
+    }
+    let section = file.section("control")?;
+    let data: Option<String> = section.optional("data", "the path of a folder")?;
+    let election: Option<u64> = section.optional("election-timeout-ms", "milliseconds")?;
+    let election = election.map_or(DEFAULT_ELECTION, Duration::from_millis);
+    if !ELECTION_RANGE.contains(&election) {
+        let problem = "is not valid: write 100 to 60000 milliseconds".to_owned();
+        return Err(section.fault("election-timeout-ms", problem));
+    }
+    let peers = seeds(&section)?;
+    let name: String = process.required("name", "the name of the VM")?;
+    if !peers.is_empty() && peers.iter().all(|seed| seed.name != name) {
+        let problem = format!("lacks this VM: add `{name} ADDRESS`, the same list on every VM");
+        return Err(section.fault("peers", problem));
+    }
+    section.finish()?;
+    Ok(Control {
+        data: data.map(PathBuf::from),
+        peers,
+        election,
+    })
+}
+
+fn seeds(section: &Section<'_>) -> Result<Vec<Seed>, Fault> {
+    let names = section.names("peers")?;
+    let seeds = names.iter().map(|text| {
+        let seed = text.split_once(' ').and_then(|(name, address)| {
+            Some(Seed {
+                name: name.to_owned(),
+                address: address.trim().parse().ok()?,
+            })
+        });
+        seed.ok_or_else(|| {
+            let problem = format!("`{text}` is not valid: write NAME IP:PORT, separated by commas");
+            section.fault("peers", problem)
+        })
+    });
+    seeds.collect()
+}
+
 fn addresses(section: &Section<'_>, key: &'static str) -> Result<Vec<SocketAddr>, Fault> {
     section
         .names(key)?
--- a/crates/nutmegyoke-wire/src/process/status.rs
+++ b/crates/nutmegyoke-wire/src/process/status.rs
@@ -1,6 +1,7 @@
 //! The JSON by which a control process shows the fleet to operators.
 
 use nutmegyoke_core::process::Member;
+use nutmegyoke_core::process::control::replica::{Id, Seed};
 use serde::{Deserialize, Serialize};
 
 /// The fleet as one control process sees it.
@@ -13,6 +14,29 @@
     pub digest: u64,
     /// The processes whose leases run.
     pub members: Vec<Member>,
+    /// The VM whose replica leads; `None` while there is none.
+    #[serde(default)]
+    pub leader: Option<String>,
+    /// The term of the replica that answers.
+    #[serde(default)]
+    pub term: u64,
+    /// The replicas of the state that survives.
+    #[serde(default)]
+    pub replicas: Vec<Replica>,
+}
+
+/// A replica as the leader sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Replica {
+    /// The VM it runs on, with its address.
+    pub seed: Seed,
+    /// The life of its disk.
+    pub id: Id,
+    /// Whether it votes.
+    pub voter: bool,
+    /// Entries of the log that it has not synced yet; `None` if not known here.
+    pub lag: Option<u64>,
 }
 
 impl Status {
--- a/crates/nutmegyoke-wire/src/request/claim.rs
+++ b/crates/nutmegyoke-wire/src/request/claim.rs
@@ -37,6 +37,8 @@
             claim: read(claim?)?,
         },
         claim_outcome::Mismatch(()) => Outcome::Mismatch,
+        claim_outcome::Expired(()) => Outcome::Expired,
+        claim_outcome::Full(()) => Outcome::Full,
     })
 }
 
@@ -46,6 +48,8 @@
         Outcome::Granted => builder.set_granted(()),
         Outcome::Held { claim } => write(claim, builder.init_held()),
         Outcome::Mismatch => builder.set_mismatch(()),
+        Outcome::Expired => builder.set_expired(()),
+        Outcome::Full => builder.set_full(()),
     }
 }
 
--- a/crates/nutmegyoke-wire/src/version/lists.rs
+++ b/crates/nutmegyoke-wire/src/version/lists.rs
@@ -43,7 +43,7 @@
     }
 }
 
-fn read_plan(reader: plan::Reader<'_>) -> capnp::Result<Plan> {
+pub(super) fn read_plan(reader: plan::Reader<'_>) -> capnp::Result<Plan> {
     Ok(Plan {
         name: text(reader.get_name())?.to_owned(),
         customer: text(reader.get_customer())?.into(),
@@ -58,7 +58,7 @@
     })
 }
 
-fn write_plan(plan: &Plan, mut builder: plan::Builder<'_>) {
+pub(super) fn write_plan(plan: &Plan, mut builder: plan::Builder<'_>) {
     builder.set_name(&plan.name);
     builder.set_customer(plan.customer.as_str());
     builder.set_key(&plan.key);
@@ -71,7 +71,7 @@
     builder.set_deadline_ms(milliseconds(plan.deadline));
 }
 
-fn read_grant(reader: grant::Reader<'_>) -> capnp::Result<Grant> {
+pub(super) fn read_grant(reader: grant::Reader<'_>) -> capnp::Result<Grant> {
     let item = match reader.which()? {
         grant::Model(group) => Item::Model {
             name: text(group.get_name())?.into(),
@@ -97,7 +97,7 @@
     })
 }
 
-fn write_grant(grant: &Grant, mut builder: grant::Builder<'_>) {
+pub(super) fn write_grant(grant: &Grant, mut builder: grant::Builder<'_>) {
     let list = builder.reborrow().init_plans(length(grant.plans.len()));
     set_texts(list, grant.plans.iter().map(String::as_str));
     match &grant.item {
--- a/src/bin/nutmegyoke/commands/status.rs
+++ b/src/bin/nutmegyoke/commands/status.rs
@@ -1,8 +1,10 @@
 //! `nutmegyoke status`: shows the version in force by process and data centre.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use clap::Args;
+use nutmegyoke_core::process::Member;
 use nutmegyoke_wire::process;
 
 use crate::operators::{self, Failure};
@@ -39,6 +41,23 @@
             "configuration {} accepted, digest {:016x}",
             status.number, status.digest
         );
+        let leader = status.leader.as_deref().unwrap_or("none");
+        println!("leader {leader}, term {}", status.term);
+        for replica in &status.replicas {
+            println!(
+                "replica {:<12} {} {} {:<8} {}",
+                replica.seed.name,
+                replica.seed.address,
+                replica.id,
+                if replica.voter { "voter" } else { "learner" },
+                replica.lag.map_or("lag unknown".to_owned(), |lag| format!(
+                    "{lag} entries behind"
+                ))
+            );
+        }
+        for ((place, number), count) in in_force(&status.members) {
+            println!("{place:<12} configuration {number:<6} in force in {count} processes");
+        }
         for member in &status.members {
             println!(
                 "{:<12} {:<20} {:<8} configuration {:<6} {} endpoints",
@@ -52,3 +71,13 @@
         Ok(())
     }
 }
+
+/// How many processes of each data centre have each version in force.
+fn in_force(members: &[Member]) -> BTreeMap<(&str, u64), usize> {
+    let mut counts = BTreeMap::new();
+    for member in members {
+        let place = (member.data_centre.as_str(), member.configuration);
+        *counts.entry(place).or_default() += 1;
+    }
+    counts
+}
--- a/src/bin/nutmegyoke/operators.rs
+++ b/src/bin/nutmegyoke/operators.rs
@@ -87,7 +87,12 @@
     call(address, http::Method::POST, path, body)
 }
 
-fn call(
+/// Calls the control process at `address`.
+///
+/// # Errors
+///
+/// The control process can't be reached or does not answer in time.
+pub fn call(
     address: SocketAddr,
     method: http::Method,
     path: &str,
--- a/src/bin/nutmegyoked/demo.rs
+++ b/src/bin/nutmegyoked/demo.rs
@@ -53,8 +53,9 @@
 /// An address can't be bound.
 pub async fn run(callers: SocketAddr, operators: SocketAddr) -> Result<(), Failure> {
     let registry = Registry::new();
-    let own = settings(Own::Control, "control-1", operators, &[]);
-    let control = Control::spawn(&own, System, &registry).await?;
+    let replica = settings::Control::default();
+    let own = settings(Own::Control(replica.clone()), "control-1", operators, &[]);
+    let control = Control::spawn(&own, &replica, System, &registry).await?;
     let addresses: Vec<SocketAddr> = control.listen().into_iter().collect();
     control.apply(&configuration()?).await;
     let own = settings(Own::Agent, "engine-vm-1", ANY, &addresses);
@@ -83,7 +84,7 @@
     entry.drain().await;
     first.drain().await;
     second.drain().await;
-    control.close();
+    control.drain().await;
     drop(engines);
     Ok(())
 }
--- a/src/bin/nutmegyoked/run.rs
+++ b/src/bin/nutmegyoked/run.rs
@@ -4,6 +4,8 @@
 use std::path::{Path, PathBuf};
 
 use derive_more::{Display, Error, From};
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
 use nutmegyoke_core::process::clock::System;
 use nutmegyoke_host::process::{self, Agent, Control, Entry, signal};
 use nutmegyoke_wire::process::settings::Own;
@@ -63,11 +65,24 @@
             signal::stop().await?;
             agent.drain().await;
         }
-        Own::Control => {
-            let control = Control::spawn(&settings, System, &registry).await?;
-            signal::stop().await?;
-            control.close();
+        Own::Control(own) => {
+            let control = Control::spawn(&settings, own, System, &registry).await?;
+            run_control(&control).await?;
         }
     }
     Ok(())
 }
+
+/// Runs until the process is asked to stop or its disk fails.
+async fn run_control(control: &Control<System>) -> Result<(), Failure> {
+    let (stop, failed) = (signal::stop(), control.failed());
+    pin_mut!(stop, failed);
+    match select(stop, failed).await {
+        Either::Left((stopped, _)) => {
+            stopped?;
+            control.drain().await;
+            Ok(())
+        }
+        Either::Right((source, _)) => Err(Failure::Start(process::Failure::Journal { source })),
+    }
+}
