Refuse each request with its own reason, before its body is read

Cause: a request with a bad key had its body read and decoded first, so broken JSON under a wrong key answered `bad_request`; a body that broke off answered `body_too_long`; a wrong method answered `unknown_path`; an entry that had not learned a configuration answered `bad_key`; an agent's result without a verdict was read as "ran"; the log never had NY0300.

Change: `request::Path` finds the route and judges the method. Headers (32 KiB in all) and key are judged before the body is read. New reasons `body_incomplete`, `headers_too_long`, `method_not_allowed`, `no_configuration`. A missing verdict counts as a lost link. `event::Kind` makes the event numbers enumerable, NY0300 is logged. A taken port names the demo's option.

Conclusion: every refusal within HTTP has a JSON error with a true `ran`. What is not HTTP, or has more than 256 headers, is still answered by the library without a body; it reaches no endpoint.

--- a/crates/nutmegyoke-core/src/request/admission.rs
+++ b/crates/nutmegyoke-core/src/request/admission.rs
@@ -29,8 +29,7 @@
     configuration: &'a Configuration,
     arrival: &Arrival<'_>,
 ) -> Result<Admission<'a>, Reason> {
-    let key = arrival.key.ok_or(Reason::BadKey)?;
-    let plan = configuration.plan_by_key(key).ok_or(Reason::BadKey)?;
+    let plan = identify(configuration, arrival.key)?;
     let (grant, destination, repeat) = match arrival.subject {
         Subject::Completion { name, .. } => {
             let grant = configuration.model(name).ok_or(Reason::UnknownModel)?;
@@ -61,6 +60,22 @@
     })
 }
 
+/// Finds the plan behind a bearer key, which needs nothing of the body.
+///
+/// # Errors
+///
+/// The reason of the refusal; the request did not run.
+pub fn identify<'a>(
+    configuration: &'a Configuration,
+    key: Option<&str>,
+) -> Result<&'a Plan, Reason> {
+    if configuration.number() == 0 {
+        return Err(Reason::NoConfiguration);
+    }
+    let plan = key.and_then(|key| configuration.plan_by_key(key));
+    plan.ok_or(Reason::BadKey)
+}
+
 /// Whether a grant lets a plan use its item.
 #[must_use]
 pub fn allows(grant: &Grant, plan: &Plan) -> bool {
--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -31,6 +31,14 @@
     BadRequest,
     /// The body is longer than allowed.
     BodyTooLong,
+    /// The body broke off before its end.
+    BodyIncomplete,
+    /// The headers are longer than allowed.
+    HeadersTooLong,
+    /// The path does not take this method.
+    MethodNotAllowed,
+    /// The entry has not learned a configuration yet.
+    NoConfiguration,
     /// No route of the caller API has this path.
     UnknownPath,
     /// No grant has this model or adapter.
--- a/crates/nutmegyoke-host/src/connection/http.rs
+++ b/crates/nutmegyoke-host/src/connection/http.rs
@@ -18,6 +18,9 @@
 /// How long a connection may take to send its request line and headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Headers of a request at most; a request with more is answered by the library.
+const HEADERS: usize = 256;
+
 /// Answers HTTP requests.
 pub trait Handler {
     /// Answers one request.
@@ -45,6 +48,7 @@
     let served = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(HEADER_TIMEOUT)
+        .max_headers(HEADERS)
         .serve_connection(HyperStream::new_plain(stream), service)
         .await;
     if let Err(error) = served {
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -7,9 +7,11 @@
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::request::Reason;
 use spdlog::Level;
+use strum::{EnumDiscriminants, EnumIter};
 
 /// Something worth a line in the log.
-#[derive(Clone, Debug, Display)]
+#[derive(Clone, Debug, Display, EnumDiscriminants)]
+#[strum_discriminants(name(Kind), derive(EnumIter))]
 pub enum Event<'a> {
     /// The process runs.
     #[display("{role} {vm} listens on {listen}, operators on {operators}")]
@@ -35,8 +37,8 @@
     #[display("configuration {number} not accepted: {why}")]
     Rejected { number: u64, why: &'a str },
     /// A request ended without a whole answer.
-    #[display("request {number} not answered: {reason}")]
-    Refused { number: u64, reason: Reason },
+    #[display("request not answered: {reason}")]
+    Refused { reason: Reason },
     /// No control process answers.
     #[display("no control process answers: {why}; serving on the last known state")]
     ControlLost { why: &'a str },
@@ -54,25 +56,33 @@
     AnnouncementRefused { why: &'a str },
 }
 
-impl Event<'_> {
-    /// The number under which the catalogue describes the event.
+impl Kind {
+    /// The number under which the catalogue describes events of this kind.
     #[must_use]
-    pub fn number(&self) -> u32 {
+    pub fn number(self) -> u32 {
         match self {
-            Self::Started { .. } => 100,
-            Self::Draining { .. } => 101,
+            Self::Started => 100,
+            Self::Draining => 101,
             Self::Stopped => 102,
-            Self::Configured { .. } => 200,
-            Self::Accepted { .. } => 201,
-            Self::Rejected { .. } => 202,
-            Self::Refused { .. } => 300,
-            Self::ControlLost { .. } => 400,
-            Self::ControlFound { .. } => 401,
-            Self::ConnectionFailed { .. } => 402,
-            Self::Announced { .. } => 500,
-            Self::AnnouncementRefused { .. } => 501,
+            Self::Configured => 200,
+            Self::Accepted => 201,
+            Self::Rejected => 202,
+            Self::Refused => 300,
+            Self::ControlLost => 400,
+            Self::ControlFound => 401,
+            Self::ConnectionFailed => 402,
+            Self::Announced => 500,
+            Self::AnnouncementRefused => 501,
         }
     }
+}
+
+impl Event<'_> {
+    /// The number under which the catalogue describes the event.
+    #[must_use]
+    pub fn number(&self) -> u32 {
+        Kind::from(self).number()
+    }
 
     fn level(&self) -> Level {
         match self {
--- a/crates/nutmegyoke-host/src/process/failure.rs
+++ b/crates/nutmegyoke-host/src/process/failure.rs
@@ -9,7 +9,9 @@
 #[derive(Debug, Display, Error)]
 pub enum Failure {
     /// An address could not be bound.
-    #[display("cannot listen on {address}: {source}; set `{key}` to a free address of this VM")]
+    #[display(
+        "cannot listen on {address}: {source}; set `{key}` (demo: --{key}) to a free address of this VM"
+    )]
     Bind {
         address: SocketAddr,
         key: &'static str,
--- a/crates/nutmegyoke-host/src/request/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/attempt.rs
@@ -48,6 +48,10 @@
         let result = Promise::from_future(async move {
             let response = sent.promise.await?;
             let results = response.get()?;
+            if !results.has_verdict() {
+                // An empty message reads as the first verdict, which is that it ran.
+                return Err(capnp::Error::failed("no verdict".to_owned()));
+            }
             let verdict = verdict::read(results.get_verdict()?)?;
             Ok((verdict, results.get_chunks()))
         });
--- a/crates/nutmegyoke-host/src/request/caller.rs
+++ b/crates/nutmegyoke-host/src/request/caller.rs
@@ -1,13 +1,16 @@
 //! Answers one request of a caller.
 //!
-//! Reads and decodes the request, then has it forwarded.
+//! The path, the headers and the key are judged before the body is read, and
+//! the body before it is decoded. What is left is forwarded.
 
 use std::rc::Rc;
 
-use http_body_util::{BodyExt, Limited};
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::request::arrival::Subject;
 use nutmegyoke_core::request::{Arrival, Reason, admission};
@@ -15,84 +18,103 @@
 use nutmegyoke_wire::request::{Completion, Payload, models};
 use rapidhash::v3::rapidhash_v3;
 
-use super::Body;
 use super::forward::forward;
 use super::reply::{refuse, respond, text};
+use super::{Body, Path};
 use crate::process;
 
 /// The header by which a caller names a request across resends.
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
+/// The longest headers of a request in all, names and values, in bytes.
+const HEADER_BYTES: usize = 32 * 1024;
+
 /// Answers one request.
 pub async fn answer<C: Clock + 'static>(
     entry: &Rc<process::Entry<C>>,
     request: Request<Incoming>,
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let path = head.uri.path();
-    match (&head.method, path) {
-        (&Method::GET, "/healthz") => return text(StatusCode::OK, "ok\n"),
-        (&Method::GET, "/readyz") => return readiness(entry),
-        (&Method::GET, "/v1/models") => return list_models(entry, &head.headers),
-        _ => {}
+    match Path::parse(&head.method, head.uri.path()) {
+        Ok(Path::Health) => text(StatusCode::OK, "ok\n"),
+        Ok(Path::Readiness) => readiness(entry),
+        Ok(Path::Models) => list_models(entry, &head.headers),
+        Ok(path @ (Path::Completion | Path::Service { .. })) => {
+            entry.metrics().requests.inc();
+            match read(entry, &head.headers, body).await {
+                Ok(body) => submit(entry, &head, path, &body).await,
+                Err(reason) => refuse(entry, reason, ""),
+            }
+        }
+        Err(reason) => {
+            entry.metrics().requests.inc();
+            refuse(entry, reason, "")
+        }
     }
-    entry.metrics().requests.inc();
-    let Ok(body) = Limited::new(body, entry.body_bytes()).collect().await else {
-        return refuse(entry, Reason::BodyTooLong, "");
-    };
-    let body = body.to_bytes();
-    let target = head
-        .uri
-        .path_and_query()
-        .map_or(path, |target| target.as_str());
+}
+
+/// Judges the headers and reads the body.
+async fn read<C: Clock + 'static>(
+    entry: &process::Entry<C>,
+    headers: &HeaderMap,
+    body: Incoming,
+) -> Result<Bytes, Reason> {
+    let lengths = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    if lengths.sum::<usize>() > HEADER_BYTES {
+        return Err(Reason::HeadersTooLong);
+    }
+    admission::identify(entry.driver().machine().configuration(), bearer(headers))?;
+    match Limited::new(body, entry.body_bytes()).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLong),
+        Err(_) => Err(Reason::BodyIncomplete),
+    }
+}
+
+async fn submit<C: Clock + 'static>(
+    entry: &Rc<process::Entry<C>>,
+    head: &Parts,
+    path: Path<'_>,
+    body: &[u8],
+) -> Response<Body> {
+    let whole = head.uri.path();
+    let target = head.uri.path_and_query();
+    let target = target.map_or(whole, |target| target.as_str());
     let payload = Payload {
         method: head.method.as_str(),
         path: target,
         content_type: header(&head.headers, CONTENT_TYPE.as_str()).unwrap_or(""),
-        body: &body,
+        body,
     };
-    match (&head.method, path) {
-        (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
-            let completion = match Completion::decode(&body) {
-                Ok(completion) => completion,
-                Err(error) => {
-                    let why = format!("{error}: send a JSON object with at least `model`");
-                    return refuse(entry, Reason::BadRequest, &why);
-                }
-            };
+    if let Path::Service { name, rest } = path {
+        let subject = Subject::Call {
+            service: name,
+            method: head.method.as_str(),
+            path: rest,
+        };
+        let payload = Payload {
+            path: &target[whole.len() - rest.len()..],
+            ..payload
+        };
+        return forward(entry, &arrival(&head.headers, subject, body), payload).await;
+    }
+    match Completion::decode(body) {
+        Ok(completion) => {
             let subject = Subject::Completion {
                 name: &completion.model,
                 tokens: completion.tokens(),
             };
-            forward(entry, &arrival(&head.headers, subject, &body), payload).await
+            forward(entry, &arrival(&head.headers, subject, body), payload).await
+        }
+        Err(error) => {
+            let why = format!("{error}: send a JSON object with at least `model`");
+            refuse(entry, Reason::BadRequest, &why)
         }
-        _ => match service(path) {
-            Some((name, rest)) => {
-                let subject = Subject::Call {
-                    service: name,
-                    method: head.method.as_str(),
-                    path: rest,
-                };
-                let payload = Payload {
-                    path: target
-                        .strip_prefix(&path[..path.len() - rest.len()])
-                        .unwrap_or(rest),
-                    ..payload
-                };
-                forward(entry, &arrival(&head.headers, subject, &body), payload).await
-            }
-            None => refuse(entry, Reason::UnknownPath, ""),
-        },
     }
 }
 
-/// Splits `/services/NAME/rest` into the name and `/rest`.
-fn service(path: &str) -> Option<(&str, &str)> {
-    let rest = path.strip_prefix("/services/")?;
-    let end = rest.find('/')?;
-    (end > 0).then(|| rest.split_at(end))
-}
-
 fn arrival<'a>(headers: &'a HeaderMap, subject: Subject<'a>, body: &[u8]) -> Arrival<'a> {
     Arrival {
         key: bearer(headers),
@@ -126,10 +148,12 @@
 ) -> Response<Body> {
     let machine = entry.driver().machine();
     let configuration = machine.configuration();
-    let plan = bearer(headers).and_then(|key| configuration.plan_by_key(key));
-    let Some(plan) = plan else {
-        drop(machine);
-        return refuse(entry, Reason::BadKey, "");
+    let plan = match admission::identify(configuration, bearer(headers)) {
+        Ok(plan) => plan,
+        Err(reason) => {
+            drop(machine);
+            return refuse(entry, reason, "");
+        }
     };
     let grants = configuration.lists().grants.iter();
     let allowed = grants.filter(|grant| admission::allows(grant, plan));
--- a/crates/nutmegyoke-host/src/request/reply.rs
+++ b/crates/nutmegyoke-host/src/request/reply.rs
@@ -8,7 +8,7 @@
 use nutmegyoke_wire::request::failure::RAN_HEADER;
 
 use super::Body;
-use crate::process;
+use crate::process::{self, Event};
 
 /// A plain text response.
 #[must_use]
@@ -26,6 +26,7 @@
 pub fn fail<C: Clock>(entry: &process::Entry<C>, verdict: Verdict, why: &str) -> Response<Body> {
     if let Some(reason) = verdict.reason() {
         entry.metrics().refused(reason);
+        Event::Refused { reason }.log();
     }
     let failure = Failure::new(verdict, why);
     let body = failure.encode().into();
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -88,12 +88,15 @@
 fn status(reason: Reason) -> u16 {
     match reason {
         Reason::BadKey => 401,
-        Reason::BadRequest => 400,
+        Reason::BadRequest | Reason::BodyIncomplete => 400,
         Reason::BodyTooLong => 413,
+        Reason::HeadersTooLong => 431,
+        Reason::MethodNotAllowed => 405,
         Reason::UnknownPath | Reason::UnknownModel | Reason::UnknownService => 404,
         Reason::NotGranted => 403,
         Reason::RateLimited | Reason::ConcurrencyLimited | Reason::TokensLimited => 429,
         Reason::NoEndpoint
+        | Reason::NoConfiguration
         | Reason::Unreachable
         | Reason::QueueFull
         | Reason::Draining
@@ -117,6 +120,10 @@
         Reason::BadKey => "send `Authorization: Bearer KEY` with the key of a plan",
         Reason::BadRequest => "send a JSON object with at least the field `model`",
         Reason::BodyTooLong => "send a shorter body",
+        Reason::BodyIncomplete => "send the whole body",
+        Reason::HeadersTooLong => "send fewer or shorter headers",
+        Reason::MethodNotAllowed => "use GET for /v1/models and POST for completions",
+        Reason::NoConfiguration => "the entry has just started; try again",
         Reason::UnknownPath => {
             "use /v1/chat/completions, /v1/completions, /v1/models or /services/NAME/..."
         }
