--- /dev/null
+++ b/crates/nutmegyoke-host/tests/attempt.rs
@@ -0,0 +1,192 @@
+//! What an entry makes of an agent's answer, right or wrong.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::Error;
+use nutmegyoke_cases::cases;
+use nutmegyoke_core::request::arrival::Destination;
+use nutmegyoke_core::request::{Id, Reason, Submission, Verdict};
+use nutmegyoke_core::version::grant::Repeat;
+use nutmegyoke_host::request::answer::{Answer, Part};
+use nutmegyoke_host::request::attempt::{Attempt, Step};
+use nutmegyoke_wire::connection::link_capnp::{agent, answer};
+use nutmegyoke_wire::request::{Payload, verdict};
+
+const RAN: Verdict = Verdict::Ran;
+const DRAINING: Verdict = Verdict::NotRun {
+    reason: Reason::Draining,
+};
+const TRUNCATED: Verdict = Verdict::MayHaveRun {
+    reason: Reason::Truncated,
+};
+const LINK_LOST: Verdict = Verdict::MayHaveRun {
+    reason: Reason::LinkLost,
+};
+
+/// What the agent does, step by step.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Head,
+    Chunk(u64),
+    /// Ends with this verdict and says that it sent so many chunks.
+    End(Verdict, u64),
+    /// Ends with the verdict text of a newer or broken peer.
+    Babble,
+    Fail,
+}
+
+struct Fake {
+    script: &'static [Act],
+    refused: RefCell<u32>,
+}
+
+impl Fake {
+    async fn act(&self, act: Act, answer: &answer::Client) -> capnp::Result<()> {
+        let sent = match act {
+            Act::Head => {
+                let mut head = answer.head_request();
+                head.get().set_status(200);
+                head.send().promise.await.map(drop)
+            }
+            Act::Chunk(number) => {
+                let mut chunk = answer.chunk_request();
+                chunk.get().set_sequence(number);
+                chunk.get().set_data(number.to_string().as_bytes());
+                chunk.send().promise.await.map(drop)
+            }
+            Act::Fail => return Err(Error::disconnected("gone".to_owned())),
+            Act::End(..) | Act::Babble => Ok(()),
+        };
+        if sent.is_err() {
+            *self.refused.borrow_mut() += 1;
+        }
+        Ok(())
+    }
+}
+
+impl agent::Server for Fake {
+    async fn submit(
+        self: Rc<Self>,
+        params: agent::SubmitParams,
+        mut results: agent::SubmitResults,
+    ) -> capnp::Result<()> {
+        let answer = params.get()?.get_answer()?;
+        for &act in self.script {
+            self.act(act, &answer).await?;
+            let mut results = results.get();
+            match act {
+                Act::End(end, chunks) => {
+                    results.set_chunks(chunks);
+                    verdict::write(end, results.init_verdict());
+                }
+                Act::Babble => results.init_verdict().set_not_run("moon_phase"),
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+fn submission() -> Submission {
+    Submission {
+        id: Id {
+            entry: 1,
+            number: 2,
+        },
+        attempt: 0,
+        customer: "kayal".into(),
+        priority: 5,
+        endpoint: "desk".to_owned(),
+        destination: Destination::Service {
+            service: "desk".into(),
+        },
+        repeat: Repeat::Once,
+        remaining: Duration::from_secs(5),
+        configuration: 1,
+    }
+}
+
+fn dropped() -> prometheus::IntCounterVec {
+    let opts = prometheus::Opts::new("dropped", "Chunks dropped.");
+    prometheus::IntCounterVec::new(opts, &["cause"]).unwrap()
+}
+
+fn ends(script: &'static [Act], expected: Verdict, text: &str, drops: u64) {
+    let counter = dropped();
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    let (verdict, received) = runtime.block_on(async {
+        let fake = Fake {
+            script,
+            refused: RefCell::default(),
+        };
+        let client: agent::Client = capnp_rpc::new_client(fake);
+        let payload = Payload {
+            method: "POST",
+            path: "/bookings",
+            content_type: "",
+            body: b"{}",
+        };
+        let answer = Answer::open(&counter);
+        let mut attempt = Attempt::spawn(&client, &submission(), &payload, answer);
+        let mut received = Vec::new();
+        loop {
+            match attempt.next().await {
+                Step::Part {
+                    part: Part::Chunk { data },
+                } => received.extend_from_slice(&data),
+                Step::Part { .. } => {}
+                Step::End { verdict } => return (verdict, received),
+            }
+        }
+    });
+    assert_eq!(verdict, expected);
+    assert_eq!(String::from_utf8(received).unwrap(), text);
+    let causes = ["duplicate", "gap"].map(|cause| counter.with_label_values(&[cause]).get());
+    assert_eq!(causes.iter().sum::<u64>(), drops);
+}
+
+cases!(ends {
+    whole: (
+        &[Act::Head, Act::Chunk(0), Act::Chunk(1), Act::End(RAN, 2)],
+        RAN,
+        "01",
+        0
+    ),
+    refused: (&[Act::End(DRAINING, 0)], DRAINING, "", 0),
+    chunk_twice: (
+        &[
+            Act::Head,
+            Act::Chunk(0),
+            Act::Chunk(0),
+            Act::Chunk(1),
+            Act::End(RAN, 2)
+        ],
+        RAN,
+        "01",
+        1
+    ),
+    chunk_missing: (
+        &[Act::Head, Act::Chunk(0), Act::Chunk(2), Act::End(RAN, 3)],
+        TRUNCATED,
+        "0",
+        1
+    ),
+    last_chunk_missing: (
+        &[Act::Head, Act::Chunk(0), Act::End(RAN, 2)],
+        TRUNCATED,
+        "0",
+        0
+    ),
+    head_twice: (
+        &[Act::Head, Act::Head, Act::Chunk(0), Act::End(RAN, 1)],
+        RAN,
+        "0",
+        1
+    ),
+    lost_before_the_answer: (&[Act::Fail], LINK_LOST, "", 0),
+    lost_in_the_answer: (&[Act::Head, Act::Chunk(0), Act::Fail], LINK_LOST, "0", 0),
+    unknown_verdict: (&[Act::Head, Act::Babble], LINK_LOST, "", 0),
+    no_verdict: (&[Act::Head], LINK_LOST, "", 0),
+});
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -70,6 +70,36 @@
     }
 }
 
+/// An agent without control.
+pub struct Lone {
+    _folder: TempDir,
+    /// Where entries reach it.
+    pub listen: SocketAddr,
+    /// Where endpoints announce themselves.
+    pub operators: SocketAddr,
+    /// The process.
+    pub agent: Daemon,
+}
+
+impl Lone {
+    /// Spawns the agent; its control process is at an address where none listens.
+    pub fn spawn() -> Self {
+        let folder = TempDir::new().unwrap();
+        let [listen, operators, control] = [(); 3].map(|()| free_address());
+        let text = format!(
+            "[process]\nrole = agent\nname = agent-1\ndata-centre = alp-a\n\
+             operators = {operators}\nlisten = {listen}\ncontrol = {control}\n"
+        );
+        let agent = spawn(&folder, "agent", &text);
+        Self {
+            _folder: folder,
+            listen,
+            operators,
+            agent,
+        }
+    }
+}
+
 fn spawn(folder: &TempDir, role: &str, settings: &str) -> Daemon {
     let path = folder.path().join(format!("{role}.ini"));
     std::fs::write(&path, settings).unwrap();
