Obtain claims before dispatch; tell the truth over all attempts; pause retries

Cause: after an attempt that may have run, a later one that did not (no endpoint, unreachable, tries used up) ended the request with NotRun. Keyed requests that must not run twice had no protection across resends. Retries followed at once and without a bound on their share. A stream whose engine stalled was held for ever. An agent that restarted under the same address had forgotten the submissions of its earlier run.

Change: the verdict told to the caller covers every attempt. Submissions carry the incarnation they are meant for. The digest of a keyed request covers method and path as well as the body.

--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -25,6 +25,7 @@
 /// An agent's decision state.
 #[derive(Debug)]
 pub struct Agent {
+    incarnation: u64,
     configuration: Rc<Configuration>,
     endpoints: BTreeMap<String, Backend>,
     calls: HashMap<u64, Call>,
@@ -48,17 +49,14 @@
     running: bool,
 }
 
-impl Default for Agent {
-    fn default() -> Self {
-        Self::open()
-    }
-}
-
 impl Agent {
     /// Opens an agent that knows no endpoint yet.
+    ///
+    /// `incarnation` tells this run from earlier ones on the same VM.
     #[must_use]
-    pub fn open() -> Self {
+    pub fn open(incarnation: u64) -> Self {
         Self {
+            incarnation,
             configuration: Rc::default(),
             endpoints: BTreeMap::new(),
             calls: HashMap::new(),
@@ -116,6 +114,9 @@
     }
 
     fn check(&self, submission: &Submission) -> Result<(), Reason> {
+        if submission.incarnation != self.incarnation {
+            return Err(Reason::Restarted);
+        }
         if self.draining {
             return Err(Reason::Draining);
         }
@@ -229,7 +230,8 @@
     pub fn verdict(reason: Reason) -> Verdict {
         match reason {
             // The earlier submission of the same attempt may be running.
-            Reason::Duplicate => Verdict::MayHaveRun { reason },
+            // The earlier run of this agent may have taken it; that is forgotten.
+            Reason::Duplicate | Reason::Restarted => Verdict::MayHaveRun { reason },
             _ => Verdict::NotRun { reason },
         }
     }
--- a/crates/nutmegyoke-core/src/process/entry/event.rs
+++ b/crates/nutmegyoke-core/src/process/entry/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::process::news::News;
-use crate::request::{Arrival, Reason, Submission, Verdict};
+use crate::request::{Arrival, Id, Reason, Submission, Verdict, claim};
 
 /// What happened to an entry.
 #[derive(Clone, Copy, Debug)]
@@ -13,6 +13,15 @@
         number: u64,
         arrival: &'a Arrival<'a>,
     },
+    /// Control answered the wish for a claim.
+    Judged {
+        number: u64,
+        outcome: &'a claim::Outcome,
+    },
+    /// No control process answered the wish for a claim.
+    Unclaimed { number: u64 },
+    /// The agent no longer keeps the answer that was recalled.
+    Forgotten { number: u64 },
     /// The first part of an answer is about to reach the caller.
     Started { number: u64 },
     /// The attempt in flight ended.
@@ -30,6 +39,26 @@
 /// What an entry's host shall do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
+    /// Ask control for the claim of a request.
+    Claim {
+        number: u64,
+        name: claim::Name,
+        holder: Id,
+        digest: u64,
+    },
+    /// Tell control how a claimed request ended, until control has recorded it.
+    Conclude {
+        name: claim::Name,
+        holder: Id,
+        verdict: Verdict,
+        vm: String,
+    },
+    /// Fetch the answer that an agent keeps of request `id`.
+    Recall {
+        number: u64,
+        agent: SocketAddr,
+        id: Id,
+    },
     /// Submit the request to an agent.
     Dispatch {
         number: u64,
@@ -40,4 +69,8 @@
     Settle { number: u64, verdict: Verdict },
     /// Count a retry.
     Retried { reason: Reason },
+    /// Count a retry that the budget did not allow.
+    Withheld { reason: Reason },
+    /// Ask control for news at once: an agent knows a newer configuration.
+    Refresh,
 }
--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -1,22 +1,33 @@
-//! The decisions of an entry: admission, routing, retries.
+//! The decisions of an entry: admission, claims, routing, retries.
 //!
-//! An arrival is admitted by the configuration in force, routed to an endpoint
-//! of the directory and dispatched. When the attempt ends, its verdict decides
-//! between another attempt and the answer to the caller.
+//! An arrival is admitted by the configuration in force and routed to an
+//! endpoint of the directory; a keyed request that must not run twice obtains
+//! a claim first. When an attempt ends, its verdict decides between another
+//! attempt after a pause and the answer to the caller.
 
+pub mod backoff;
+pub mod budget;
+mod claiming;
 pub mod event;
+pub mod request;
 pub mod route;
+pub mod timer;
 
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Instant;
 
+use budget::Budget;
 pub use event::{Command, Event};
+use request::{Phase, Request, Wish};
+use timer::Timer;
 
+use super::news::News;
 use super::{DataCentre, Directory, Machine, Sink};
 use crate::request::attempt::{self, Next, Progress};
-use crate::request::{Arrival, Id, Reason, Submission, Verdict, admission};
+use crate::request::{Admission, Arrival, Id, Reason, Submission, Verdict, admission, claim};
 use crate::version::Configuration;
+use crate::version::grant::Repeat;
 
 /// An entry's decision state.
 #[derive(Debug)]
@@ -27,19 +38,12 @@
     directory: Directory,
     requests: HashMap<u64, Request>,
     loads: route::Loads,
+    budget: Budget,
+    timer: Timer,
     random: fastrand::Rng,
     draining: bool,
 }
 
-/// One request in flight.
-#[derive(Debug)]
-struct Request {
-    submission: Submission,
-    deadline: Instant,
-    started: bool,
-    target: route::Choice,
-}
-
 impl Entry {
     /// Opens an entry without configuration and directory.
     ///
@@ -54,6 +58,8 @@
             directory: Directory::default(),
             requests: HashMap::new(),
             loads: route::Loads::default(),
+            budget: Budget::default(),
+            timer: Timer::default(),
             random: fastrand::Rng::with_seed(seed),
             draining: false,
         }
@@ -94,6 +100,23 @@
             Ok(admission) => admission,
             Err(reason) => return out.push(refuse(number, reason)),
         };
+        let request = self.admitted(now, number, arrival, admission);
+        if request.claim.is_some() {
+            self.claim(number, request, out);
+        } else {
+            self.dispatch(now, number, request, out);
+        }
+    }
+
+    fn admitted(
+        &self,
+        now: Instant,
+        number: u64,
+        arrival: &Arrival<'_>,
+        admission: Admission<'_>,
+    ) -> Request {
+        let once = admission.repeat == Repeat::Once;
+        let key = arrival.idempotency.filter(|_| once);
         let submission = Submission {
             id: Id {
                 entry: self.run,
@@ -107,20 +130,37 @@
             repeat: admission.repeat,
             remaining: admission.plan.deadline,
             configuration: self.configuration.number(),
+            incarnation: 0,
+            keyed: key.is_some(),
         };
-        let request = Request {
+        let claim = key.map(|key| Wish {
+            name: claim::Name {
+                customer: admission.plan.customer.clone(),
+                key: key.to_owned(),
+            },
+            digest: arrival.digest,
+            asked: 0,
+            granted: false,
+        });
+        Request {
             deadline: now + admission.plan.deadline,
+            arrived: now,
             submission,
             started: false,
+            uncertain: None,
             target: route::Choice::default(),
-        };
-        self.dispatch(now, number, request, out);
+            phase: Phase::Running,
+            claim,
+        }
     }
 
     fn dispatch<S>(&mut self, now: Instant, number: u64, mut request: Request, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
+        if now >= request.deadline {
+            return give_up(number, request, Reason::DeadlinePassed, out);
+        }
         let query = route::Query {
             target: request.submission.destination.target(),
             data_centre: &self.data_centre,
@@ -128,18 +168,20 @@
         };
         let Some(choice) = route::choose(&self.directory, &self.loads, query, &mut self.random)
         else {
-            return out.push(refuse(number, Reason::NoEndpoint));
+            return give_up(number, request, Reason::NoEndpoint, out);
         };
         self.loads.add(&choice);
         request.submission.endpoint.clone_from(&choice.endpoint);
         request.submission.remaining = request.deadline.saturating_duration_since(now);
         request.submission.configuration = self.configuration.number();
+        request.submission.incarnation = choice.incarnation;
         out.push(Command::Dispatch {
             number,
             agent: choice.address,
             submission: request.submission.clone(),
         });
         request.target = choice;
+        request.phase = Phase::Running;
         self.requests.insert(number, request);
     }
 
@@ -147,23 +189,109 @@
     where
         S: Sink<Command = Command>,
     {
-        let Some(mut request) = self.requests.remove(&number) else {
+        let Some(mut request) = self.take(number, Phase::Running) else {
             return;
         };
         self.loads.remove(&request.target);
+        if verdict == Verdict::Ran {
+            self.budget.earn();
+        }
         let progress = Progress {
             attempts: request.submission.attempt + 1,
             started: request.started,
             repeat: request.submission.repeat,
+            uncertain: request.uncertain,
         };
         match attempt::next(progress, verdict) {
-            Next::Retry { reason } if now < request.deadline => {
-                out.push(Command::Retried { reason });
-                request.submission.attempt += 1;
-                self.dispatch(now, number, request, out);
+            Next::Retry { reason } => {
+                if let Verdict::MayHaveRun { reason } = verdict {
+                    request.uncertain = Some(reason);
+                }
+                self.retry(now, number, request, reason, out);
             }
-            Next::Retry { .. } | Next::Settle { .. } => {
-                out.push(Command::Settle { number, verdict });
+            Next::Settle { verdict } => close(number, request, verdict, out),
+        }
+    }
+
+    /// Pauses a request until its next attempt, if time and budget allow one.
+    fn retry<S>(
+        &mut self,
+        now: Instant,
+        number: u64,
+        mut request: Request,
+        reason: Reason,
+        out: &mut S,
+    ) where
+        S: Sink<Command = Command>,
+    {
+        request.submission.attempt += 1;
+        let until = now + backoff::ATTEMPT.pause(request.submission.attempt, &mut self.random);
+        if until >= request.deadline {
+            return give_up(number, request, reason, out);
+        }
+        if !self.budget.spend() {
+            out.push(Command::Withheld { reason });
+            return give_up(number, request, reason, out);
+        }
+        out.push(Command::Retried { reason });
+        if reason == Reason::StaleConfiguration {
+            out.push(Command::Refresh);
+        }
+        request.phase = Phase::Paused { until };
+        self.timer.set(until, number);
+        self.requests.insert(number, request);
+    }
+
+    fn leave<S>(&mut self, number: u64, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let Some(request) = self.requests.remove(&number) else {
+            return;
+        };
+        if let Some(at) = request.wake() {
+            self.timer.cancel(at, number);
+        }
+        let reason = Reason::CallerLeft;
+        let last = if request.phase == Phase::Running {
+            self.loads.remove(&request.target);
+            Verdict::MayHaveRun { reason }
+        } else {
+            Verdict::NotRun { reason }
+        };
+        let verdict = attempt::whole(request.uncertain, last);
+        conclude(request, verdict, out);
+    }
+
+    /// Takes a request out if it is in `phase`; a late event finds it elsewhere.
+    fn take(&mut self, number: u64, phase: Phase) -> Option<Request> {
+        if self.requests.get(&number)?.phase != phase {
+            return None;
+        }
+        self.requests.remove(&number)
+    }
+
+    fn learn(&mut self, news: &News) {
+        if let Some(newer) = &news.configuration
+            && newer.number() > self.configuration.number()
+        {
+            self.configuration = Rc::clone(newer);
+        }
+        self.directory.learn(&news.directory);
+    }
+
+    /// Goes on with every request whose pause is over.
+    fn wake<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        while let Some(number) = self.timer.due(now) {
+            let Some(request) = self.requests.remove(&number) else {
+                continue;
+            };
+            match request.phase {
+                Phase::Held { .. } => self.claim(number, request, out),
+                _ => self.dispatch(now, number, request, out),
             }
         }
     }
@@ -179,27 +307,19 @@
     {
         match event {
             Event::Arrived { number, arrival } => self.arrive(now, number, arrival, out),
+            Event::Judged { number, outcome } => self.judged(now, number, outcome, out),
+            Event::Unclaimed { number } => self.unclaimed(number, out),
+            Event::Forgotten { number } => self.forgotten(number, out),
             Event::Started { number } => {
                 if let Some(request) = self.requests.get_mut(&number) {
                     request.started = true;
                 }
             }
             Event::Settled { number, verdict } => self.settle(now, number, verdict, out),
-            Event::Left { number } => {
-                if let Some(request) = self.requests.remove(&number) {
-                    self.loads.remove(&request.target);
-                }
-            }
-            Event::Taught { news } => {
-                if let Some(newer) = &news.configuration
-                    && newer.number() > self.configuration.number()
-                {
-                    self.configuration = Rc::clone(newer);
-                }
-                self.directory.learn(&news.directory);
-            }
+            Event::Left { number } => self.leave(number, out),
+            Event::Taught { news } => self.learn(news),
             Event::Drained => self.draining = true,
-            Event::Ticked => {}
+            Event::Ticked => self.wake(now, out),
         }
     }
 
@@ -208,7 +328,42 @@
     }
 
     fn deadline(&self) -> Option<Instant> {
-        None
+        self.timer.deadline()
+    }
+}
+
+/// Ends a request whose last attempt did not run, or was never made.
+fn give_up<S>(number: u64, request: Request, reason: Reason, out: &mut S)
+where
+    S: Sink<Command = Command>,
+{
+    let verdict = attempt::whole(request.uncertain, Verdict::NotRun { reason });
+    close(number, request, verdict, out);
+}
+
+/// Answers the caller and concludes the claim that the request holds.
+fn close<S>(number: u64, request: Request, verdict: Verdict, out: &mut S)
+where
+    S: Sink<Command = Command>,
+{
+    out.push(Command::Settle { number, verdict });
+    conclude(request, verdict, out);
+}
+
+/// Tells control how the holder of a claim ended.
+fn conclude<S>(request: Request, verdict: Verdict, out: &mut S)
+where
+    S: Sink<Command = Command>,
+{
+    if let Some(wish) = request.claim
+        && wish.granted
+    {
+        out.push(Command::Conclude {
+            name: wish.name,
+            holder: request.submission.id,
+            verdict,
+            vm: request.target.vm,
+        });
     }
 }
 
--- a/crates/nutmegyoke-core/src/process/entry/route.rs
+++ b/crates/nutmegyoke-core/src/process/entry/route.rs
@@ -41,6 +41,8 @@
 pub struct Choice {
     /// The name of the VM.
     pub vm: String,
+    /// The run of its agent.
+    pub incarnation: u64,
     /// Where its agent is reached.
     pub address: SocketAddr,
     /// The endpoint on that VM.
@@ -51,6 +53,7 @@
     fn default() -> Self {
         Self {
             vm: String::new(),
+            incarnation: 0,
             address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
             endpoint: String::new(),
         }
@@ -93,6 +96,7 @@
             }
             let choice = Choice {
                 vm: member.vm.name.clone(),
+                incarnation: member.vm.incarnation,
                 address: member.address,
                 endpoint: endpoint.name.clone(),
             };
--- a/crates/nutmegyoke-core/src/process/vm.rs
+++ b/crates/nutmegyoke-core/src/process/vm.rs
@@ -1,6 +1,7 @@
 //! Identifies a VM and one run of its process.
 
 use derive_more::Display;
+use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 
 /// A VM together with the run of the process on it.
@@ -16,3 +17,11 @@
     /// Milliseconds since the Unix epoch at the start of the process.
     pub incarnation: u64,
 }
+
+impl Vm {
+    /// A hash that identifies this run of the process.
+    #[must_use]
+    pub fn run(&self) -> u64 {
+        rapidhash_v3(self.to_string().as_bytes())
+    }
+}
--- a/crates/nutmegyoke-core/src/request/arrival.rs
+++ b/crates/nutmegyoke-core/src/request/arrival.rs
@@ -13,7 +13,7 @@
     pub idempotency: Option<&'a str>,
     /// Whether the caller itself declared the request as not repeatable.
     pub once: bool,
-    /// A digest of the body, to tell a resend from another request under the same key.
+    /// A digest of method, path and body, to tell a resend from another request under the same key.
     pub digest: u64,
 }
 
--- a/crates/nutmegyoke-core/src/request/attempt.rs
+++ b/crates/nutmegyoke-core/src/request/attempt.rs
@@ -15,6 +15,8 @@
     pub started: bool,
     /// Whether the request may run more than once.
     pub repeat: Repeat,
+    /// Why an earlier attempt may have run, if one may.
+    pub uncertain: Option<Reason>,
 }
 
 /// What follows.
@@ -30,9 +32,12 @@
 ///
 /// A request that did not run is retried; one that may have run is retried
 /// only when it is repeatable and nothing of the answer reached the caller.
+/// The verdict told to the caller covers every attempt, see [`whole`].
 #[must_use]
 pub fn next(progress: Progress, verdict: Verdict) -> Next {
-    let settle = Next::Settle { verdict };
+    let settle = Next::Settle {
+        verdict: whole(progress.uncertain, verdict),
+    };
     if progress.attempts >= ATTEMPTS || progress.started {
         return settle;
     }
@@ -44,3 +49,15 @@
         Verdict::MayHaveRun { .. } | Verdict::Ran => settle,
     }
 }
+
+/// The verdict over a whole request whose last attempt ended with `last`.
+///
+/// Once an attempt may have run, a later one that did not run proves nothing
+/// about the request.
+#[must_use]
+pub fn whole(uncertain: Option<Reason>, last: Verdict) -> Verdict {
+    match (uncertain, last) {
+        (Some(_), Verdict::NotRun { reason }) => Verdict::MayHaveRun { reason },
+        _ => last,
+    }
+}
--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -69,6 +69,18 @@
     Truncated,
     /// The caller closed the connection.
     CallerLeft,
+    /// The agent restarted after the entry had chosen it.
+    Restarted,
+    /// No control process granted a claim.
+    Unclaimed,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// Another request with the key is still running.
+    StillRunning,
+    /// The entry that ran a request with the key is lost.
+    HolderLost,
+    /// The request ran, and its answer is not kept any more.
+    AnswerGone,
 }
 
 impl Reason {
--- a/crates/nutmegyoke-core/src/request/submission.rs
+++ b/crates/nutmegyoke-core/src/request/submission.rs
@@ -28,4 +28,8 @@
     pub remaining: Duration,
     /// The number of the configuration that admitted the request.
     pub configuration: u64,
+    /// The incarnation of the agent that was chosen.
+    pub incarnation: u64,
+    /// Whether the agent shall keep the answer for resends.
+    pub keyed: bool,
 }
--- a/crates/nutmegyoke-core/tests/attempt.rs
+++ b/crates/nutmegyoke-core/tests/attempt.rs
@@ -13,6 +13,7 @@
     attempts: 1,
     started: false,
     repeat: Repeat::Once,
+    uncertain: None,
 };
 const REPEATABLE: Progress = Progress {
     repeat: Repeat::Repeatable,
@@ -58,3 +59,15 @@
         NOT_RUN
     ),
 });
+
+/// An attempt that did not run says nothing of an earlier one that may have.
+#[test]
+fn uncertainty_outlasts_a_later_attempt() {
+    let progress = Progress {
+        attempts: ATTEMPTS,
+        uncertain: Some(REASON),
+        ..REPEATABLE
+    };
+    let verdict = MAY_HAVE_RUN;
+    assert_eq!(next(progress, NOT_RUN), Next::Settle { verdict });
+}
--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -14,13 +14,15 @@
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::news::{Known, News};
 use nutmegyoke_core::process::{Clock, Member};
-use nutmegyoke_wire::connection::link_capnp::agent;
+use nutmegyoke_core::request::Submission;
+use nutmegyoke_wire::connection::link_capnp::{agent, answer};
 use nutmegyoke_wire::process::{Announcement, Settings};
-use nutmegyoke_wire::request::{Payload, submission, verdict};
+use nutmegyoke_wire::request::{Payload, id, submission, verdict};
 use prometheus::Registry;
 
 use super::driver::{Addressed, Mailbox};
 use super::heartbeat::{Heartbeat, Learner};
+use super::kept::Kept;
 use super::operators::{self, Operators, respond};
 use super::{Driver, Event, Failure, Metrics};
 use crate::connection::listener::Serve;
@@ -38,6 +40,7 @@
     metrics: Metrics,
     member: RefCell<Member>,
     known: RefCell<HashSet<String>>,
+    kept: RefCell<Kept>,
     heartbeat: OnceCell<Heartbeat>,
     listeners: OnceCell<[Listener; 2]>,
 }
@@ -62,7 +65,8 @@
         registry: &Registry,
     ) -> Result<Rc<Self>, Failure> {
         let member = super::member(settings, &clock, Role::Agent);
-        let (driver, _background) = Driver::spawn(decision::Agent::open(), clock);
+        let machine = decision::Agent::open(member.vm.incarnation);
+        let (driver, _background) = Driver::spawn(machine, clock);
         let client = cyper::Client::builder()
             .redirect(cyper::redirect::Policy::none())
             .build();
@@ -72,6 +76,7 @@
             metrics: Metrics::open(registry, &member)?,
             member: RefCell::new(member),
             known: RefCell::default(),
+            kept: RefCell::default(),
             heartbeat: OnceCell::new(),
             listeners: OnceCell::new(),
         });
@@ -167,13 +172,14 @@
         });
         match self.mailbox.next().await {
             Some(Command::Start { address, .. }) => {
-                Ok(call::run(&self.agent.client, address, &payload, &answer).await)
+                Ok(self.call(address, &submission, &payload, &answer).await)
             }
             Some(Command::Refuse { reason, .. }) => {
                 self.agent.metrics.refused(reason);
                 Ok(Outcome {
                     verdict: Command::verdict(reason),
                     chunks: 0,
+                    record: None,
                 })
             }
             None => Err(capnp::Error::failed("the agent is gone".to_owned())),
@@ -181,6 +187,26 @@
     }
 }
 
+impl<C: Clock + 'static> Ticket<C> {
+    /// Sends the request to its endpoint and keeps the answer for resends.
+    async fn call(
+        &self,
+        address: SocketAddr,
+        submission: &Submission,
+        payload: &Payload<'_>,
+        answer: &answer::Client,
+    ) -> Outcome {
+        let agent = &self.agent;
+        let keep = submission.keyed;
+        let mut outcome = call::run(&agent.client, address, payload, answer, keep).await;
+        if let Some(record) = outcome.record.take() {
+            let now = agent.driver.clock().now();
+            agent.kept.borrow_mut().insert(now, submission.id, record);
+        }
+        outcome
+    }
+}
+
 impl<C: Clock + 'static> Drop for Ticket<C> {
     fn drop(&mut self) {
         let call = self.mailbox.number();
@@ -210,6 +236,24 @@
         verdict::write(outcome.verdict, results.init_verdict());
         Ok(())
     }
+
+    async fn recall(
+        self: Rc<Self>,
+        params: agent::RecallParams,
+        mut results: agent::RecallResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let id = id::read(params.get_id()?);
+        let now = self.agent.driver.clock().now();
+        let record = self.agent.kept.borrow_mut().get(now, id);
+        let mut results = results.get();
+        if let Some(record) = record {
+            let answer = params.get_answer()?;
+            results.set_chunks(call::replay(record, &answer).await?);
+            results.set_found(true);
+        }
+        Ok(())
+    }
 }
 
 impl<C: Clock + 'static> Serve for Agent<C> {
--- a/crates/nutmegyoke-host/src/process/control.rs
+++ b/crates/nutmegyoke-host/src/process/control.rs
@@ -63,7 +63,7 @@
         registry: &Registry,
     ) -> Result<Rc<Self>, Failure> {
         let member = super::member(settings, &clock, Role::Control);
-        let machine = decision::Control::open(super::run(&member.vm));
+        let machine = decision::Control::open(member.vm.run());
         let (driver, _background) = Driver::spawn(machine, clock);
         let control = Rc::new(Self {
             driver,
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -2,7 +2,7 @@
 
 use std::cell::OnceCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use compio::net::TcpStream;
 use futures_channel::mpsc;
@@ -27,12 +27,13 @@
 use crate::connection::http::{self, Handler};
 use crate::connection::listener::Serve;
 use crate::connection::{Listener, Pool};
-use crate::request::{Body, caller};
+use crate::request::{Body, Registrar, caller};
 
 /// A running entry.
 pub struct Entry<C: Clock + 'static> {
     driver: Rc<Driver<decision::Entry, C>>,
     pool: Rc<Pool<agent::Client>>,
+    registrar: Rc<Registrar>,
     metrics: Metrics,
     body_bytes: usize,
     member: Member,
@@ -43,8 +44,14 @@
 impl Addressed for Command {
     fn addressee(&self) -> Option<u64> {
         match self {
-            Self::Dispatch { number, .. } | Self::Settle { number, .. } => Some(*number),
-            Self::Retried { .. } => None,
+            Self::Claim { number, .. }
+            | Self::Recall { number, .. }
+            | Self::Dispatch { number, .. }
+            | Self::Settle { number, .. } => Some(*number),
+            Self::Conclude { .. }
+            | Self::Retried { .. }
+            | Self::Withheld { .. }
+            | Self::Refresh => None,
         }
     }
 }
@@ -62,12 +69,13 @@
         registry: &Registry,
     ) -> Result<Rc<Self>, Failure> {
         let member = super::member(settings, &clock, Role::Entry);
-        let run = super::run(&member.vm);
+        let run = member.vm.run();
         let machine = decision::Entry::open(run, &settings.data_centre, run);
         let (driver, background) = Driver::spawn(machine, clock);
         let entry = Rc::new(Self {
             driver,
             pool: Rc::default(),
+            registrar: Registrar::open(&settings.control),
             metrics: Metrics::open(registry, &member)?,
             body_bytes: own.body_bytes,
             member,
@@ -81,7 +89,7 @@
         let _ = entry.listeners.set([callers, operators]);
         let heartbeat = Heartbeat::spawn(Rc::clone(&entry), settings.control.clone());
         let _ = entry.heartbeat.set(heartbeat);
-        compio::runtime::spawn(count(background, entry.metrics.clone())).detach();
+        compio::runtime::spawn(serve(background, Rc::downgrade(&entry))).detach();
         Ok(entry)
     }
 
@@ -110,6 +118,11 @@
         &self.pool
     }
 
+    /// The claims that control holds.
+    pub fn registrar(&self) -> &Rc<Registrar> {
+        &self.registrar
+    }
+
     /// The counters.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
@@ -120,21 +133,46 @@
         self.body_bytes
     }
 
+    fn hurry(&self) {
+        if let Some(heartbeat) = self.heartbeat.get() {
+            heartbeat.hurry();
+        }
+    }
+
     /// Takes nothing new and waits until nothing is in flight.
     pub async fn drain(&self) {
         self.driver.feed(Input::Drained);
         if let Some([callers, _]) = self.listeners.get() {
             callers.close();
         }
-        super::drained(|| self.driver.machine().in_flight()).await;
+        super::drained(|| self.driver.machine().in_flight() + self.registrar.pending()).await;
     }
 }
 
-/// Counts what no request waits for.
-async fn count(mut background: mpsc::UnboundedReceiver<Command>, metrics: Metrics) {
+/// Carries out what no request waits for.
+async fn serve<C: Clock + 'static>(
+    mut background: mpsc::UnboundedReceiver<Command>,
+    entry: Weak<Entry<C>>,
+) {
     while let Some(command) = background.next().await {
-        if let Command::Retried { reason } = command {
-            metrics.retried(reason);
+        let Some(entry) = entry.upgrade() else {
+            return;
+        };
+        match command {
+            Command::Retried { reason } => entry.metrics.retried(reason),
+            Command::Withheld { reason } => entry.metrics.withheld(reason),
+            Command::Refresh => entry.hurry(),
+            Command::Conclude {
+                name,
+                holder,
+                verdict,
+                vm,
+            } => {
+                let registrar = Rc::clone(&entry.registrar);
+                let ended = async move { registrar.conclude(&name, holder, verdict, &vm).await };
+                compio::runtime::spawn(ended).detach();
+            }
+            _ => {}
         }
     }
 }
--- a/crates/nutmegyoke-host/src/process/metrics.rs
+++ b/crates/nutmegyoke-host/src/process/metrics.rs
@@ -17,6 +17,8 @@
     pub refusals: IntCounterVec,
     /// Attempts repeated, by the reason of the failed one.
     pub retries: IntCounterVec,
+    /// Retries that the budget did not allow, by the reason of the failed attempt.
+    pub withheld: IntCounterVec,
     /// Chunks dropped as duplicate, out of order or foreign.
     pub dropped: IntCounterVec,
     /// The number of the configuration in force.
@@ -53,17 +55,23 @@
             "nutmegyoke_retries_total",
             "Attempts repeated, by the reason of the failed one.",
         );
+        let withheld = opts(
+            "nutmegyoke_retries_withheld_total",
+            "Retries that the budget did not allow, by the reason of the failed attempt.",
+        );
         let metrics = Self {
             registry: registry.clone(),
             requests: IntCounter::with_opts(requests)?,
             refusals: by_reason(refusals)?,
             retries: by_reason(retries)?,
+            withheld: by_reason(withheld)?,
             dropped: IntCounterVec::new(dropped, &["cause"])?,
             configuration: IntGauge::with_opts(configuration)?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.withheld.clone()))?;
         registry.register(Box::new(metrics.dropped.clone()))?;
         registry.register(Box::new(metrics.configuration.clone()))?;
         Ok(metrics)
@@ -79,6 +87,11 @@
         self.retries.with_label_values(&[reason.name()]).inc();
     }
 
+    /// Counts a retry that the budget did not allow.
+    pub fn withheld(&self, reason: Reason) {
+        self.withheld.with_label_values(&[reason.name()]).inc();
+    }
+
     /// The text that a scrape receives.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod failure;
 pub mod heartbeat;
+pub mod kept;
 pub mod metrics;
 pub mod operators;
 pub mod signal;
@@ -26,16 +27,10 @@
 use nutmegyoke_core::process::news::News;
 use nutmegyoke_core::process::{Clock, Member, Vm};
 use nutmegyoke_wire::process::Settings;
-use rapidhash::v3::rapidhash_v3;
 
 /// How often a stopping process looks whether it is idle.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
-/// Hashes a run of a process to a number.
-fn run(vm: &Vm) -> u64 {
-    rapidhash_v3(vm.to_string().as_bytes())
-}
-
 /// Describes the process, with the run that begins now.
 fn member(settings: &Settings, clock: &impl Clock, role: Role) -> Member {
     let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/nutmegyoke-host/src/request/assembly.rs
+++ b/crates/nutmegyoke-host/src/request/assembly.rs
@@ -29,25 +29,41 @@
 
 /// Takes parts until the answer is whole or turns out to be a stream.
 pub async fn assemble(attempt: &mut Attempt) -> Assembly {
-    let (status, content_type) = match attempt.next().await {
+    match head(attempt).await {
+        Ok((status, content_type)) if content_type.starts_with(EVENT_STREAM) => Assembly::Stream {
+            status,
+            content_type,
+        },
+        Ok((status, content_type)) => body(attempt, status, content_type).await,
+        Err(verdict) => Assembly::Failed { verdict },
+    }
+}
+
+/// Takes parts until the answer is whole, be it a stream or not.
+pub async fn assemble_whole(attempt: &mut Attempt) -> Assembly {
+    match head(attempt).await {
+        Ok((status, content_type)) => body(attempt, status, content_type).await,
+        Err(verdict) => Assembly::Failed { verdict },
+    }
+}
+
+async fn head(attempt: &mut Attempt) -> Result<(u16, String), Verdict> {
+    match attempt.next().await {
         Step::Part {
             part: Part::Head {
                 status,
                 content_type,
             },
-        } => (status, content_type),
+        } => Ok((status, content_type)),
         Step::Part { .. }
         | Step::End {
             verdict: Verdict::Ran,
-        } => return failed(Reason::Truncated),
-        Step::End { verdict } => return Assembly::Failed { verdict },
-    };
-    if content_type.starts_with(EVENT_STREAM) {
-        return Assembly::Stream {
-            status,
-            content_type,
-        };
+        } => Err(TRUNCATED),
+        Step::End { verdict } => Err(verdict),
     }
+}
+
+async fn body(attempt: &mut Attempt, status: u16, content_type: String) -> Assembly {
     let mut body = Vec::new();
     loop {
         match attempt.next().await {
@@ -55,7 +71,7 @@
                 part: Part::Chunk { data },
             } => {
                 if body.len() + data.len() > ANSWER_BYTES {
-                    return failed(Reason::Truncated);
+                    return Assembly::Failed { verdict: TRUNCATED };
                 }
                 body.extend_from_slice(&data);
             }
@@ -74,8 +90,7 @@
     }
 }
 
-fn failed(reason: Reason) -> Assembly {
-    Assembly::Failed {
-        verdict: Verdict::MayHaveRun { reason },
-    }
-}
+/// The endpoint ran the request, and a part of its answer is missing.
+const TRUNCATED: Verdict = Verdict::MayHaveRun {
+    reason: Reason::Truncated,
+};
--- a/crates/nutmegyoke-host/src/request/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/attempt.rs
@@ -7,9 +7,9 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::future::poll_fn;
-use nutmegyoke_core::request::{Reason, Submission, Verdict};
+use nutmegyoke_core::request::{Id, Reason, Submission, Verdict};
 use nutmegyoke_wire::connection::link_capnp::{agent, answer};
-use nutmegyoke_wire::request::{Payload, submission, verdict};
+use nutmegyoke_wire::request::{Payload, id, submission, verdict};
 
 use super::answer::Part;
 
@@ -51,6 +51,30 @@
             let verdict = verdict::read(results.get_verdict()?)?;
             Ok((verdict, results.get_chunks()))
         });
+        Self::open(result, parts)
+    }
+
+    /// Recalls the kept answer of request `id` from the agent behind `client`.
+    ///
+    /// An answer that is not kept ends as one that ran without parts.
+    #[must_use]
+    pub fn recall(
+        client: &agent::Client,
+        id: Id,
+        (answer, parts): (answer::Client, mpsc::Receiver<Part>),
+    ) -> Self {
+        let mut request = client.recall_request();
+        id::write(id, request.get().init_id());
+        request.get().set_answer(answer);
+        let sent = request.send();
+        let result = Promise::from_future(async move {
+            let response = sent.promise.await?;
+            Ok((Verdict::Ran, response.get()?.get_chunks()))
+        });
+        Self::open(result, parts)
+    }
+
+    fn open(result: Promise<(Verdict, u64), capnp::Error>, parts: mpsc::Receiver<Part>) -> Self {
         Self {
             result: Some(result),
             parts,
--- a/crates/nutmegyoke-host/src/request/call.rs
+++ b/crates/nutmegyoke-host/src/request/call.rs
@@ -4,24 +4,28 @@
 
 use bytes::Bytes;
 use cyper::Client;
-use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use futures_util::{Stream, StreamExt, pin_mut};
 use http::Method;
 use http::header::CONTENT_TYPE;
 use nutmegyoke_core::request::{Reason, Verdict};
 use nutmegyoke_wire::connection::link_capnp::answer;
 use nutmegyoke_wire::request::Payload;
 
+use crate::process::kept::Record;
+
 /// Chunks on their way to the entry at once.
 const WINDOW: usize = 8;
 
 /// How a call ended and how many chunks of its answer were sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outcome {
     /// Whether the request may have run.
     pub verdict: Verdict,
     /// Chunks sent to the entry.
     pub chunks: u64,
+    /// The whole answer, if it is to be kept.
+    pub record: Option<Record>,
 }
 
 /// Sends the request to its endpoint and the answer to the entry.
@@ -30,20 +34,44 @@
     address: SocketAddr,
     payload: &Payload<'_>,
     answer: &answer::Client,
+    keep: bool,
 ) -> Outcome {
     let response = match send(client, address, payload).await {
         Ok(response) => response,
         Err(error) => return failed(verdict(&error), 0),
     };
+    let status = response.status().as_u16();
     let content_type = response.headers().get(CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok());
-    let mut head = answer.head_request();
-    head.get().set_status(response.status().as_u16());
-    head.get().set_content_type(content_type.unwrap_or(""));
-    if head.send().promise.await.is_err() {
+    let content_type = content_type.unwrap_or("");
+    if send_head(answer, status, content_type).await.is_err() {
         return failed(LEFT, 0);
     }
-    copy(response, answer).await
+    let record = keep.then(|| Record::open(status, content_type));
+    copy(response.bytes_stream(), answer, record).await
+}
+
+/// Sends a kept answer again; returns the number of its chunks.
+///
+/// # Errors
+///
+/// The entry left.
+pub async fn replay(record: Record, answer: &answer::Client) -> capnp::Result<u64> {
+    send_head(answer, record.status, &record.content_type).await?;
+    let parts = record.parts.into_iter().map(Ok::<_, cyper::Error>);
+    let outcome = copy(futures_util::stream::iter(parts), answer, None).await;
+    match outcome.verdict {
+        Verdict::Ran => Ok(outcome.chunks),
+        _ => Err(capnp::Error::disconnected("the entry left".to_owned())),
+    }
+}
+
+async fn send_head(answer: &answer::Client, status: u16, content_type: &str) -> capnp::Result<()> {
+    let mut head = answer.head_request();
+    head.get().set_status(status);
+    head.get().set_content_type(content_type);
+    head.send().promise.await?;
+    Ok(())
 }
 
 async fn send(
@@ -62,14 +90,21 @@
 }
 
 /// Copies the body, with a window of unacknowledged chunks.
-async fn copy(response: cyper::Response, answer: &answer::Client) -> Outcome {
-    let mut body = response.bytes_stream();
+async fn copy(
+    body: impl Stream<Item = cyper::Result<Bytes>>,
+    answer: &answer::Client,
+    mut record: Option<Record>,
+) -> Outcome {
+    pin_mut!(body);
     let mut window = FuturesUnordered::new();
     let mut chunks = 0;
     while let Some(data) = body.next().await {
         let Ok(data) = data else {
             return failed(BROKEN, chunks);
         };
+        if let Some(record) = &mut record {
+            record.push(&data);
+        }
         let mut chunk = answer.chunk_request();
         chunk.get().set_sequence(chunks);
         chunk.get().set_data(&data);
@@ -89,6 +124,7 @@
     Outcome {
         verdict: Verdict::Ran,
         chunks,
+        record,
     }
 }
 
@@ -106,7 +142,11 @@
 }
 
 fn failed(verdict: Verdict, chunks: u64) -> Outcome {
-    Outcome { verdict, chunks }
+    Outcome {
+        verdict,
+        chunks,
+        record: None,
+    }
 }
 
 const BROKEN: Verdict = Verdict::MayHaveRun {
--- a/crates/nutmegyoke-host/src/request/caller.rs
+++ b/crates/nutmegyoke-host/src/request/caller.rs
@@ -64,7 +64,7 @@
                 name: &completion.model,
                 tokens: completion.tokens(),
             };
-            forward(entry, &arrival(&head.headers, subject, &body), payload).await
+            forward(entry, &arrival(&head.headers, subject, &payload), payload).await
         }
         _ => match service(path) {
             Some((name, rest)) => {
@@ -79,7 +79,7 @@
                         .unwrap_or(rest),
                     ..payload
                 };
-                forward(entry, &arrival(&head.headers, subject, &body), payload).await
+                forward(entry, &arrival(&head.headers, subject, &payload), payload).await
             }
             None => refuse(entry, Reason::UnknownPath, ""),
         },
@@ -93,16 +93,23 @@
     (end > 0).then(|| rest.split_at(end))
 }
 
-fn arrival<'a>(headers: &'a HeaderMap, subject: Subject<'a>, body: &[u8]) -> Arrival<'a> {
+fn arrival<'a>(headers: &'a HeaderMap, subject: Subject<'a>, payload: &Payload<'_>) -> Arrival<'a> {
     Arrival {
         key: bearer(headers),
         subject,
         idempotency: header(headers, IDEMPOTENCY_HEADER),
         once: header(headers, REPEATABLE_HEADER).is_some_and(|value| value == "no"),
-        digest: rapidhash_v3(body),
+        digest: digest(payload),
     }
 }
 
+/// Tells a resend from another request: method, path and body have to be equal.
+fn digest(payload: &Payload<'_>) -> u64 {
+    let call = [payload.method, " ", payload.path].concat();
+    let parts = [rapidhash_v3(call.as_bytes()), rapidhash_v3(payload.body)];
+    rapidhash_v3(&parts.map(u64::to_le_bytes).concat())
+}
+
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/crates/nutmegyoke-host/src/request/mod.rs
+++ b/crates/nutmegyoke-host/src/request/mod.rs
@@ -12,8 +12,10 @@
 pub mod call;
 pub mod caller;
 pub mod forward;
+pub mod registrar;
 pub mod reply;
 pub mod stream;
 pub mod ticket;
 
 pub use body::Body;
+pub use registrar::Registrar;
--- /dev/null
+++ b/crates/nutmegyoke-host/src/request/registrar.rs
@@ -0,0 +1,122 @@
+//! Obtains and concludes claims at the control processes.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegyoke_core::request::claim::{Name, Outcome};
+use nutmegyoke_core::request::{Id, Verdict};
+use nutmegyoke_wire::connection::link_capnp::control;
+use nutmegyoke_wire::request::{claim, id, verdict};
+
+use crate::connection::Pool;
+
+/// How long one control process may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Rounds through the control processes before a wish for a claim is given up.
+const CLAIM_ROUNDS: usize = 2;
+
+/// Rounds through the control processes before the end of a request is given up:
+/// with the pauses between them, longer than an election and a restart take.
+const CONCLUDE_ROUNDS: usize = 60;
+
+/// The pause between two rounds.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Calls the control process that answered last, or else the next one.
+pub struct Registrar {
+    pool: Rc<Pool<control::Client>>,
+    control: Vec<SocketAddr>,
+    current: Cell<usize>,
+    pending: Cell<usize>,
+}
+
+impl Registrar {
+    /// Opens a registrar that calls the processes at `control`.
+    #[must_use]
+    pub fn open(control: &[SocketAddr]) -> Rc<Self> {
+        Rc::new(Self {
+            pool: Rc::default(),
+            control: control.to_vec(),
+            current: Cell::new(0),
+            pending: Cell::new(0),
+        })
+    }
+
+    /// Ends of requests that control has not recorded yet.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.pending.get()
+    }
+
+    /// Asks for a claim; `None` if no control process answered.
+    pub async fn claim(&self, name: &Name, holder: Id, digest: u64) -> Option<Outcome> {
+        for attempt in 0..self.control.len() * CLAIM_ROUNDS {
+            self.pace(attempt).await;
+            let asked = self.ask(name, holder, digest);
+            if let Ok(Ok(outcome)) = compio::time::timeout(TIMEOUT, asked).await {
+                return Some(outcome);
+            }
+            self.advance();
+        }
+        None
+    }
+
+    /// Tells how the holder of a claim ended, until it is recorded.
+    ///
+    /// If that can't be done in time the claim stays as it is: resends are told
+    /// that the request may be running, which is safe.
+    pub async fn conclude(&self, name: &Name, holder: Id, verdict: Verdict, vm: &str) {
+        self.pending.set(self.pending.get() + 1);
+        for attempt in 0..self.control.len() * CONCLUDE_ROUNDS {
+            self.pace(attempt).await;
+            let told = self.tell(name, holder, verdict, vm);
+            if let Ok(Ok(())) = compio::time::timeout(TIMEOUT, told).await {
+                break;
+            }
+            self.advance();
+        }
+        self.pending.set(self.pending.get() - 1);
+    }
+
+    /// Pauses between two rounds.
+    async fn pace(&self, attempt: usize) {
+        if attempt > 0 && attempt.is_multiple_of(self.control.len()) {
+            compio::time::sleep(PAUSE).await;
+        }
+    }
+
+    fn advance(&self) {
+        self.current
+            .set((self.current.get() + 1) % self.control.len());
+    }
+
+    async fn client(&self) -> capnp::Result<control::Client> {
+        let address = self.control[self.current.get()];
+        let dialled = self.pool.get(address).await;
+        dialled.map_err(|error| capnp::Error::disconnected(error.to_string()))
+    }
+
+    async fn ask(&self, name: &Name, holder: Id, digest: u64) -> capnp::Result<Outcome> {
+        let mut request = self.client().await?.claim_request();
+        let mut params = request.get();
+        claim::write_name(name, params.reborrow().init_name());
+        id::write(holder, params.reborrow().init_holder());
+        params.set_digest(digest);
+        let response = request.send().promise.await?;
+        claim::read_outcome(response.get()?.get_outcome()?)
+    }
+
+    async fn tell(&self, name: &Name, holder: Id, outcome: Verdict, vm: &str) -> capnp::Result<()> {
+        let mut request = self.client().await?.conclude_request();
+        let mut params = request.get();
+        claim::write_name(name, params.reborrow().init_name());
+        id::write(holder, params.reborrow().init_holder());
+        verdict::write(outcome, params.reborrow().init_verdict());
+        params.set_vm(vm);
+        request.send().promise.await?;
+        Ok(())
+    }
+}
--- a/crates/nutmegyoke-host/src/request/stream.rs
+++ b/crates/nutmegyoke-host/src/request/stream.rs
@@ -1,5 +1,7 @@
 //! Passes a streamed answer on to the caller, part by part.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::future::{Either, select};
@@ -23,13 +25,14 @@
     attempt: Attempt,
     status: u16,
     content_type: &str,
+    until: Instant,
 ) -> Response<Body> {
     ticket.started();
     let (writer, body) = Body::stream();
     let Some(response) = respond(status, content_type, body) else {
         return fail(ticket.entry(), LOST_HEAD, "");
     };
-    compio::runtime::spawn(pump(ticket, attempt, writer)).detach();
+    compio::runtime::spawn(pump(ticket, attempt, writer, until)).detach();
     response
 }
 
@@ -37,13 +40,23 @@
     reason: Reason::EndpointFailed,
 };
 
-async fn pump<C: Clock + 'static>(ticket: Ticket<C>, mut attempt: Attempt, writer: Writer) {
+/// The plan's deadline passed before the end of the stream.
+const STALLED: Verdict = Verdict::MayHaveRun {
+    reason: Reason::DeadlinePassed,
+};
+
+async fn pump<C: Clock + 'static>(
+    ticket: Ticket<C>,
+    mut attempt: Attempt,
+    writer: Writer,
+    until: Instant,
+) {
     let Writer { mut parts, left } = writer;
-    let copied = copy(&mut attempt, &mut parts);
+    let copied = compio::time::timeout_at(until, copy(&mut attempt, &mut parts));
     let verdict = {
         pin_mut!(copied);
         match select(copied, left).await {
-            Either::Left((verdict, _)) => verdict,
+            Either::Left((verdict, _)) => verdict.unwrap_or(STALLED),
             // Dropping the attempt cancels it; dropping the ticket tells the machine.
             Either::Right(_) => return ticket.entry().metrics().refused(Reason::CallerLeft),
         }
--- a/crates/nutmegyoke-host/src/request/ticket.rs
+++ b/crates/nutmegyoke-host/src/request/ticket.rs
@@ -5,6 +5,7 @@
 use nutmegyoke_core::process as decision;
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::entry::{Command, Event};
+use nutmegyoke_core::request::claim::Outcome;
 use nutmegyoke_core::request::{Arrival, Verdict};
 
 use crate::process::Entry;
@@ -39,6 +40,21 @@
         self.mailbox.next().await
     }
 
+    /// Tells how control answered the wish for a claim.
+    pub fn judged(&self, outcome: Option<&Outcome>) {
+        let number = self.mailbox.number();
+        self.entry.driver().feed(match outcome {
+            Some(outcome) => Event::Judged { number, outcome },
+            None => Event::Unclaimed { number },
+        });
+    }
+
+    /// Tells that the agent no longer keeps the answer that was recalled.
+    pub fn forgotten(&self) {
+        let number = self.mailbox.number();
+        self.entry.driver().feed(Event::Forgotten { number });
+    }
+
     /// Tells that the first part of the answer is about to reach the caller.
     pub fn started(&self) {
         let number = self.mailbox.number();
--- a/crates/nutmegyoke-wire/schema/link.capnp
+++ b/crates/nutmegyoke-wire/schema/link.capnp
@@ -28,6 +28,8 @@
   once @6 :Bool;
   remainingMs @7 :UInt64;
   configuration @8 :UInt64;
+  incarnation @9 :UInt64;
+  keyed @10 :Bool;
 }
 
 # What the endpoint receives, passed on as the caller sent it.
@@ -53,8 +55,12 @@
 }
 
 interface Agent {
-  # Returns when the attempt ended; `chunks` is how many were sent.
-  submit @0 (submission :Submission, payload :Payload, answer :Answer) -> (verdict :Verdict, chunks :UInt64);
+  # Returns when the attempt ended; `chunks` is how many were sent, `load` the requests
+  # queued and running at the endpoint then.
+  submit @0 (submission :Submission, payload :Payload, answer :Answer) -> (verdict :Verdict, chunks :UInt64, load :UInt32);
+
+  # Sends the kept answer to a keyed request that ran; `found` is whether it was still kept.
+  recall @1 (id :Id, answer :Answer) -> (found :Bool, chunks :UInt64);
 }
 
 struct Vm {
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -36,6 +36,8 @@
     No,
     /// It may have run.
     Unknown,
+    /// It ran, and its answer can't be given again.
+    Yes,
 }
 
 impl Ran {
@@ -45,6 +47,7 @@
         match self {
             Self::No => "no",
             Self::Unknown => "unknown",
+            Self::Yes => "yes",
         }
     }
 }
@@ -53,7 +56,7 @@
     /// Describes the end of a request that was not answered in whole.
     #[must_use]
     pub fn new(verdict: Verdict, message: &str) -> Self {
-        let reason = verdict.reason().unwrap_or(Reason::Truncated);
+        let reason = verdict.reason().unwrap_or(Reason::AnswerGone);
         Self {
             status: status(reason),
             retry_after: retry_after(reason),
@@ -66,7 +69,8 @@
                 },
                 ran: match verdict {
                     Verdict::NotRun { .. } => Ran::No,
-                    Verdict::MayHaveRun { .. } | Verdict::Ran => Ran::Unknown,
+                    Verdict::MayHaveRun { .. } => Ran::Unknown,
+                    Verdict::Ran => Ran::Yes,
                 },
             },
         }
@@ -98,18 +102,24 @@
         | Reason::QueueFull
         | Reason::Draining
         | Reason::NotHeld
+        | Reason::Unclaimed
         | Reason::StaleConfiguration => 503,
+        Reason::KeyReused => 422,
+        Reason::StillRunning => 409,
+        Reason::AnswerGone => 410,
         Reason::DeadlinePassed => 504,
         Reason::LinkLost
         | Reason::Duplicate
         | Reason::EndpointFailed
         | Reason::Truncated
+        | Reason::Restarted
+        | Reason::HolderLost
         | Reason::CallerLeft => 502,
     }
 }
 
 fn retry_after(reason: Reason) -> Option<u32> {
-    matches!(status(reason), 429 | 503).then_some(1)
+    matches!(status(reason), 409 | 429 | 503).then_some(1)
 }
 
 fn advice(reason: Reason) -> &'static str {
@@ -138,5 +148,13 @@
         Reason::EndpointFailed => "the endpoint failed while it ran the request",
         Reason::Truncated => "the answer broke off before it was whole",
         Reason::CallerLeft => "the caller closed the connection",
+        Reason::Restarted => "the agent restarted; whether it ran the request before is unknown",
+        Reason::Unclaimed => "no control process granted a claim for the key; try again",
+        Reason::KeyReused => "this key was used with another body; send a key of its own",
+        Reason::StillRunning => {
+            "the request with this key is still running; ask again with the key"
+        }
+        Reason::HolderLost => "the entry that ran the request with this key is lost",
+        Reason::AnswerGone => "the request with this key ran; its answer is not kept any more",
     }
 }
--- a/crates/nutmegyoke-wire/src/request/submission.rs
+++ b/crates/nutmegyoke-wire/src/request/submission.rs
@@ -30,6 +30,8 @@
         },
         remaining: Duration::from_millis(reader.get_remaining_ms()),
         configuration: reader.get_configuration(),
+        incarnation: reader.get_incarnation(),
+        keyed: reader.get_keyed(),
     })
 }
 
@@ -47,6 +49,8 @@
     builder.set_once(submission.repeat == Repeat::Once);
     builder.set_remaining_ms(milliseconds(submission.remaining));
     builder.set_configuration(submission.configuration);
+    builder.set_incarnation(submission.incarnation);
+    builder.set_keyed(submission.keyed);
 }
 
 fn read_destination(reader: destination::Reader<'_>) -> capnp::Result<Destination> {
