Fault table of the request path over real processes; flush before an abort

Cause: nothing showed what a caller is told when an agent, endpoint or entry fails, nor how often the endpoint ran the request. The first run of the table found that the error event at the end of a broken stream never reached the caller: hyper drops what it has buffered when the body ends with an error.

A body that is to fail yields once first, so that hyper flushes the event.

--- a/crates/nutmegyoke-host/src/request/body.rs
+++ b/crates/nutmegyoke-host/src/request/body.rs
@@ -19,6 +19,8 @@
     Stream {
         parts: mpsc::Receiver<Result<Bytes, Truncated>>,
         open: oneshot::Sender<()>,
+        /// An error that is held back until what was sent before it is flushed.
+        failure: Option<Truncated>,
     },
 }
 
@@ -44,7 +46,12 @@
             parts: sender,
             left,
         };
-        (writer, Self::Stream { parts, open })
+        let body = Self::Stream {
+            parts,
+            open,
+            failure: None,
+        };
+        (writer, body)
     }
 }
 
@@ -80,9 +87,21 @@
         match self.get_mut() {
             Self::Whole { bytes } if bytes.is_empty() => Poll::Ready(None),
             Self::Whole { bytes } => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Self::Stream { parts, .. } => Pin::new(parts)
-                .poll_next(context)
-                .map(|part| part.map(|part| part.map(Frame::data))),
+            Self::Stream { parts, failure, .. } => {
+                if let Some(failure) = failure.take() {
+                    return Poll::Ready(Some(Err(failure)));
+                }
+                match Pin::new(parts).poll_next(context) {
+                    Poll::Ready(Some(Err(broken))) => {
+                        // The connection is aborted on an error, with what it has buffered;
+                        // it flushes only when the body has nothing more for now.
+                        *failure = Some(broken);
+                        context.waker().wake_by_ref();
+                        Poll::Pending
+                    }
+                    next => next.map(|part| part.map(|part| part.map(Frame::data))),
+                }
+            }
         }
     }
 
--- a/crates/nutmegyoke-standin/src/lib.rs
+++ b/crates/nutmegyoke-standin/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod announcer;
 pub mod desk;
 pub mod engine;
+pub mod script;
 
 pub use announcer::Announcer;
 pub use desk::Desk;
 pub use engine::Engine;
+pub use script::Script;
--- /dev/null
+++ b/crates/nutmegyoke-standin/src/script.rs
@@ -0,0 +1,214 @@
+//! An endpoint that fails on purpose, as a script tells it.
+//!
+//! It speaks just enough HTTP/1.1 over a plain socket to close, stall or break
+//! off wherever a row of a fault table wants it to.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
+use nutmegyoke_core::process::Endpoint;
+use nutmegyoke_core::process::endpoint::{Holding, Phase};
+use nutmegyoke_host::connection::Listener;
+use nutmegyoke_host::connection::listener::Serve;
+use nutmegyoke_host::process::Failure;
+use nutmegyoke_wire::process::Announcement;
+
+use crate::Announcer;
+
+/// Requests that the endpoint runs at once.
+const SLOTS: u32 = 256;
+
+/// Bytes read at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// What the endpoint does with one request, once it has counted it as run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Answers in whole after a while.
+    Answer { after: Duration },
+    /// Closes the connection without an answer.
+    Close,
+    /// Closes the connection within the body of the answer.
+    BreakBody,
+    /// Sends nothing and keeps the connection open.
+    Stall,
+    /// Streams `events`, then closes the connection.
+    BreakStream { events: u32 },
+    /// Streams `events`, then sends nothing more.
+    StallStream { events: u32 },
+}
+
+/// A running endpoint with its script.
+#[derive(Debug)]
+pub struct Script {
+    address: Cell<SocketAddr>,
+    holding: Holding,
+    acts: RefCell<VecDeque<Act>>,
+    runs: Cell<u64>,
+    left: Cell<u64>,
+}
+
+impl Script {
+    /// Binds an endpoint that serves `holding` to a free port on the current loop.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub async fn bind(holding: Holding) -> Result<Rc<Self>, Failure> {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let script = Rc::new(Self {
+            address: Cell::new(address),
+            holding,
+            acts: RefCell::default(),
+            runs: Cell::new(0),
+            left: Cell::new(0),
+        });
+        let listener = Listener::bind(address, "script", Rc::clone(&script)).await?;
+        script.address.set(listener.address());
+        // The listener closes with the loop.
+        std::mem::forget(listener);
+        Ok(script)
+    }
+
+    /// Sets the acts for the next requests; later ones are answered at once.
+    pub fn play(&self, acts: &[Act]) {
+        self.acts.replace(acts.iter().copied().collect());
+        self.runs.set(0);
+        self.left.set(0);
+    }
+
+    /// Requests begun since the script was set.
+    #[must_use]
+    pub fn runs(&self) -> u64 {
+        self.runs.get()
+    }
+
+    /// Stalled requests whose connection the agent closed.
+    #[must_use]
+    pub fn left(&self) -> u64 {
+        self.left.get()
+    }
+
+    async fn converse(&self, mut stream: TcpStream) -> io::Result<()> {
+        let mut buffer = Vec::new();
+        while take_request(&mut stream, &mut buffer).await? {
+            self.runs.set(self.runs.get() + 1);
+            let act = self.acts.borrow_mut().pop_front();
+            let act = act.unwrap_or(Act::Answer {
+                after: Duration::ZERO,
+            });
+            if !self.perform(&mut stream, act).await? {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Performs one act; returns whether the connection serves on.
+    async fn perform(&self, stream: &mut TcpStream, act: Act) -> io::Result<bool> {
+        match act {
+            Act::Answer { after } => {
+                compio::time::sleep(after).await;
+                let body = format!("{{\"run\":{}}}", self.runs.get());
+                let length = body.len();
+                let head = format!("{JSON_HEAD}content-length: {length}\r\n\r\n");
+                write(stream, head + &body).await?;
+                return Ok(true);
+            }
+            Act::Close => {}
+            Act::BreakBody => {
+                let head = format!("{JSON_HEAD}content-length: 100\r\n\r\n{{\"run\"");
+                write(stream, head).await?;
+            }
+            Act::Stall => self.stall(stream).await?,
+            Act::BreakStream { events } => send_events(stream, events).await?,
+            Act::StallStream { events } => {
+                send_events(stream, events).await?;
+                self.stall(stream).await?;
+            }
+        }
+        Ok(false)
+    }
+
+    /// Waits until the agent closes the connection.
+    async fn stall(&self, stream: &mut TcpStream) -> io::Result<()> {
+        let read = stream.read(Vec::with_capacity(READ_BYTES)).await;
+        if !matches!(read.0, Ok(bytes) if bytes > 0) {
+            self.left.set(self.left.get() + 1);
+        }
+        Ok(())
+    }
+}
+
+const JSON_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n";
+
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+
+async fn send_events(stream: &mut TcpStream, events: u32) -> io::Result<()> {
+    write(stream, STREAM_HEAD.to_owned()).await?;
+    for number in 0..events {
+        let event = format!("data: {{\"event\":{number}}}\n\n");
+        write(stream, format!("{:x}\r\n{event}\r\n", event.len())).await?;
+    }
+    Ok(())
+}
+
+async fn write(stream: &mut TcpStream, text: String) -> io::Result<()> {
+    stream.write_all(text.into_bytes()).await.0
+}
+
+/// Reads one request off the connection; returns false when it was closed.
+async fn take_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<bool> {
+    loop {
+        if let Some(length) = request_length(buffer) {
+            buffer.drain(..length);
+            return Ok(true);
+        }
+        let (read, bytes) = stream.read(Vec::with_capacity(READ_BYTES)).await.into();
+        if read? == 0 {
+            return Ok(false);
+        }
+        buffer.extend_from_slice(&bytes);
+    }
+}
+
+/// The length of the first request in `buffer`, if it is there in whole.
+fn request_length(buffer: &[u8]) -> Option<usize> {
+    let end = buffer.windows(4).position(|four| four == b"\r\n\r\n")? + 4;
+    let head = std::str::from_utf8(&buffer[..end]).ok()?;
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        let named = name.eq_ignore_ascii_case("content-length");
+        named.then(|| value.trim().parse().ok()).flatten()
+    });
+    let whole = end + length.unwrap_or(0);
+    (buffer.len() >= whole).then_some(whole)
+}
+
+impl Announcer for Script {
+    fn announcement(&self) -> Announcement {
+        Announcement {
+            address: self.address.get(),
+            endpoint: Endpoint {
+                name: "script".to_owned(),
+                holding: self.holding.clone(),
+                slots: SLOTS,
+                phase: Phase::Ready,
+            },
+        }
+    }
+}
+
+impl Serve for Script {
+    async fn serve(self: Rc<Self>, stream: TcpStream, _: SocketAddr) {
+        // The agent may close the connection at any time.
+        let _ = self.converse(stream).await;
+    }
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -10,6 +10,8 @@
 /// A fleet with its settings in a temporary folder.
 pub struct Fleet {
     folder: TempDir,
+    /// Where the other processes reach the control process.
+    pub link: SocketAddr,
     /// Where callers reach the entry.
     pub callers: SocketAddr,
     /// Where operators reach the control process.
@@ -45,6 +47,7 @@
         let entry = spawn(&folder, "entry", &text);
         Self {
             folder,
+            link: control,
             callers,
             operators,
             announce,
@@ -64,6 +67,43 @@
         command.output().unwrap()
     }
 
+    /// Applies lists of the test's own.
+    pub fn apply_lists(&self, number: u64, plans: &str, grants: &str) -> std::process::Output {
+        let [plans_path, grants_path] = ["plans.ini", "grants.ini"].map(|name| {
+            let path = self.folder.path().join(name);
+            path.to_str().unwrap().to_owned()
+        });
+        std::fs::write(&plans_path, plans).unwrap();
+        std::fs::write(&grants_path, grants).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegyoke"));
+        command.args(["apply", "--control", &self.operators.to_string()]);
+        command.args(["--number", &number.to_string()]);
+        command.args(["--plans", &plans_path, "--grants", &grants_path]);
+        command.output().unwrap()
+    }
+
+    /// Spawns one more agent, called `name`; returns it and where endpoints announce themselves.
+    pub fn spawn_agent(&self, name: &str) -> (Daemon, SocketAddr) {
+        let (announce, listen) = (free_address(), free_address());
+        let text = format!(
+            "[process]\nrole = agent\nname = {name}\ndata-centre = alp-a\n\
+             operators = {announce}\nlisten = {listen}\ncontrol = {}\n",
+            self.link
+        );
+        (spawn(&self.folder, name, &text), announce)
+    }
+
+    /// Spawns one more entry, called `name`; returns it and where callers reach it.
+    pub fn spawn_entry(&self, name: &str) -> (Daemon, SocketAddr) {
+        let (operators, callers) = (free_address(), free_address());
+        let text = format!(
+            "[process]\nrole = entry\nname = {name}\ndata-centre = alp-a\n\
+             operators = {operators}\ncontrol = {}\n[entry]\ncallers = {callers}\n",
+            self.link
+        );
+        (spawn(&self.folder, name, &text), callers)
+    }
+
     /// The folder of the settings files.
     pub fn folder(&self) -> &std::path::Path {
         self.folder.path()
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod fleet;
+pub mod pair;
 
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -94,6 +95,12 @@
         assert!(status.success());
     }
 
+    /// Kills the process with no time to finish anything.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// Waits for the process to end and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child.wait().unwrap().code()
