--- a/crates/nutmegyoke-host/src/request/mod.rs
+++ b/crates/nutmegyoke-host/src/request/mod.rs
@@ -13,9 +13,11 @@
 pub mod caller;
 pub mod forward;
 pub mod path;
+pub mod registrar;
 pub mod reply;
 pub mod stream;
 pub mod ticket;
 
 pub use body::Body;
 pub use path::Path;
+pub use registrar::Registrar;
--- a/crates/nutmegyoke-host/tests/attempt.rs
+++ b/crates/nutmegyoke-host/tests/attempt.rs
@@ -105,6 +105,8 @@
         repeat: Repeat::Once,
         remaining: Duration::from_secs(5),
         configuration: 1,
+        incarnation: 0,
+        keyed: false,
     }
 }
 
--- a/crates/nutmegyoke-wire/tests/readers.rs
+++ b/crates/nutmegyoke-wire/tests/readers.rs
@@ -162,6 +162,8 @@
             },
             remaining: std::time::Duration::from_millis(remaining),
             configuration,
+            incarnation: number,
+            keyed: once,
         },
     )
 }
