--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/agent/backend.rs
@@ -0,0 +1,236 @@
+//! An endpoint of the agent's VM with its queue.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::estimate::Estimate;
+use super::queue::{Item, Queue};
+use crate::process::Endpoint;
+use crate::process::endpoint::{Phase, Target};
+use crate::request::Reason;
+
+/// An endpoint, what runs on it and what waits for it.
+#[derive(Debug)]
+pub struct Backend {
+    endpoint: Endpoint,
+    address: SocketAddr,
+    running: u32,
+    queue: Queue,
+    estimate: Estimate,
+    /// Set by an operator; the endpoint's own announcement has its phase.
+    withdrawn: bool,
+}
+
+/// A refusal by the agent, which knows that nothing ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When another try may succeed, as far as the endpoint's pace tells.
+    pub after: Duration,
+}
+
+/// What became of the requests of a queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The request has a slot.
+    Start { item: Item },
+    /// The request is refused.
+    Refuse { call: u64, refusal: Refusal },
+}
+
+impl Backend {
+    /// Opens the backend of an endpoint that announced itself.
+    #[must_use]
+    pub fn open(endpoint: &Endpoint, address: SocketAddr) -> Self {
+        Self {
+            endpoint: endpoint.clone(),
+            address,
+            running: 0,
+            queue: Queue::default(),
+            estimate: Estimate::default(),
+            withdrawn: false,
+        }
+    }
+
+    /// Takes in a later announcement.
+    pub fn announce(&mut self, endpoint: &Endpoint, address: SocketAddr) {
+        self.endpoint.clone_from(endpoint);
+        self.address = address;
+    }
+
+    /// Sets whether an operator withdrew the endpoint.
+    pub fn withdraw(&mut self, withdrawn: bool) {
+        self.withdrawn = withdrawn;
+    }
+
+    /// Where the endpoint is reached.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Requests that hold a slot.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn queue(&self) -> &Queue {
+        &self.queue
+    }
+
+    /// Whether the endpoint takes no new work.
+    #[must_use]
+    pub fn draining(&self) -> bool {
+        self.withdrawn || self.endpoint.phase == Phase::Draining
+    }
+
+    /// The endpoint as the directory shall show it.
+    #[must_use]
+    pub fn endpoint(&self) -> Endpoint {
+        let mut endpoint = self.endpoint.clone();
+        if self.draining() {
+            endpoint.phase = Phase::Draining;
+        }
+        endpoint
+    }
+
+    /// When the next waiting request expires.
+    #[must_use]
+    pub fn deadline(&self) -> Option<Instant> {
+        self.queue.deadline()
+    }
+
+    /// Judges a request that is not in the queue yet.
+    ///
+    /// # Errors
+    ///
+    /// The endpoint takes no new work, does not hold the target, or can't answer
+    /// in time as far as its pace tells.
+    pub fn check(&self, now: Instant, target: Target<'_>, item: &Item) -> Result<(), Refusal> {
+        if self.draining() {
+            return Err(Refusal::at_once(Reason::Draining));
+        }
+        if !self.endpoint.serves(target) {
+            return Err(Refusal::at_once(Reason::NotHeld));
+        }
+        if item.deadline <= now {
+            return Err(Refusal::at_once(Reason::DeadlinePassed));
+        }
+        // A free slot is used whatever the estimate says, which may be out of date.
+        if self.idle() {
+            return Ok(());
+        }
+        let start = now
+            + self
+                .estimate
+                .wait(self.queue.ahead(item), self.endpoint.slots);
+        self.timely(start, item)
+    }
+
+    /// Takes a request in.
+    pub fn push(&mut self, item: Item, out: &mut Vec<Outcome>) {
+        let after = self.estimate.wait(self.queue.cost(), self.endpoint.slots);
+        let reason = Reason::QueueFull;
+        let pushed_out = self.queue.push(item).into_iter();
+        out.extend(pushed_out.map(|item| Outcome::refuse(item.call, Refusal { reason, after })));
+    }
+
+    /// Gives free slots to the requests that come next.
+    pub fn start(&mut self, now: Instant, out: &mut Vec<Outcome>) {
+        self.expire(now, out);
+        while self.running < self.endpoint.slots
+            && let Some(item) = self.queue.pop()
+        {
+            // With nothing running there is nothing to wait for, and the
+            // estimate is renewed by trying.
+            if self.running > 0
+                && let Err(refusal) = self.timely(now, &item)
+            {
+                out.push(Outcome::refuse(item.call, refusal));
+                continue;
+            }
+            self.running += 1;
+            out.push(Outcome::Start { item });
+        }
+    }
+
+    /// Refuses the requests that waited in vain.
+    pub fn expire(&mut self, now: Instant, out: &mut Vec<Outcome>) {
+        for item in self.queue.expire(now) {
+            let reason = if item.deadline <= now {
+                Reason::DeadlinePassed
+            } else {
+                Reason::ExpectationMissed
+            };
+            let after = self.estimate.wait(self.queue.cost(), self.endpoint.slots);
+            out.push(Outcome::refuse(item.call, Refusal { reason, after }));
+        }
+    }
+
+    /// Refuses every waiting request, so that entries place it elsewhere.
+    pub fn drain(&mut self, out: &mut Vec<Outcome>) {
+        let refusal = Refusal::at_once(Reason::Draining);
+        let waiting = self.queue.drain().into_iter();
+        out.extend(waiting.map(|item| Outcome::refuse(item.call, refusal)));
+    }
+
+    /// Takes a request out of the queue, because its caller left.
+    pub fn remove(&mut self, call: u64) {
+        self.queue.remove(call);
+    }
+
+    /// Takes in how long the endpoint took to begin an answer.
+    pub fn answered(&mut self, took: Duration) {
+        self.estimate.answered(took);
+    }
+
+    /// Frees the slot of a request; `took` is given if the endpoint answered.
+    pub fn finish(&mut self, took: Option<Duration>, cost: u64) {
+        self.running -= 1;
+        if let Some(took) = took {
+            self.estimate.finished(took, cost);
+        }
+    }
+
+    fn idle(&self) -> bool {
+        self.queue.is_empty() && self.running < self.endpoint.slots
+    }
+
+    /// Whether a request that starts at `start` can meet what it expects.
+    fn timely(&self, start: Instant, item: &Item) -> Result<(), Refusal> {
+        let first = start + self.estimate.first();
+        let late = item
+            .first_token
+            .map_or(Duration::ZERO, |due| first.saturating_duration_since(due));
+        let end = start + self.estimate.least(item.cost);
+        let late = late.max(end.saturating_duration_since(item.deadline));
+        if late.is_zero() {
+            return Ok(());
+        }
+        Err(Refusal {
+            reason: Reason::ExpectationMissed,
+            after: late,
+        })
+    }
+}
+
+impl Refusal {
+    /// A refusal that another endpoint may not share.
+    #[must_use]
+    pub fn at_once(reason: Reason) -> Self {
+        Self {
+            reason,
+            after: Duration::ZERO,
+        }
+    }
+}
+
+impl Outcome {
+    fn refuse(call: u64, refusal: Refusal) -> Self {
+        Self::Refuse { call, refusal }
+    }
+}
--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -3,15 +3,20 @@
 //! A submitted request is refused, queued or started; the agent alone knows
 //! for sure that a request it refused did not run.
 
+pub mod backend;
+pub mod estimate;
 pub mod event;
+pub mod queue;
 pub mod seen;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use backend::{Backend, Outcome, Refusal};
 pub use event::{Command, Event};
+use queue::Item;
 use seen::Seen;
 
 use super::endpoint::Phase;
@@ -19,9 +24,6 @@
 use crate::request::{Reason, Submission, Verdict};
 use crate::version::Configuration;
 
-/// Requests that wait for one endpoint at most.
-const QUEUE: usize = 64;
-
 /// An agent's decision state.
 #[derive(Debug)]
 pub struct Agent {
@@ -32,20 +34,14 @@
     draining: bool,
 }
 
-/// An endpoint with its queue.
-#[derive(Debug)]
-struct Backend {
-    endpoint: Endpoint,
-    address: SocketAddr,
-    running: u32,
-    queue: VecDeque<u64>,
-}
-
 /// A submitted request until its end.
 #[derive(Debug)]
 struct Call {
     endpoint: String,
-    running: bool,
+    cost: u64,
+    /// When it got its slot; `None` while it waits.
+    started: Option<Instant>,
+    answered: bool,
 }
 
 impl Default for Agent {
@@ -73,7 +69,7 @@
         self.endpoints
             .values()
             .map(|backend| {
-                let mut endpoint = backend.endpoint.clone();
+                let mut endpoint = backend.endpoint();
                 if self.draining {
                     endpoint.phase = Phase::Draining;
                 }
@@ -94,99 +90,180 @@
         self.calls.len()
     }
 
-    fn submit<S>(&mut self, call: u64, submission: &Submission, out: &mut S)
-    where
+    /// Requests that wait for a slot.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        let queues = self.endpoints.values().map(Backend::queue);
+        queues.map(queue::Queue::len).sum()
+    }
+
+    /// Whether the process takes no new work.
+    #[must_use]
+    pub fn draining(&self) -> bool {
+        self.draining
+    }
+
+    fn submit<S>(
+        &mut self,
+        now: Instant,
+        call: u64,
+        submission: &Submission,
+        bytes: usize,
+        out: &mut S,
+    ) where
         S: Sink<Command = Command>,
     {
-        if let Err(reason) = self.check(submission) {
-            return out.push(Command::Refuse { call, reason });
+        let item = Item {
+            call,
+            customer: submission.customer.clone(),
+            priority: submission.priority,
+            first_token: submission.first_token.map(|left| later(now, left)),
+            deadline: later(now, submission.remaining),
+            cost: submission.tokens.clamp(1, queue::COST),
+            bytes,
+        };
+        if let Err(refusal) = self.check(now, submission, &item) {
+            return out.push(Command::refuse(call, refusal));
         }
         self.seen.insert(submission.id, submission.attempt);
         self.calls.insert(
             call,
             Call {
                 endpoint: submission.endpoint.clone(),
-                running: false,
+                cost: item.cost,
+                started: None,
+                answered: false,
             },
         );
-        if let Some(backend) = self.endpoints.get_mut(&submission.endpoint) {
-            backend.queue.push_back(call);
-        }
-        self.start(&submission.endpoint, out);
+        self.serve(now, &submission.endpoint, out, |backend, outcomes| {
+            backend.push(item, outcomes);
+        });
     }
 
-    fn check(&self, submission: &Submission) -> Result<(), Reason> {
+    fn check(&self, now: Instant, submission: &Submission, item: &Item) -> Result<(), Refusal> {
         if self.draining {
-            return Err(Reason::Draining);
+            return Err(Refusal::at_once(Reason::Draining));
         }
         if submission.configuration < self.configuration.number() {
-            return Err(Reason::StaleConfiguration);
+            return Err(Refusal::at_once(Reason::StaleConfiguration));
         }
         if self.seen.contains(submission.id, submission.attempt) {
-            return Err(Reason::Duplicate);
+            return Err(Refusal::at_once(Reason::Duplicate));
         }
         let backend = self.endpoints.get(&submission.endpoint);
-        let backend = backend.ok_or(Reason::NotHeld)?;
-        if !backend.endpoint.serves(submission.destination.target()) {
-            return Err(Reason::NotHeld);
-        }
-        if backend.queue.len() >= QUEUE {
-            return Err(Reason::QueueFull);
-        }
-        Ok(())
+        let backend = backend.ok_or(Refusal::at_once(Reason::NotHeld))?;
+        backend.check(now, submission.destination.target(), item)
     }
 
-    fn start<S>(&mut self, name: &str, out: &mut S)
+    /// Changes one backend, then gives out its free slots.
+    fn serve<S, F>(&mut self, now: Instant, name: &str, out: &mut S, change: F)
     where
         S: Sink<Command = Command>,
+        F: FnOnce(&mut Backend, &mut Vec<Outcome>),
     {
         let Some(backend) = self.endpoints.get_mut(name) else {
             return;
         };
-        while backend.running < backend.endpoint.slots {
-            let Some(call) = backend.queue.pop_front() else {
-                return;
-            };
-            if let Some(state) = self.calls.get_mut(&call) {
-                state.running = true;
-                backend.running += 1;
-                out.push(Command::Start {
-                    call,
-                    address: backend.address,
-                });
+        let mut outcomes = Vec::new();
+        change(backend, &mut outcomes);
+        backend.start(now, &mut outcomes);
+        let address = backend.address();
+        for outcome in outcomes {
+            match outcome {
+                Outcome::Start { item } => {
+                    if let Some(state) = self.calls.get_mut(&item.call) {
+                        state.started = Some(now);
+                    }
+                    let call = item.call;
+                    out.push(Command::Start { call, address });
+                }
+                Outcome::Refuse { call, refusal } => {
+                    self.calls.remove(&call);
+                    out.push(Command::refuse(call, refusal));
+                }
             }
         }
     }
 
-    fn finish<S>(&mut self, call: u64, out: &mut S)
+    fn answer(&mut self, now: Instant, call: u64) {
+        let Some(state) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let backend = self.endpoints.get_mut(&state.endpoint);
+        if let (Some(started), false, Some(backend)) = (state.started, state.answered, backend) {
+            state.answered = true;
+            backend.answered(now.saturating_duration_since(started));
+        }
+    }
+
+    fn finish<S>(&mut self, now: Instant, call: u64, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
         let Some(state) = self.calls.remove(&call) else {
             return;
         };
-        if let Some(backend) = self.endpoints.get_mut(&state.endpoint) {
-            if state.running {
-                backend.running -= 1;
-            } else {
-                backend.queue.retain(|&waiting| waiting != call);
+        self.serve(now, &state.endpoint, out, |backend, _| {
+            match state.started {
+                Some(started) => {
+                    let took = now.saturating_duration_since(started);
+                    backend.finish(state.answered.then_some(took), state.cost);
+                }
+                None => backend.remove(call),
             }
+        });
+    }
+
+    fn announce<S>(&mut self, now: Instant, endpoint: &Endpoint, address: SocketAddr, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let name = &endpoint.name;
+        self.endpoints
+            .entry(name.clone())
+            .or_insert_with(|| Backend::open(endpoint, address));
+        self.serve(now, name, out, |backend, outcomes| {
+            backend.announce(endpoint, address);
+            if backend.draining() {
+                backend.drain(outcomes);
+            }
+        });
+    }
+
+    fn withdraw<S>(&mut self, now: Instant, name: &str, withdrawn: bool, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        self.serve(now, name, out, |backend, outcomes| {
+            backend.withdraw(withdrawn);
+            if withdrawn {
+                backend.drain(outcomes);
+            }
+        });
+    }
+
+    fn drain<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        self.draining = true;
+        for name in self.names() {
+            self.serve(now, &name, out, Backend::drain);
+        }
+    }
+
+    /// Refuses what waited in vain.
+    fn expire<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        for name in self.names() {
+            self.serve(now, &name, out, |_, _| {});
         }
-        self.start(&state.endpoint, out);
-    }
-
-    fn announce(&mut self, endpoint: &Endpoint, address: SocketAddr) {
-        let backend = self
-            .endpoints
-            .entry(endpoint.name.clone())
-            .or_insert_with(|| Backend {
-                endpoint: endpoint.clone(),
-                address,
-                running: 0,
-                queue: VecDeque::new(),
-            });
-        backend.endpoint = endpoint.clone();
-        backend.address = address;
+    }
+
+    fn names(&self) -> Vec<String> {
+        self.endpoints.keys().cloned().collect()
     }
 }
 
@@ -194,14 +271,19 @@
     type Event<'a> = Event<'a>;
     type Command = Command;
 
-    fn handle<S>(&mut self, _now: Instant, event: Event<'_>, out: &mut S)
+    fn handle<S>(&mut self, now: Instant, event: Event<'_>, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
         match event {
-            Event::Announced { endpoint, address } => self.announce(endpoint, address),
-            Event::Submitted { call, submission } => self.submit(call, submission, out),
-            Event::Finished { call } => self.finish(call, out),
+            Event::Announced { endpoint, address } => self.announce(now, endpoint, address, out),
+            Event::Submitted {
+                call,
+                submission,
+                bytes,
+            } => self.submit(now, call, submission, bytes, out),
+            Event::Answered { call } => self.answer(now, call),
+            Event::Finished { call } => self.finish(now, call, out),
             Event::Taught { news } => {
                 if let Some(newer) = &news.configuration
                     && newer.number() > self.configuration.number()
@@ -209,8 +291,12 @@
                     self.configuration = Rc::clone(newer);
                 }
             }
-            Event::Drained => self.draining = true,
-            Event::Ticked => {}
+            Event::Withdrawn {
+                endpoint,
+                withdrawn,
+            } => self.withdraw(now, endpoint, withdrawn, out),
+            Event::Drained => self.drain(now, out),
+            Event::Ticked => self.expire(now, out),
         }
     }
 
@@ -219,11 +305,27 @@
     }
 
     fn deadline(&self) -> Option<Instant> {
-        None
+        self.endpoints.values().filter_map(Backend::deadline).min()
     }
 }
 
+/// The longest time that a request may wait and run.
+const LONGEST: Duration = Duration::from_hours(24);
+
+/// The instant when `left` has passed, for any value that an entry may send.
+fn later(now: Instant, left: Duration) -> Instant {
+    now + left.min(LONGEST)
+}
+
 impl Command {
+    fn refuse(call: u64, refusal: Refusal) -> Self {
+        Self::Refuse {
+            call,
+            reason: refusal.reason,
+            after: refusal.after,
+        }
+    }
+
     /// The verdict behind a refusal by the agent, which knows that nothing ran.
     #[must_use]
     pub fn verdict(reason: Reason) -> Verdict {
--- a/crates/nutmegyoke-core/src/process/entry/event.rs
+++ b/crates/nutmegyoke-core/src/process/entry/event.rs
@@ -1,6 +1,7 @@
 //! What an entry is told and what it tells its host to do.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::process::news::News;
 use crate::request::{Arrival, Reason, Submission, Verdict};
@@ -17,7 +18,9 @@
     Started { number: u64 },
     /// The attempt in flight ended.
     Settled { number: u64, verdict: Verdict },
-    /// The caller closed the connection.
+    /// The tokens that a request has used, prompt included, are known.
+    Metered { number: u64, tokens: u64 },
+    /// The host has ended with the request: it is answered, or its caller left.
     Left { number: u64 },
     /// Control answered a heartbeat.
     Taught { news: &'a News },
@@ -37,7 +40,14 @@
         submission: Submission,
     },
     /// Answer the caller; nothing more follows for this request.
-    Settle { number: u64, verdict: Verdict },
+    Settle {
+        number: u64,
+        verdict: Verdict,
+        /// When another try may succeed, if the entry knows.
+        after: Option<Duration>,
+    },
+    /// Send the next heartbeat now: an agent knows a newer configuration.
+    Refresh,
     /// Count a retry.
     Retried { reason: Reason },
 }
--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -4,7 +4,9 @@
 //! of the directory and dispatched. When the attempt ends, its verdict decides
 //! between another attempt and the answer to the caller.
 
+pub mod bucket;
 pub mod event;
+pub mod quota;
 pub mod route;
 
 use std::collections::HashMap;
@@ -12,8 +14,11 @@
 use std::time::Instant;
 
 pub use event::{Command, Event};
+use quota::Quotas;
 
+use super::member::Role;
 use super::{DataCentre, Directory, Machine, Sink};
+use crate::request::arrival::Subject;
 use crate::request::attempt::{self, Next, Progress};
 use crate::request::{Arrival, Id, Reason, Submission, Verdict, admission};
 use crate::version::Configuration;
@@ -27,6 +32,8 @@
     directory: Directory,
     requests: HashMap<u64, Request>,
     loads: route::Loads,
+    quotas: Quotas,
+    entries: u32,
     random: fastrand::Rng,
     draining: bool,
 }
@@ -36,6 +43,7 @@
 struct Request {
     submission: Submission,
     deadline: Instant,
+    first_token: Option<Instant>,
     started: bool,
     target: route::Choice,
 }
@@ -54,6 +62,8 @@
             directory: Directory::default(),
             requests: HashMap::new(),
             loads: route::Loads::default(),
+            quotas: Quotas::default(),
+            entries: 1,
             random: fastrand::Rng::with_seed(seed),
             draining: false,
         }
@@ -77,6 +87,21 @@
         self.requests.len()
     }
 
+    /// The identity of request `number` across processes.
+    #[must_use]
+    pub fn id(&self, number: u64) -> Id {
+        Id {
+            entry: self.run,
+            number,
+        }
+    }
+
+    /// What the plans have used of their limits.
+    #[must_use]
+    pub fn quotas(&self) -> &Quotas {
+        &self.quotas
+    }
+
     /// Whether the entry can serve: it has a configuration and is not leaving.
     #[must_use]
     pub fn ready(&self) -> bool {
@@ -94,11 +119,27 @@
             Ok(admission) => admission,
             Err(reason) => return out.push(refuse(number, reason)),
         };
-        let submission = Submission {
-            id: Id {
-                entry: self.run,
+        let (first_token, tokens) = match arrival.subject {
+            Subject::Completion { prompt, tokens, .. } => {
+                let all = u64::from(prompt) + u64::from(tokens);
+                (Some(admission.plan.first_token), all)
+            }
+            Subject::Call { .. } => (None, 0),
+        };
+        let charged = self
+            .quotas
+            .charge(now, number, admission.plan, tokens, self.entries);
+        if let Err(refusal) = charged {
+            return out.push(Command::Settle {
                 number,
-            },
+                verdict: Verdict::NotRun {
+                    reason: refusal.reason,
+                },
+                after: Some(refusal.after),
+            });
+        }
+        let submission = Submission {
+            id: self.id(number),
             attempt: 0,
             customer: admission.plan.customer.clone(),
             priority: admission.plan.priority,
@@ -106,10 +147,13 @@
             destination: admission.destination,
             repeat: admission.repeat,
             remaining: admission.plan.deadline,
+            first_token,
+            tokens,
             configuration: self.configuration.number(),
         };
         let request = Request {
             deadline: now + admission.plan.deadline,
+            first_token: first_token.map(|expected| now + expected),
             submission,
             started: false,
             target: route::Choice::default(),
@@ -128,11 +172,14 @@
         };
         let Some(choice) = route::choose(&self.directory, &self.loads, query, &mut self.random)
         else {
+            self.quotas.meter(number, 0);
             return out.push(refuse(number, Reason::NoEndpoint));
         };
         self.loads.add(&choice);
         request.submission.endpoint.clone_from(&choice.endpoint);
         request.submission.remaining = request.deadline.saturating_duration_since(now);
+        let due = request.first_token;
+        request.submission.first_token = due.map(|due| due.saturating_duration_since(now));
         request.submission.configuration = self.configuration.number();
         out.push(Command::Dispatch {
             number,
@@ -159,11 +206,21 @@
         match attempt::next(progress, verdict) {
             Next::Retry { reason } if now < request.deadline => {
                 out.push(Command::Retried { reason });
+                if reason == Reason::StaleConfiguration {
+                    out.push(Command::Refresh);
+                }
                 request.submission.attempt += 1;
                 self.dispatch(now, number, request, out);
             }
             Next::Retry { .. } | Next::Settle { .. } => {
-                out.push(Command::Settle { number, verdict });
+                if let Verdict::NotRun { .. } = verdict {
+                    self.quotas.meter(number, 0);
+                }
+                out.push(Command::Settle {
+                    number,
+                    verdict,
+                    after: None,
+                });
             }
         }
     }
@@ -185,7 +242,10 @@
                 }
             }
             Event::Settled { number, verdict } => self.settle(now, number, verdict, out),
+            Event::Metered { number, tokens } => self.quotas.meter(number, tokens),
             Event::Left { number } => {
+                self.quotas
+                    .settle(now, number, &self.configuration, self.entries);
                 if let Some(request) = self.requests.remove(&number) {
                     self.loads.remove(&request.target);
                 }
@@ -195,8 +255,10 @@
                     && newer.number() > self.configuration.number()
                 {
                     self.configuration = Rc::clone(newer);
+                    self.quotas.retain(newer);
                 }
                 self.directory.learn(&news.directory);
+                self.entries = count(&self.directory);
             }
             Event::Drained => self.draining = true,
             Event::Ticked => {}
@@ -212,9 +274,18 @@
     }
 }
 
+/// The live entries, this one included.
+fn count(directory: &Directory) -> u32 {
+    let entries = directory
+        .members()
+        .filter(|member| member.role == Role::Entry);
+    u32::try_from(entries.count()).unwrap_or(u32::MAX).max(1)
+}
+
 fn refuse(number: u64, reason: Reason) -> Command {
     Command::Settle {
         number,
         verdict: Verdict::NotRun { reason },
+        after: None,
     }
 }
--- a/crates/nutmegyoke-core/src/request/arrival.rs
+++ b/crates/nutmegyoke-core/src/request/arrival.rs
@@ -20,8 +20,13 @@
 /// What a request is for, in the caller's words.
 #[derive(Clone, Copy, Debug)]
 pub enum Subject<'a> {
-    /// A completion from a model; `name` is a model or an adapter.
-    Completion { name: &'a str, tokens: u32 },
+    /// A completion from a model; `name` is a model or an adapter, `prompt` an
+    /// estimate of the tokens sent, `tokens` the most that may be generated.
+    Completion {
+        name: &'a str,
+        prompt: u32,
+        tokens: u32,
+    },
     /// A call of a plain service; `path` is the rest after the service's name.
     Call {
         service: &'a str,
--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -53,8 +53,10 @@
     LinkLost,
     /// The agent's queue is full.
     QueueFull,
-    /// The expectation can't be met any more.
+    /// The deadline passed before the request was answered.
     DeadlinePassed,
+    /// The first token or the end would come too late.
+    ExpectationMissed,
     /// The endpoint or process takes no new work.
     Draining,
     /// The agent has seen this request before.
--- a/crates/nutmegyoke-core/src/request/submission.rs
+++ b/crates/nutmegyoke-core/src/request/submission.rs
@@ -26,6 +26,11 @@
     pub repeat: Repeat,
     /// The time left until the caller gives up.
     pub remaining: Duration,
+    /// The time left until the first token is due; `None` if none is expected, as
+    /// of a plain service.
+    pub first_token: Option<Duration>,
+    /// Prompt and generated tokens at most; 0 for a plain service.
+    pub tokens: u64,
     /// The number of the configuration that admitted the request.
     pub configuration: u64,
 }
--- a/crates/nutmegyoke-core/src/version/configuration.rs
+++ b/crates/nutmegyoke-core/src/version/configuration.rs
@@ -18,6 +18,7 @@
 pub struct Configuration {
     lists: Lists,
     digest: u64,
+    plans: BTreeMap<String, usize>,
     keys: BTreeMap<String, usize>,
     models: BTreeMap<String, usize>,
     services: BTreeMap<String, usize>,
@@ -105,6 +106,10 @@
             }
         }
         check_adapters(&lists, &this.models)?;
+        this.plans = names
+            .into_iter()
+            .map(|(name, index)| (name.to_owned(), index))
+            .collect();
         this.lists = lists;
         Ok(Rc::new(this))
     }
@@ -127,6 +132,13 @@
         &self.lists
     }
 
+    /// The plan of this name.
+    #[must_use]
+    pub fn plan(&self, name: &str) -> Option<&Plan> {
+        let index = *self.plans.get(name)?;
+        Some(&self.lists.plans[index])
+    }
+
     /// The plan that a bearer key belongs to.
     #[must_use]
     pub fn plan_by_key(&self, key: &str) -> Option<&Plan> {
--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -14,6 +14,7 @@
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::news::{Known, News};
 use nutmegyoke_core::process::{Clock, Member};
+use nutmegyoke_wire::connection::link::{milliseconds, text};
 use nutmegyoke_wire::connection::link_capnp::agent;
 use nutmegyoke_wire::process::{Announcement, Settings};
 use nutmegyoke_wire::request::{Payload, submission, verdict};
@@ -110,6 +111,29 @@
         }
     }
 
+    /// Withdraws an endpoint by an operator's order, or puts it back; all when
+    /// `name` is empty. Returns whether there is such an endpoint.
+    fn withdraw(&self, name: &str, withdrawn: bool) -> bool {
+        let endpoints = self.driver.machine().endpoints();
+        let chosen: Vec<_> = endpoints
+            .iter()
+            .filter(|endpoint| name.is_empty() || endpoint.name == name)
+            .collect();
+        for endpoint in &chosen {
+            self.driver.feed(Input::Withdrawn {
+                endpoint: &endpoint.name,
+                withdrawn,
+            });
+            Event::Withdrawn {
+                name: &endpoint.name,
+                withdrawn,
+            }
+            .log();
+        }
+        self.hurry();
+        !chosen.is_empty()
+    }
+
     /// Takes an endpoint's announcement in; it renews it every second.
     fn announce(&self, body: &[u8]) -> Result<(), String> {
         let announcement = Announcement::decode(body).map_err(|error| error.to_string())?;
@@ -164,16 +188,23 @@
         self.agent.driver.feed(Input::Submitted {
             call: self.mailbox.number(),
             submission: &submission,
+            bytes: payload.body.len(),
         });
         match self.mailbox.next().await {
             Some(Command::Start { address, .. }) => {
-                Ok(call::run(&self.agent.client, address, &payload, &answer).await)
+                let call = self.mailbox.number();
+                let driver = &self.agent.driver;
+                let answered = || driver.feed(Input::Answered { call });
+                Ok(call::run(&self.agent.client, address, &payload, &answer, answered).await)
             }
-            Some(Command::Refuse { reason, .. }) => {
+            Some(Command::Refuse { reason, after, .. }) => {
                 self.agent.metrics.refused(reason);
+                let request = Some(submission.id);
+                Event::Refused { request, reason }.log();
                 Ok(Outcome {
                     verdict: Command::verdict(reason),
                     chunks: 0,
+                    after,
                 })
             }
             None => Err(capnp::Error::failed("the agent is gone".to_owned())),
@@ -207,9 +238,23 @@
         let outcome = ticket.run(&params).await?;
         let mut results = results.get();
         results.set_chunks(outcome.chunks);
+        results.set_retry_after_ms(milliseconds(outcome.after));
         verdict::write(outcome.verdict, results.init_verdict());
         Ok(())
     }
+
+    async fn withdraw(
+        self: Rc<Self>,
+        params: agent::WithdrawParams,
+        mut results: agent::WithdrawResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let known = self
+            .agent
+            .withdraw(text(params.get_endpoint())?, params.get_withdrawn());
+        results.get().set_known(known);
+        Ok(())
+    }
 }
 
 impl<C: Clock + 'static> Serve for Agent<C> {
@@ -246,6 +291,8 @@
 
 impl<C: Clock + 'static> operators::Role for Agent<C> {
     fn metrics(&self) -> &Metrics {
+        let machine = self.driver.machine();
+        self.metrics.load.set(machine.in_flight(), machine.queued());
         &self.metrics
     }
 
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -44,7 +44,7 @@
     fn addressee(&self) -> Option<u64> {
         match self {
             Self::Dispatch { number, .. } | Self::Settle { number, .. } => Some(*number),
-            Self::Retried { .. } => None,
+            Self::Refresh | Self::Retried { .. } => None,
         }
     }
 }
@@ -81,7 +81,7 @@
         let _ = entry.listeners.set([callers, operators]);
         let heartbeat = Heartbeat::spawn(Rc::clone(&entry), settings.control.clone());
         let _ = entry.heartbeat.set(heartbeat);
-        compio::runtime::spawn(count(background, entry.metrics.clone())).detach();
+        compio::runtime::spawn(work(Rc::clone(&entry), background)).detach();
         Ok(entry)
     }
 
@@ -130,11 +130,20 @@
     }
 }
 
-/// Counts what no request waits for.
-async fn count(mut background: mpsc::UnboundedReceiver<Command>, metrics: Metrics) {
+/// Carries out the commands that no request waits for.
+async fn work<C: Clock + 'static>(
+    entry: Rc<Entry<C>>,
+    mut background: mpsc::UnboundedReceiver<Command>,
+) {
     while let Some(command) = background.next().await {
-        if let Command::Retried { reason } = command {
-            metrics.retried(reason);
+        match command {
+            Command::Retried { reason } => entry.metrics.retried(reason),
+            Command::Refresh => {
+                if let Some(heartbeat) = entry.heartbeat.get() {
+                    heartbeat.hurry();
+                }
+            }
+            Command::Dispatch { .. } | Command::Settle { .. } => {}
         }
     }
 }
@@ -178,6 +187,7 @@
 
 impl<C: Clock + 'static> operators::Role for Entry<C> {
     fn metrics(&self) -> &Metrics {
+        self.metrics.load.set(self.driver.machine().in_flight(), 0);
         &self.metrics
     }
 
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use nutmegyoke_core::process::Vm;
 use nutmegyoke_core::process::member::Role;
-use nutmegyoke_core::request::Reason;
+use nutmegyoke_core::request::{Id, Reason};
 use spdlog::Level;
 
 /// Something worth a line in the log.
@@ -22,6 +22,9 @@
     /// The process was asked to stop and finishes what is in flight.
     #[display("draining: {in_flight} requests in flight")]
     Draining { in_flight: usize },
+    /// The drain limit passed, or a second signal came: what was in flight is cut off.
+    #[display("stopped before it was idle ({why}): {cut_off} requests cut off")]
+    CutOff { cut_off: usize, why: &'a str },
     /// The process ends.
     #[display("stopped")]
     Stopped,
@@ -35,8 +38,8 @@
     #[display("configuration {number} not accepted: {why}")]
     Rejected { number: u64, why: &'a str },
     /// A request ended without a whole answer.
-    #[display("request {number} not answered: {reason}")]
-    Refused { number: u64, reason: Reason },
+    #[display("request {} not answered: {reason}", request.map_or_else(|| "-".to_owned(), |id| id.to_string()))]
+    Refused { request: Option<Id>, reason: Reason },
     /// No control process answers.
     #[display("no control process answers: {why}; serving on the last known state")]
     ControlLost { why: &'a str },
@@ -49,6 +52,9 @@
     /// An endpoint announced itself for the first time.
     #[display("endpoint {name} at {address} announced itself")]
     Announced { name: &'a str, address: SocketAddr },
+    /// An operator withdrew an endpoint or put it back.
+    #[display("endpoint {name} {}", if *withdrawn { "withdrawn" } else { "put back" })]
+    Withdrawn { name: &'a str, withdrawn: bool },
     /// An endpoint's announcement was refused.
     #[display("announcement refused: {why}")]
     AnnouncementRefused { why: &'a str },
@@ -62,6 +68,7 @@
             Self::Started { .. } => 100,
             Self::Draining { .. } => 101,
             Self::Stopped => 102,
+            Self::CutOff { .. } => 103,
             Self::Configured { .. } => 200,
             Self::Accepted { .. } => 201,
             Self::Rejected { .. } => 202,
@@ -71,14 +78,16 @@
             Self::ConnectionFailed { .. } => 402,
             Self::Announced { .. } => 500,
             Self::AnnouncementRefused { .. } => 501,
+            Self::Withdrawn { .. } => 502,
         }
     }
 
     fn level(&self) -> Level {
         match self {
-            Self::ControlLost { .. } | Self::Rejected { .. } | Self::AnnouncementRefused { .. } => {
-                Level::Warn
-            }
+            Self::ControlLost { .. }
+            | Self::CutOff { .. }
+            | Self::Rejected { .. }
+            | Self::AnnouncementRefused { .. } => Level::Warn,
             Self::Refused { .. } | Self::ConnectionFailed { .. } => Level::Debug,
             _ => Level::Info,
         }
--- a/crates/nutmegyoke-host/src/process/metrics.rs
+++ b/crates/nutmegyoke-host/src/process/metrics.rs
@@ -6,6 +6,8 @@
 use strum::IntoEnumIterator;
 
 use super::Failure;
+use super::attainment::Attainment;
+use super::load::Load;
 
 /// The metrics of one role; every role of a process shares its registry.
 #[derive(Clone, Debug)]
@@ -21,6 +23,10 @@
     pub dropped: IntCounterVec,
     /// The number of the configuration in force.
     pub configuration: IntGauge,
+    /// Requests in flight and queued.
+    pub load: Load,
+    /// Expectations of the plans.
+    pub attainment: Attainment,
 }
 
 impl Metrics {
@@ -60,6 +66,8 @@
             retries: by_reason(retries)?,
             dropped: IntCounterVec::new(dropped, &["cause"])?,
             configuration: IntGauge::with_opts(configuration)?,
+            load: Load::register(registry, labels)?,
+            attainment: Attainment::register(registry, labels)?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
@@ -90,13 +98,16 @@
 }
 
 /// Tells apart the roles that share a registry.
-struct Labels<'a> {
+#[derive(Debug)]
+pub struct Labels<'a> {
     role: String,
     vm: &'a str,
 }
 
 impl Labels<'_> {
-    fn opts(&self, name: &str, help: &str) -> Opts {
+    /// The description of a metric of this role.
+    #[must_use]
+    pub fn opts(&self, name: &str, help: &str) -> Opts {
         let opts = Opts::new(name, help).const_label("role", &self.role);
         opts.const_label("vm", self.vm)
     }
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -1,12 +1,14 @@
 //! What lives as long as the process: roles, their driver, logs and metrics.
 
 pub mod agent;
+pub mod attainment;
 pub mod control;
 pub mod driver;
 pub mod entry;
 pub mod event;
 pub mod failure;
 pub mod heartbeat;
+pub mod load;
 pub mod metrics;
 pub mod operators;
 pub mod signal;
--- a/crates/nutmegyoke-host/src/request/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/attempt.rs
@@ -1,7 +1,10 @@
 //! One attempt at a request: submits it to an agent and takes the answer.
 
+use std::cell::Cell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 
 use capnp::capability::Promise;
 use futures_channel::mpsc;
@@ -19,6 +22,7 @@
     parts: mpsc::Receiver<Part>,
     received: u64,
     end: Option<(Verdict, u64)>,
+    hint: Rc<Cell<Duration>>,
 }
 
 /// What an attempt yields.
@@ -45,10 +49,13 @@
         payload.write(params.reborrow().init_payload());
         params.set_answer(answer);
         let sent = request.send();
+        let hint = Rc::new(Cell::new(Duration::ZERO));
+        let told = Rc::clone(&hint);
         let result = Promise::from_future(async move {
             let response = sent.promise.await?;
             let results = response.get()?;
             let verdict = verdict::read(results.get_verdict()?)?;
+            told.set(Duration::from_millis(results.get_retry_after_ms()));
             Ok((verdict, results.get_chunks()))
         });
         Self {
@@ -56,9 +63,17 @@
             parts,
             received: 0,
             end: None,
+            hint,
         }
     }
 
+    /// Where the agent's refusal leaves when another try may succeed; zero while
+    /// that is not known.
+    #[must_use]
+    pub fn hint(&self) -> Rc<Cell<Duration>> {
+        Rc::clone(&self.hint)
+    }
+
     /// Waits for the next part or the end.
     pub async fn next(&mut self) -> Step {
         if self.end.is_none()
--- a/crates/nutmegyoke-host/src/request/call.rs
+++ b/crates/nutmegyoke-host/src/request/call.rs
@@ -1,6 +1,7 @@
 //! Carries one submission to its endpoint, in an agent.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cyper::Client;
@@ -22,14 +23,19 @@
     pub verdict: Verdict,
     /// Chunks sent to the entry.
     pub chunks: u64,
+    /// When another try may succeed; zero if that is not known.
+    pub after: Duration,
 }
 
 /// Sends the request to its endpoint and the answer to the entry.
+///
+/// `answered` is called when the first part of the answer came.
 pub async fn run(
     client: &Client,
     address: SocketAddr,
     payload: &Payload<'_>,
     answer: &answer::Client,
+    answered: impl FnOnce(),
 ) -> Outcome {
     let response = match send(client, address, payload).await {
         Ok(response) => response,
@@ -43,7 +49,7 @@
     if head.send().promise.await.is_err() {
         return failed(LEFT, 0);
     }
-    copy(response, answer).await
+    copy(response, answer, answered).await
 }
 
 async fn send(
@@ -62,7 +68,12 @@
 }
 
 /// Copies the body, with a window of unacknowledged chunks.
-async fn copy(response: cyper::Response, answer: &answer::Client) -> Outcome {
+async fn copy(
+    response: cyper::Response,
+    answer: &answer::Client,
+    answered: impl FnOnce(),
+) -> Outcome {
+    let mut answered = Some(answered);
     let mut body = response.bytes_stream();
     let mut window = FuturesUnordered::new();
     let mut chunks = 0;
@@ -70,6 +81,9 @@
         let Ok(data) = data else {
             return failed(BROKEN, chunks);
         };
+        if let Some(answered) = answered.take() {
+            answered();
+        }
         let mut chunk = answer.chunk_request();
         chunk.get().set_sequence(chunks);
         chunk.get().set_data(&data);
@@ -89,6 +103,7 @@
     Outcome {
         verdict: Verdict::Ran,
         chunks,
+        after: Duration::ZERO,
     }
 }
 
@@ -106,7 +121,11 @@
 }
 
 fn failed(verdict: Verdict, chunks: u64) -> Outcome {
-    Outcome { verdict, chunks }
+    Outcome {
+        verdict,
+        chunks,
+        after: Duration::ZERO,
+    }
 }
 
 const BROKEN: Verdict = Verdict::MayHaveRun {
--- a/crates/nutmegyoke-host/src/request/caller.rs
+++ b/crates/nutmegyoke-host/src/request/caller.rs
@@ -12,7 +12,7 @@
 use nutmegyoke_core::request::arrival::Subject;
 use nutmegyoke_core::request::{Arrival, Reason, admission};
 use nutmegyoke_wire::request::failure::REPEATABLE_HEADER;
-use nutmegyoke_wire::request::{Completion, Payload, models};
+use nutmegyoke_wire::request::{Completion, Payload, meter, models};
 use rapidhash::v3::rapidhash_v3;
 
 use super::Body;
@@ -62,6 +62,7 @@
             };
             let subject = Subject::Completion {
                 name: &completion.model,
+                prompt: meter::prompt(body.len()),
                 tokens: completion.tokens(),
             };
             forward(entry, &arrival(&head.headers, subject, &body), payload).await
--- a/crates/nutmegyoke-host/src/request/forward.rs
+++ b/crates/nutmegyoke-host/src/request/forward.rs
@@ -11,7 +11,7 @@
 use super::answer::Answer;
 use super::assembly::{Assembly, assemble};
 use super::attempt::Attempt;
-use super::reply::{fail, respond};
+use super::reply::{fail, fail_after, respond};
 use super::ticket::Ticket;
 use super::{Body, stream};
 use crate::process;
@@ -34,8 +34,12 @@
                 };
                 let answer = Answer::open(&entry.metrics().dropped);
                 let attempt = Attempt::spawn(&client, &submission, &payload, answer);
+                let hint = attempt.hint();
                 match begin(attempt, &submission).await {
                     Begun::Whole { response } => {
+                        if let Body::Whole { bytes } = response.body() {
+                            ticket.whole(bytes);
+                        }
                         ticket.settle(Verdict::Ran);
                         return response;
                     }
@@ -44,11 +48,16 @@
                         status,
                         content_type,
                     } => return stream::pass(ticket, attempt, status, &content_type),
-                    Begun::Failed { verdict } => ticket.settle(verdict),
+                    Begun::Failed { verdict } => {
+                        ticket.hint(hint.get());
+                        ticket.settle(verdict);
+                    }
                 }
             }
-            Command::Settle { verdict, .. } => return fail(entry, verdict, ""),
-            Command::Retried { .. } => {}
+            Command::Settle { verdict, after, .. } => {
+                return fail_after(entry, Some(ticket.id()), verdict, after.or(ticket.after()));
+            }
+            Command::Refresh | Command::Retried { .. } => {}
         }
     }
     fail(entry, UNREACHABLE, "")
--- a/crates/nutmegyoke-host/src/request/reply.rs
+++ b/crates/nutmegyoke-host/src/request/reply.rs
@@ -1,14 +1,16 @@
 //! Builds the responses that callers receive.
 
+use std::time::Duration;
+
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use nutmegyoke_core::process::Clock;
-use nutmegyoke_core::request::{Reason, Verdict};
+use nutmegyoke_core::request::{Id, Reason, Verdict};
 use nutmegyoke_wire::request::Failure;
 use nutmegyoke_wire::request::failure::RAN_HEADER;
 
 use super::Body;
-use crate::process;
+use crate::process::{self, Event};
 
 /// A plain text response.
 #[must_use]
@@ -24,10 +26,35 @@
 
 /// The end of a request that was not answered in whole; counts its reason.
 pub fn fail<C: Clock>(entry: &process::Entry<C>, verdict: Verdict, why: &str) -> Response<Body> {
+    count(entry, None, verdict);
+    build(&Failure::new(verdict, why))
+}
+
+/// The end of request `id` that was not answered in whole; `after` tells when
+/// another try may succeed.
+pub fn fail_after<C: Clock>(
+    entry: &process::Entry<C>,
+    id: Option<Id>,
+    verdict: Verdict,
+    after: Option<Duration>,
+) -> Response<Body> {
+    count(entry, id, verdict);
+    let mut failure = Failure::new(verdict, "");
+    if let Some(after) = after {
+        failure.retry(after);
+    }
+    build(&failure)
+}
+
+/// Counts and logs the reason of a request that was not answered in whole.
+pub fn count<C: Clock>(entry: &process::Entry<C>, request: Option<Id>, verdict: Verdict) {
     if let Some(reason) = verdict.reason() {
         entry.metrics().refused(reason);
+        Event::Refused { request, reason }.log();
     }
-    let failure = Failure::new(verdict, why);
+}
+
+fn build(failure: &Failure) -> Response<Body> {
     let body = failure.encode().into();
     let mut response = respond(failure.status, "application/json", body).unwrap_or_default();
     let headers = response.headers_mut();
--- a/crates/nutmegyoke-host/src/request/stream.rs
+++ b/crates/nutmegyoke-host/src/request/stream.rs
@@ -13,7 +13,7 @@
 use super::answer::Part;
 use super::attempt::{Attempt, Step};
 use super::body::{Truncated, Writer};
-use super::reply::{fail, respond};
+use super::reply::{count, fail, respond};
 use super::ticket::Ticket;
 
 /// Passes a streamed answer on as it comes.
@@ -33,24 +33,28 @@
     response
 }
 
+const LEFT: Verdict = Verdict::MayHaveRun {
+    reason: Reason::CallerLeft,
+};
+
 const LOST_HEAD: Verdict = Verdict::MayHaveRun {
     reason: Reason::EndpointFailed,
 };
 
 async fn pump<C: Clock + 'static>(ticket: Ticket<C>, mut attempt: Attempt, writer: Writer) {
     let Writer { mut parts, left } = writer;
-    let copied = copy(&mut attempt, &mut parts);
+    let copied = copy(&ticket, &mut attempt, &mut parts);
     let verdict = {
         pin_mut!(copied);
         match select(copied, left).await {
             Either::Left((verdict, _)) => verdict,
             // Dropping the attempt cancels it; dropping the ticket tells the machine.
-            Either::Right(_) => return ticket.entry().metrics().refused(Reason::CallerLeft),
+            Either::Right(_) => return count(ticket.entry(), Some(ticket.id()), LEFT),
         }
     };
     ticket.settle(verdict);
-    if let Some(reason) = verdict.reason() {
-        ticket.entry().metrics().refused(reason);
+    if verdict != Verdict::Ran {
+        count(ticket.entry(), Some(ticket.id()), verdict);
         let failure = Failure::new(verdict, "");
         let text = [b"data: ".as_slice(), &failure.encode(), b"\n\n"].concat();
         let _ = parts.send(Ok(text.into())).await;
@@ -60,12 +64,17 @@
 
 type Parts = futures_channel::mpsc::Sender<Result<Bytes, Truncated>>;
 
-async fn copy(attempt: &mut Attempt, parts: &mut Parts) -> Verdict {
+async fn copy<C: Clock + 'static>(
+    ticket: &Ticket<C>,
+    attempt: &mut Attempt,
+    parts: &mut Parts,
+) -> Verdict {
     loop {
         match attempt.next().await {
             Step::Part {
                 part: Part::Chunk { data },
             } => {
+                ticket.part(&data);
                 if parts.send(Ok(data)).await.is_err() {
                     return Verdict::MayHaveRun {
                         reason: Reason::CallerLeft,
--- a/crates/nutmegyoke-wire/schema/link.capnp
+++ b/crates/nutmegyoke-wire/schema/link.capnp
@@ -28,6 +28,8 @@
   once @6 :Bool;
   remainingMs @7 :UInt64;
   configuration @8 :UInt64;
+  firstTokenMs @9 :UInt64 = 0xffffffffffffffff;  # this value: none is expected
+  tokens @10 :UInt64;
 }
 
 # What the endpoint receives, passed on as the caller sent it.
@@ -54,7 +56,9 @@
 
 interface Agent {
   # Returns when the attempt ended; `chunks` is how many were sent.
-  submit @0 (submission :Submission, payload :Payload, answer :Answer) -> (verdict :Verdict, chunks :UInt64);
+  submit @0 (submission :Submission, payload :Payload, answer :Answer) -> (verdict :Verdict, chunks :UInt64, retryAfterMs :UInt64);
+  # Withdraws an endpoint, or all when the name is empty; `known` tells whether there is such a one.
+  withdraw @1 (endpoint :Text, withdrawn :Bool) -> (known :Bool);
 }
 
 struct Vm {
--- a/crates/nutmegyoke-wire/src/connection/link_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/link_capnp.rs
@@ -846,11 +846,19 @@
         pub fn get_configuration(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_first_token_ms(self) -> u64 {
+            self.reader.get_data_field_mask::<u64>(3, 18446744073709551615)
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1004,6 +1012,22 @@
         pub fn set_configuration(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_first_token_ms(self) -> u64 {
+            self.builder.get_data_field_mask::<u64>(3, 18446744073709551615)
+        }
+        #[inline]
+        pub fn set_first_token_ms(&mut self, value: u64)  {
+            self.builder.set_data_field_mask::<u64>(3, value, 18446744073709551615);
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_tokens(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1021,87 +1045,101 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 158] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 189] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(111, 199, 110, 130, 226, 99, 171, 233),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(150, 74, 179, 240, 225, 165, 199, 210),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 117, 98, 109, 105),
             ::capnp::word(115, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 40, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 46, 98, 99, 84, 28, 75, 152),
@@ -1180,6 +1218,23 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 114, 115, 116, 84, 111, 107),
+            ::capnp::word(101, 110, 77, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(255, 255, 255, 255, 255, 255, 255, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1192,6 +1247,8 @@
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1205,9 +1262,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,8,2,5,4,0,6,3,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,8,2,5,4,9,0,6,3,7,10];
         pub(crate) const TYPE_ID: u64 = 0xe9ab_63e2_826e_c76f;
     }
 }
@@ -2762,6 +2819,8 @@
     #![allow(unused_variables)]
     pub type SubmitParams<> = ::capnp::capability::Params<crate::link_capnp::agent::submit_params::Owned>;
     pub type SubmitResults<> = ::capnp::capability::Results<crate::link_capnp::agent::submit_results::Owned>;
+    pub type WithdrawParams<> = ::capnp::capability::Params<crate::link_capnp::agent::withdraw_params::Owned>;
+    pub type WithdrawResults<> = ::capnp::capability::Results<crate::link_capnp::agent::withdraw_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2814,9 +2873,13 @@
         pub fn submit_request(&self) -> ::capnp::capability::Request<crate::link_capnp::agent::submit_params::Owned,crate::link_capnp::agent::submit_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
+        pub fn withdraw_request(&self) -> ::capnp::capability::Request<crate::link_capnp::agent::withdraw_params::Owned,crate::link_capnp::agent::withdraw_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn submit(self: ::capnp::capability::Rc<Self>, _: SubmitParams<>, _: SubmitResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::submit not implemented".to_string()))) }
+        fn withdraw(self: ::capnp::capability::Rc<Self>, _: WithdrawParams<>, _: WithdrawResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::withdraw not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2847,6 +2910,7 @@
         pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::submit(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::withdraw(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -3221,11 +3285,15 @@
             pub fn get_chunks(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
+            #[inline]
+            pub fn get_retry_after_ms(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3299,6 +3367,14 @@
             pub fn set_chunks(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
+            #[inline]
+            pub fn get_retry_after_ms(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_retry_after_ms(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3313,38 +3389,45 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(6, 3, 179, 240, 117, 168, 203, 231),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 65, 103, 101, 110, 116),
                 ::capnp::word(46, 115, 117, 98, 109, 105, 116, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(118, 101, 114, 100, 105, 99, 116, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(147, 157, 32, 199, 6, 5, 128, 248),
@@ -3361,11 +3444,21 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 116, 114, 121, 65, 102, 116),
+                ::capnp::word(101, 114, 77, 115, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::link_capnp::verdict::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3379,12 +3472,446 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
             pub(crate) const TYPE_ID: u64 = 0xe7cb_a875_f0b3_0306;
         }
     }
+
+    pub mod withdraw_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_withdrawn(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_withdrawn(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_withdrawn(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(37, 27, 69, 202, 61, 90, 217, 241),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 65, 103, 101, 110, 116),
+                ::capnp::word(46, 119, 105, 116, 104, 100, 114, 97),
+                ::capnp::word(119, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 105, 116, 104, 100, 114, 97, 119),
+                ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xf1d9_5a3d_ca45_1b25;
+        }
+    }
+
+    pub mod withdraw_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_known(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_known(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_known(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(254, 211, 134, 164, 7, 44, 74, 194),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 65, 103, 101, 110, 116),
+                ::capnp::word(46, 119, 105, 116, 104, 100, 114, 97),
+                ::capnp::word(119, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xc24a_2c07_a486_d3fe;
+        }
+    }
 }
 
 pub mod vm {
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -1,5 +1,7 @@
 //! The JSON error that callers receive.
 
+use std::time::Duration;
+
 use nutmegyoke_core::request::{Reason, Verdict};
 use serde::Serialize;
 
@@ -72,6 +74,14 @@
         }
     }
 
+    /// Tells the caller when another try may succeed, where another try helps.
+    pub fn retry(&mut self, after: Duration) {
+        if self.retry_after.is_some() {
+            let seconds = after.as_millis().div_ceil(1000).max(1);
+            self.retry_after = Some(u32::try_from(seconds).unwrap_or(u32::MAX));
+        }
+    }
+
     /// What is known of the request.
     #[must_use]
     pub fn ran(&self) -> Ran {
@@ -96,6 +106,7 @@
         Reason::NoEndpoint
         | Reason::Unreachable
         | Reason::QueueFull
+        | Reason::ExpectationMissed
         | Reason::Draining
         | Reason::NotHeld
         | Reason::StaleConfiguration => 503,
@@ -131,6 +142,9 @@
         Reason::LinkLost => "the link to the endpoint broke after the request was sent",
         Reason::QueueFull => "the endpoints are busy; try again",
         Reason::DeadlinePassed => "the plan's deadline passed",
+        Reason::ExpectationMissed => {
+            "the endpoints are too busy to answer in time; try again as Retry-After says"
+        }
         Reason::Draining => "this process is stopping; send to another one",
         Reason::Duplicate => "the request was submitted before and may be running",
         Reason::NotHeld => "the endpoint does not hold this any more; try again",
--- a/crates/nutmegyoke-wire/src/request/mod.rs
+++ b/crates/nutmegyoke-wire/src/request/mod.rs
@@ -4,6 +4,7 @@
 pub mod completion;
 pub mod failure;
 pub mod id;
+pub mod meter;
 pub mod models;
 pub mod payload;
 pub mod submission;
@@ -11,4 +12,5 @@
 
 pub use completion::Completion;
 pub use failure::Failure;
+pub use meter::Meter;
 pub use payload::Payload;
