--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -6,24 +6,29 @@
 //! attempt after a pause and the answer to the caller.
 
 pub mod backoff;
+pub mod bucket;
 pub mod budget;
 mod claiming;
 pub mod event;
+pub mod quota;
 pub mod request;
 pub mod route;
 pub mod timer;
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use budget::Budget;
 pub use event::{Command, Event};
+use quota::Quotas;
 use request::{Phase, Request, Wish};
 use timer::Timer;
 
+use super::member::Role;
 use super::news::News;
 use super::{DataCentre, Directory, Machine, Sink};
+use crate::request::arrival::Subject;
 use crate::request::attempt::{self, Next, Progress};
 use crate::request::{Admission, Arrival, Id, Reason, Submission, Verdict, admission, claim};
 use crate::version::Configuration;
@@ -40,6 +45,8 @@
     loads: route::Loads,
     budget: Budget,
     timer: Timer,
+    quotas: Quotas,
+    entries: u32,
     random: fastrand::Rng,
     draining: bool,
 }
@@ -60,6 +67,8 @@
             loads: route::Loads::default(),
             budget: Budget::default(),
             timer: Timer::default(),
+            quotas: Quotas::default(),
+            entries: 1,
             random: fastrand::Rng::with_seed(seed),
             draining: false,
         }
@@ -83,6 +92,21 @@
         self.requests.len()
     }
 
+    /// The identity of request `number` across processes.
+    #[must_use]
+    pub fn id(&self, number: u64) -> Id {
+        Id {
+            entry: self.run,
+            number,
+        }
+    }
+
+    /// What the plans have used of their limits.
+    #[must_use]
+    pub fn quotas(&self) -> &Quotas {
+        &self.quotas
+    }
+
     /// Whether the entry can serve: it has a configuration and is not leaving.
     #[must_use]
     pub fn ready(&self) -> bool {
@@ -100,6 +124,19 @@
             Ok(admission) => admission,
             Err(reason) => return out.push(refuse(number, reason)),
         };
+        let (_, tokens) = expected(arrival, &admission);
+        let charged = self
+            .quotas
+            .charge(now, number, admission.plan, tokens, self.entries);
+        if let Err(refusal) = charged {
+            return out.push(Command::Settle {
+                number,
+                verdict: Verdict::NotRun {
+                    reason: refusal.reason,
+                },
+                after: Some(refusal.after),
+            });
+        }
         let request = self.admitted(now, number, arrival, admission);
         if request.claim.is_some() {
             self.claim(number, request, out);
@@ -115,13 +152,11 @@
         arrival: &Arrival<'_>,
         admission: Admission<'_>,
     ) -> Request {
+        let (first_token, tokens) = expected(arrival, &admission);
         let once = admission.repeat == Repeat::Once;
         let key = arrival.idempotency.filter(|_| once);
         let submission = Submission {
-            id: Id {
-                entry: self.run,
-                number,
-            },
+            id: self.id(number),
             attempt: 0,
             customer: admission.plan.customer.clone(),
             priority: admission.plan.priority,
@@ -129,6 +164,8 @@
             destination: admission.destination,
             repeat: admission.repeat,
             remaining: admission.plan.deadline,
+            first_token,
+            tokens,
             configuration: self.configuration.number(),
             incarnation: 0,
             keyed: key.is_some(),
@@ -145,6 +182,7 @@
         Request {
             deadline: now + admission.plan.deadline,
             arrived: now,
+            first_token: first_token.map(|expected| now + expected),
             submission,
             started: false,
             uncertain: None,
@@ -159,7 +197,7 @@
         S: Sink<Command = Command>,
     {
         if now >= request.deadline {
-            return give_up(number, request, Reason::DeadlinePassed, out);
+            return self.give_up(number, request, Reason::DeadlinePassed, out);
         }
         let query = route::Query {
             target: request.submission.destination.target(),
@@ -168,11 +206,13 @@
         };
         let Some(choice) = route::choose(&self.directory, &self.loads, query, &mut self.random)
         else {
-            return give_up(number, request, Reason::NoEndpoint, out);
+            return self.give_up(number, request, Reason::NoEndpoint, out);
         };
         self.loads.add(&choice);
         request.submission.endpoint.clone_from(&choice.endpoint);
         request.submission.remaining = request.deadline.saturating_duration_since(now);
+        let due = request.first_token;
+        request.submission.first_token = due.map(|due| due.saturating_duration_since(now));
         request.submission.configuration = self.configuration.number();
         request.submission.incarnation = choice.incarnation;
         out.push(Command::Dispatch {
@@ -209,7 +249,7 @@
                 }
                 self.retry(now, number, request, reason, out);
             }
-            Next::Settle { verdict } => close(number, request, verdict, out),
+            Next::Settle { verdict } => self.close(number, request, verdict, out),
         }
     }
 
@@ -227,11 +267,11 @@
         request.submission.attempt += 1;
         let until = now + backoff::ATTEMPT.pause(request.submission.attempt, &mut self.random);
         if until >= request.deadline {
-            return give_up(number, request, reason, out);
+            return self.give_up(number, request, reason, out);
         }
         if !self.budget.spend() {
             out.push(Command::Withheld { reason });
-            return give_up(number, request, reason, out);
+            return self.give_up(number, request, reason, out);
         }
         out.push(Command::Retried { reason });
         if reason == Reason::StaleConfiguration {
@@ -242,6 +282,31 @@
         self.requests.insert(number, request);
     }
 
+    /// Ends a request whose last attempt did not run, or was never made.
+    fn give_up<S>(&mut self, number: u64, request: Request, reason: Reason, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let verdict = attempt::whole(request.uncertain, Verdict::NotRun { reason });
+        self.close(number, request, verdict, out);
+    }
+
+    /// Answers the caller and concludes the claim that the request holds.
+    fn close<S>(&mut self, number: u64, request: Request, verdict: Verdict, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        if let Verdict::NotRun { .. } = verdict {
+            self.quotas.meter(number, 0);
+        }
+        out.push(Command::Settle {
+            number,
+            verdict,
+            after: None,
+        });
+        conclude(request, verdict, out);
+    }
+
     fn leave<S>(&mut self, number: u64, out: &mut S)
     where
         S: Sink<Command = Command>,
@@ -276,8 +341,10 @@
             && newer.number() > self.configuration.number()
         {
             self.configuration = Rc::clone(newer);
+            self.quotas.retain(newer);
         }
         self.directory.learn(&news.directory);
+        self.entries = count(&self.directory);
     }
 
     /// Goes on with every request whose pause is over.
@@ -316,7 +383,12 @@
                 }
             }
             Event::Settled { number, verdict } => self.settle(now, number, verdict, out),
-            Event::Left { number } => self.leave(number, out),
+            Event::Metered { number, tokens } => self.quotas.meter(number, tokens),
+            Event::Left { number } => {
+                self.quotas
+                    .settle(now, number, &self.configuration, self.entries);
+                self.leave(number, out);
+            }
             Event::Taught { news } => self.learn(news),
             Event::Drained => self.draining = true,
             Event::Ticked => self.wake(now, out),
@@ -332,22 +404,15 @@
     }
 }
 
-/// Ends a request whose last attempt did not run, or was never made.
-fn give_up<S>(number: u64, request: Request, reason: Reason, out: &mut S)
-where
-    S: Sink<Command = Command>,
-{
-    let verdict = attempt::whole(request.uncertain, Verdict::NotRun { reason });
-    close(number, request, verdict, out);
-}
-
-/// Answers the caller and concludes the claim that the request holds.
-fn close<S>(number: u64, request: Request, verdict: Verdict, out: &mut S)
-where
-    S: Sink<Command = Command>,
-{
-    out.push(Command::Settle { number, verdict });
-    conclude(request, verdict, out);
+/// When the first token is due after the arrival, and the tokens it may cost.
+fn expected(arrival: &Arrival<'_>, admission: &Admission<'_>) -> (Option<Duration>, u64) {
+    match arrival.subject {
+        Subject::Completion { prompt, tokens, .. } => {
+            let all = u64::from(prompt) + u64::from(tokens);
+            (Some(admission.plan.first_token), all)
+        }
+        Subject::Call { .. } => (None, 0),
+    }
 }
 
 /// Tells control how the holder of a claim ended.
@@ -367,9 +432,18 @@
     }
 }
 
+/// The live entries, this one included.
+fn count(directory: &Directory) -> u32 {
+    let entries = directory
+        .members()
+        .filter(|member| member.role == Role::Entry);
+    u32::try_from(entries.count()).unwrap_or(u32::MAX).max(1)
+}
+
 fn refuse(number: u64, reason: Reason) -> Command {
     Command::Settle {
         number,
         verdict: Verdict::NotRun { reason },
+        after: None,
     }
 }
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -216,6 +216,7 @@
 
 impl<C: Clock + 'static> operators::Role for Entry<C> {
     fn metrics(&self) -> &Metrics {
+        self.metrics.load.set(self.driver.machine().in_flight(), 0);
         &self.metrics
     }
 
--- a/crates/nutmegyoke-host/src/request/forward.rs
+++ b/crates/nutmegyoke-host/src/request/forward.rs
@@ -14,7 +14,7 @@
 use super::answer::Answer;
 use super::assembly::{Assembly, assemble};
 use super::attempt::Attempt;
-use super::reply::{fail, respond};
+use super::reply::{fail, fail_after, respond};
 use super::ticket::Ticket;
 use super::{Body, stream};
 use crate::process;
@@ -95,6 +95,9 @@
                 agent, submission, ..
             } => match dispatch(&ticket, agent, &submission, &payload).await {
                 Begun::Whole { response } => {
+                    if let Body::Whole { bytes } = response.body() {
+                        ticket.whole(bytes);
+                    }
                     ticket.settle(Verdict::Ran);
                     return response;
                 }
@@ -106,7 +109,10 @@
                 } => return stream::pass(ticket, attempt, status, &content_type, until),
                 Begun::Failed { verdict } => ticket.settle(verdict),
             },
-            Command::Settle { verdict, .. } => return fail(ticket.entry(), verdict, ""),
+            Command::Settle { verdict, after, .. } => {
+                let after = after.or(ticket.after());
+                return fail_after(ticket.entry(), Some(ticket.id()), verdict, after);
+            }
             _ => {}
         }
     }
@@ -153,8 +159,11 @@
     };
     let answer = Answer::open(&entry.metrics().dropped);
     let attempt = Attempt::spawn(&client, submission, payload, answer);
+    let hint = attempt.hint();
     let until = entry.driver().clock().now() + submission.remaining;
-    begin(attempt, until).await
+    let begun = begin(attempt, until).await;
+    ticket.hint(hint.get());
+    begun
 }
 
 /// Fetches an answer that an agent keeps.
