--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -102,7 +102,7 @@
         medium: M,
     ) -> Result<Rc<Self>, Failure> {
         let member = super::member(settings, &clock, Role::Control);
-        let run = super::run(&member.vm);
+        let run = member.vm.run();
         let opened = Journal::open(medium, Id(run)).await;
         let (journal, recovered) = opened.map_err(|source| Failure::Journal { source })?;
         let setup = Setup {
--- a/crates/nutmegyoke-host/src/process/metrics.rs
+++ b/crates/nutmegyoke-host/src/process/metrics.rs
@@ -6,6 +6,8 @@
 use strum::IntoEnumIterator;
 
 use super::Failure;
+use super::attainment::Attainment;
+use super::load::Load;
 
 /// The metrics of one role; every role of a process shares its registry.
 #[derive(Clone, Debug)]
@@ -17,10 +19,16 @@
     pub refusals: IntCounterVec,
     /// Attempts repeated, by the reason of the failed one.
     pub retries: IntCounterVec,
+    /// Retries that the budget did not allow, by the reason of the failed attempt.
+    pub withheld: IntCounterVec,
     /// Chunks dropped as duplicate, out of order or foreign.
     pub dropped: IntCounterVec,
     /// The number of the configuration in force.
     pub configuration: IntGauge,
+    /// Requests in flight and queued.
+    pub load: Load,
+    /// Expectations of the plans.
+    pub attainment: Attainment,
 }
 
 impl Metrics {
@@ -53,17 +61,25 @@
             "nutmegyoke_retries_total",
             "Attempts repeated, by the reason of the failed one.",
         );
+        let withheld = opts(
+            "nutmegyoke_retries_withheld_total",
+            "Retries that the budget did not allow, by the reason of the failed attempt.",
+        );
         let metrics = Self {
             registry: registry.clone(),
             requests: IntCounter::with_opts(requests)?,
             refusals: by_reason(refusals)?,
             retries: by_reason(retries)?,
+            withheld: by_reason(withheld)?,
             dropped: IntCounterVec::new(dropped, &["cause"])?,
             configuration: IntGauge::with_opts(configuration)?,
+            load: Load::register(registry, labels)?,
+            attainment: Attainment::register(registry, labels)?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.withheld.clone()))?;
         registry.register(Box::new(metrics.dropped.clone()))?;
         registry.register(Box::new(metrics.configuration.clone()))?;
         Ok(metrics)
@@ -79,6 +95,11 @@
         self.retries.with_label_values(&[reason.name()]).inc();
     }
 
+    /// Counts a retry that the budget did not allow.
+    pub fn withheld(&self, reason: Reason) {
+        self.withheld.with_label_values(&[reason.name()]).inc();
+    }
+
     /// The text that a scrape receives.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
@@ -90,13 +111,16 @@
 }
 
 /// Tells apart the roles that share a registry.
-struct Labels<'a> {
+#[derive(Debug)]
+pub struct Labels<'a> {
     role: String,
     vm: &'a str,
 }
 
 impl Labels<'_> {
-    fn opts(&self, name: &str, help: &str) -> Opts {
+    /// The description of a metric of this role.
+    #[must_use]
+    pub fn opts(&self, name: &str, help: &str) -> Opts {
         let opts = Opts::new(name, help).const_label("role", &self.role);
         opts.const_label("vm", self.vm)
     }
--- a/crates/nutmegyoke-host/src/request/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/attempt.rs
@@ -1,15 +1,18 @@
 //! One attempt at a request: submits it to an agent and takes the answer.
 
+use std::cell::Cell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 
 use capnp::capability::Promise;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::future::poll_fn;
-use nutmegyoke_core::request::{Reason, Submission, Verdict};
+use nutmegyoke_core::request::{Id, Reason, Submission, Verdict};
 use nutmegyoke_wire::connection::link_capnp::{agent, answer};
-use nutmegyoke_wire::request::{Payload, submission, verdict};
+use nutmegyoke_wire::request::{Payload, id, submission, verdict};
 
 use super::answer::Part;
 
@@ -19,6 +22,7 @@
     parts: mpsc::Receiver<Part>,
     received: u64,
     end: Option<(Verdict, u64)>,
+    hint: Rc<Cell<Duration>>,
 }
 
 /// What an attempt yields.
@@ -45,20 +49,62 @@
         payload.write(params.reborrow().init_payload());
         params.set_answer(answer);
         let sent = request.send();
+        let hint = Rc::new(Cell::new(Duration::ZERO));
+        let told = Rc::clone(&hint);
         let result = Promise::from_future(async move {
             let response = sent.promise.await?;
             let results = response.get()?;
+            if !results.has_verdict() {
+                // An empty message reads as the first verdict, which is that it ran.
+                return Err(capnp::Error::failed("no verdict".to_owned()));
+            }
             let verdict = verdict::read(results.get_verdict()?)?;
+            told.set(Duration::from_millis(results.get_retry_after_ms()));
             Ok((verdict, results.get_chunks()))
         });
+        Self {
+            hint,
+            ..Self::open(result, parts)
+        }
+    }
+
+    /// Recalls the kept answer of request `id` from the agent behind `client`.
+    ///
+    /// An answer that is not kept ends as one that ran without parts.
+    #[must_use]
+    pub fn recall(
+        client: &agent::Client,
+        id: Id,
+        (answer, parts): (answer::Client, mpsc::Receiver<Part>),
+    ) -> Self {
+        let mut request = client.recall_request();
+        id::write(id, request.get().init_id());
+        request.get().set_answer(answer);
+        let sent = request.send();
+        let result = Promise::from_future(async move {
+            let response = sent.promise.await?;
+            Ok((Verdict::Ran, response.get()?.get_chunks()))
+        });
+        Self::open(result, parts)
+    }
+
+    fn open(result: Promise<(Verdict, u64), capnp::Error>, parts: mpsc::Receiver<Part>) -> Self {
         Self {
             result: Some(result),
             parts,
             received: 0,
             end: None,
+            hint: Rc::default(),
         }
     }
 
+    /// Where the agent's refusal leaves when another try may succeed; zero while
+    /// that is not known.
+    #[must_use]
+    pub fn hint(&self) -> Rc<Cell<Duration>> {
+        Rc::clone(&self.hint)
+    }
+
     /// Waits for the next part or the end.
     pub async fn next(&mut self) -> Step {
         if self.end.is_none()
--- a/crates/nutmegyoke-wire/schema/link.capnp
+++ b/crates/nutmegyoke-wire/schema/link.capnp
@@ -28,6 +28,10 @@
   once @6 :Bool;
   remainingMs @7 :UInt64;
   configuration @8 :UInt64;
+  incarnation @9 :UInt64;
+  keyed @10 :Bool;
+  firstTokenMs @11 :UInt64 = 0xffffffffffffffff;  # this value: none is expected
+  tokens @12 :UInt64;
 }
 
 # What the endpoint receives, passed on as the caller sent it.
@@ -53,8 +57,15 @@
 }
 
 interface Agent {
-  # Returns when the attempt ended; `chunks` is how many were sent.
-  submit @0 (submission :Submission, payload :Payload, answer :Answer) -> (verdict :Verdict, chunks :UInt64);
+  # Returns when the attempt ended; `chunks` is how many were sent, `load` the requests
+  # queued and running at the endpoint then.
+  submit @0 (submission :Submission, payload :Payload, answer :Answer) -> (verdict :Verdict, chunks :UInt64, load :UInt32, retryAfterMs :UInt64);
+
+  # Sends the kept answer to a keyed request that ran; `found` is whether it was still kept.
+  recall @1 (id :Id, answer :Answer) -> (found :Bool, chunks :UInt64);
+
+  # Withdraws an endpoint, or all when the name is empty; `known` tells whether there is such a one.
+  withdraw @2 (endpoint :Text, withdrawn :Bool) -> (known :Bool);
 }
 
 struct Vm {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod fleet;
+pub mod pair;
+pub mod replicas;
 
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -17,6 +19,7 @@
 /// A running daemon, killed when dropped.
 pub struct Daemon {
     child: Child,
+    ready: String,
 }
 
 /// A running demo of the whole fleet.
@@ -76,17 +79,28 @@
                 let _ = sender.send(line);
             }
         });
-        let daemon = Self { child };
+        let mut daemon = Self {
+            child,
+            ready: String::new(),
+        };
         loop {
             let line = lines
                 .recv_timeout(READY_TIMEOUT)
                 .expect("the daemon is ready");
             if line.contains(ready) {
+                daemon.ready = line;
                 return daemon;
             }
         }
     }
 
+    /// The incarnation that the line of its start names, as in `agent-1#INCARNATION listens`.
+    pub fn incarnation(&self) -> u64 {
+        let (_, rest) = self.ready.split_once('#').unwrap();
+        let (number, _) = rest.split_once(' ').unwrap();
+        number.parse().unwrap()
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         let id = self.child.id().to_string();
@@ -94,6 +108,12 @@
         assert!(status.success());
     }
 
+    /// Kills the process with no time to finish anything.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// Waits for the process to end and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child.wait().unwrap().code()
