Test the replica's rules at single messages where random faults miss them

Cause: mutations that the property test let pass in 300 to 400 cases: a learner that votes before it caught up, a commit of an earlier term's entry without one of the own term, a vote without the look at the log (the poll before it looks too).

Change: tests at the level of one message for the three rules, the votes as a table.

Conclusion: each of the three mutations now fails a test (run one by one).

--- a/crates/nutmegyoke-core/tests/replica.rs
+++ b/crates/nutmegyoke-core/tests/replica.rs
@@ -8,12 +8,16 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nutmegyoke_cases::cases;
+use nutmegyoke_core::process::Machine;
 use nutmegyoke_core::process::control::Acceptance;
 use nutmegyoke_core::process::control::claims::Wish;
-use nutmegyoke_core::process::control::replica::{Event, Replica, State};
+use nutmegyoke_core::process::control::replica::{
+    self, Body, Content, Entry, Event, Membership, Message, Peer, Position, Recovered, Replica,
+    Seed, Setup, State, Vote,
+};
 use nutmegyoke_core::process::control::store::{Change, Outcome, Store};
 use nutmegyoke_core::request::Id;
 use nutmegyoke_core::request::claim::{self, Name};
@@ -437,22 +441,169 @@
     apply(&mut simulation, 3);
 }
 
-/// A learner that can't write has not caught up, however long it listens.
+/// Tells the leader something in the name of the new replica `from`.
+fn tell(simulation: &mut Simulation<Store>, from: replica::Id, body: Body<Store>) {
+    let leader = simulation.leader().unwrap();
+    let message = Message {
+        from,
+        reply: simulation.address(0),
+        to: Some(simulation.vms[leader].id),
+        term: simulation.vms[leader].replica.as_ref().unwrap().term(),
+        body,
+    };
+    simulation.feed(leader, Event::Received { message: &message });
+    simulation.run(Duration::from_millis(100));
+}
+
 #[test]
 fn learner_votes_only_with_all_that_is_committed_on_its_disk() {
     let mut simulation = group(3);
     simulation.wipe(0);
-    simulation.vms[0].full = true;
-    simulation.start(0);
-    simulation.run(Duration::from_secs(10));
+    simulation.run(Duration::from_secs(5));
     let learner = simulation.vms[0].id;
-    assert!(simulation.membership.peer(learner).is_some(), "it joined");
-    assert!(!simulation.membership.votes(learner));
-    simulation.vms[0].full = false;
-    simulation.run(Duration::from_secs(10));
+    let seed = Seed {
+        name: "control-0".to_owned(),
+        address: simulation.address(0),
+    };
+    tell(&mut simulation, learner, Body::Join { seed });
+    let commit = *simulation.committed.keys().next_back().unwrap();
+    for matched in [0, 1, commit - 1] {
+        let stamp = 0;
+        tell(&mut simulation, learner, Body::Appended { matched, stamp });
+        assert!(simulation.membership.peer(learner).is_some(), "it joined");
+        assert!(
+            !simulation.membership.votes(learner),
+            "at {matched} of {commit}"
+        );
+    }
+    let matched = *simulation.committed.keys().next_back().unwrap();
+    let earlier = simulation.membership.voters().count();
+    for _ in 0..2 {
+        // First the earlier life of the disk leaves, then this one votes.
+        let stamp = 0;
+        tell(
+            &mut simulation,
+            learner,
+            Body::Appended {
+                matched: matched + 1,
+                stamp,
+            },
+        );
+    }
     assert!(simulation.membership.votes(learner));
+    assert_eq!(simulation.membership.voters().count(), earlier);
 }
 
+/// A replica of three that has an entry of term 2 which nobody committed.
+fn uncommitted() -> (Instant, Replica<Store>) {
+    let seed = |vm: u16| Seed {
+        name: format!("control-{vm}"),
+        address: ([127, 0, 0, 1], vm).into(),
+    };
+    let peers = (1..=3).map(|vm| Peer {
+        id: replica::Id(vm.into()),
+        seed: seed(vm),
+        voter: true,
+    });
+    let membership = Membership {
+        names: (1..=3).map(|vm| seed(vm).name).collect(),
+        peers: peers.collect(),
+    };
+    let entry = |term, index, content| Entry {
+        position: Position { term, index },
+        content,
+    };
+    let change = Change::Configure {
+        configuration: configuration(1),
+    };
+    let setup = Setup {
+        id: replica::Id(1),
+        seed: seed(1),
+        seeds: Vec::new(),
+        election: support::ELECTION,
+        random: 1,
+    };
+    let recovered = Recovered {
+        vote: Vote {
+            term: 2,
+            candidate: None,
+        },
+        snapshot: None,
+        entries: vec![
+            entry(1, 1, Content::Membership(membership)),
+            entry(2, 2, Content::Change(change)),
+        ],
+    };
+    let now = Instant::now();
+    (now, Replica::open(now, setup, recovered))
+}
+
+/// Feeds one event and reports every batch as synced.
+fn feed(replica: &mut Replica<Store>, now: Instant, event: Event<'_, Store>) -> Vec<Body<Store>> {
+    let mut out = Vec::new();
+    replica.handle(now, event, &mut out);
+    let mut sent = Vec::new();
+    while !out.is_empty() {
+        for command in std::mem::take(&mut out) {
+            match command {
+                replica::Command::Send { message, .. } => sent.push(message.body),
+                replica::Command::Persist { batch } => {
+                    let ticket = batch.ticket;
+                    replica.handle(now, Event::Synced { ticket }, &mut out);
+                }
+                _ => {}
+            }
+        }
+    }
+    sent
+}
+
+fn from_second(term: u64, body: Body<Store>) -> Message<Store> {
+    Message {
+        from: replica::Id(2),
+        reply: ([127, 0, 0, 1], 2).into(),
+        to: None,
+        term,
+        body,
+    }
+}
+
+#[test]
+fn entry_of_an_earlier_term_is_committed_only_with_one_of_the_own_term() {
+    let (start, mut replica) = uncommitted();
+    let now = start + 3 * support::ELECTION;
+    feed(&mut replica, now, Event::Ticked);
+    for body in [Body::Polled { granted: true }, Body::Voted] {
+        let message = from_second(replica.term(), body);
+        feed(&mut replica, now, Event::Received { message: &message });
+    }
+    assert!(replica.leads());
+    for (matched, commit) in [(2, 0), (3, 3)] {
+        let stamp = 0;
+        let message = from_second(replica.term(), Body::Appended { matched, stamp });
+        feed(&mut replica, now, Event::Received { message: &message });
+        assert_eq!(replica.commit(), commit);
+    }
+}
+
+fn votes(term: u64, last: Position, expected: bool) {
+    let (start, mut replica) = uncommitted();
+    let forced = true;
+    let message = from_second(term, Body::Solicit { last, forced });
+    let sent = feed(&mut replica, start, Event::Received { message: &message });
+    let voted = sent.iter().any(|body| matches!(body, Body::Voted));
+    assert_eq!(voted, expected);
+}
+
+cases!(votes {
+    same_log: (3, Position { term: 2, index: 2 }, true),
+    longer_log: (3, Position { term: 2, index: 9 }, true),
+    later_term_of_a_shorter_log: (4, Position { term: 3, index: 1 }, true),
+    shorter_log: (3, Position { term: 2, index: 1 }, false),
+    earlier_term_of_a_longer_log: (3, Position { term: 1, index: 9 }, false),
+    term_that_is_over: (1, Position { term: 2, index: 9 }, false),
+});
+
 #[test]
 fn apply_outcomes_of_the_state() {
     let mut store = Store::default();
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -117,6 +117,11 @@
         simulation
     }
 
+    /// Where a VM is reached.
+    pub fn address(&self, vm: usize) -> SocketAddr {
+        self.seeds[vm].address
+    }
+
     /// Starts a VM's process with what its disk holds.
     pub fn start(&mut self, vm: usize) {
         if self.vms[vm].replica.is_some() {
