Property test: under any order of faults nothing runs twice, no NotRun is false

Cause: a table of faults covers the orders that someone thought of. The first run of the property found one nobody had: an agent that refused a submission (stale configuration, full queue) did not remember it. A copy of it that arrived once the cause was gone, or before the refusal had reached the entry, ran beside the entry's next attempt.

The agent lets each submission pass once, refused or not, before it looks at anything else.

--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -96,10 +96,12 @@
     where
         S: Sink<Command = Command>,
     {
-        if let Err(reason) = self.check(submission) {
+        if let Err(reason) = self
+            .recognise(submission)
+            .and_then(|()| self.check(submission))
+        {
             return out.push(Command::Refuse { call, reason });
         }
-        self.seen.insert(submission.id, submission.attempt);
         self.calls.insert(
             call,
             Call {
@@ -113,19 +115,26 @@
         self.start(&submission.endpoint, out);
     }
 
-    fn check(&self, submission: &Submission) -> Result<(), Reason> {
+    /// Lets each submission pass once, also one that is refused then: a copy of it may
+    /// arrive when the cause of the refusal is gone and the entry has tried elsewhere.
+    fn recognise(&mut self, submission: &Submission) -> Result<(), Reason> {
         if submission.incarnation != self.incarnation {
             return Err(Reason::Restarted);
         }
+        if self.seen.contains(submission.id, submission.attempt) {
+            return Err(Reason::Duplicate);
+        }
+        self.seen.insert(submission.id, submission.attempt);
+        Ok(())
+    }
+
+    fn check(&self, submission: &Submission) -> Result<(), Reason> {
         if self.draining {
             return Err(Reason::Draining);
         }
         if submission.configuration < self.configuration.number() {
             return Err(Reason::StaleConfiguration);
         }
-        if self.seen.contains(submission.id, submission.attempt) {
-            return Err(Reason::Duplicate);
-        }
         let backend = self.endpoints.get(&submission.endpoint);
         let backend = backend.ok_or(Reason::NotHeld)?;
         if !backend.endpoint.serves(submission.destination.target()) {
--- /dev/null
+++ b/crates/nutmegyoke-core/tests/network/bed.rs
@@ -0,0 +1,151 @@
+//! The fleet that the world is about: names, addresses, lists.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nutmegyoke_core::process::agent::Event as AgentEvent;
+use nutmegyoke_core::process::directory::{Delta, Mark};
+use nutmegyoke_core::process::endpoint::{Holding, Phase};
+use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::process::news::News;
+use nutmegyoke_core::process::{Agent, Endpoint, Entry, Machine, Member, Vm};
+use nutmegyoke_core::request::Submission;
+use nutmegyoke_core::version::configuration::Lists;
+use nutmegyoke_core::version::grant::{Call, Item, Repeat};
+use nutmegyoke_core::version::{Configuration, Grant, Plan};
+
+/// Entries in the fleet.
+pub const ENTRIES: usize = 2;
+
+/// Agents in the fleet.
+pub const AGENTS: usize = 2;
+
+/// What the processes are told of the fleet.
+pub struct Bed {
+    incarnations: [u64; AGENTS],
+    number: u64,
+    revision: u64,
+}
+
+impl Bed {
+    /// Opens a fleet whose processes run for the first time.
+    pub fn open() -> Self {
+        Self {
+            incarnations: std::array::from_fn(|agent| (AGENTS + agent) as u64),
+            number: 1,
+            revision: 1,
+        }
+    }
+
+    /// Opens an entry.
+    pub fn entry(run: u64) -> Entry {
+        Entry::open(run, &"alp-a".into(), run)
+    }
+
+    /// Opens the current run of an agent, with its endpoint announced.
+    pub fn agent(&self, agent: usize) -> Agent {
+        let mut machine = Agent::open(self.incarnations[agent]);
+        let endpoint = endpoint();
+        let announced = AgentEvent::Announced {
+            endpoint: &endpoint,
+            address: address(agent),
+        };
+        machine.handle(Instant::now(), announced, &mut Vec::new());
+        machine
+    }
+
+    /// The agent that a submission is addressed to, told by its incarnation.
+    pub fn agent_of(submission: &Submission) -> usize {
+        usize::try_from(submission.incarnation).unwrap() % AGENTS
+    }
+
+    /// Lets an agent have restarted.
+    pub fn restart(&mut self, agent: usize) {
+        self.incarnations[agent] += AGENTS as u64;
+        self.revision += 1;
+    }
+
+    /// Raises the number of the configuration.
+    pub fn raise(&mut self) {
+        self.number += 1;
+    }
+
+    /// What control teaches now.
+    pub fn news(&self) -> News {
+        News {
+            configuration: Some(configuration(self.number)),
+            directory: Delta {
+                mark: Mark {
+                    epoch: 1,
+                    revision: self.revision,
+                },
+                snapshot: true,
+                members: (0..AGENTS).map(|agent| self.member(agent)).collect(),
+                gone: Vec::new(),
+            },
+        }
+    }
+
+    fn member(&self, agent: usize) -> Member {
+        Member {
+            vm: Vm {
+                name: format!("vm-{agent}"),
+                incarnation: self.incarnations[agent],
+            },
+            role: Role::Agent,
+            data_centre: "alp-a".into(),
+            address: address(agent),
+            endpoints: vec![endpoint()],
+            configuration: self.number,
+        }
+    }
+}
+
+fn address(agent: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 1000 + u16::try_from(agent).unwrap()))
+}
+
+fn endpoint() -> Endpoint {
+    Endpoint {
+        name: "desk".to_owned(),
+        holding: Holding::Service {
+            service: "desk".into(),
+        },
+        slots: 2,
+        phase: Phase::Ready,
+    }
+}
+
+fn configuration(number: u64) -> Rc<Configuration> {
+    let plan = Plan {
+        name: "plan".to_owned(),
+        customer: "trader".into(),
+        key: "key".to_owned(),
+        requests_per_second: 1_000_000,
+        concurrency: 1_000_000,
+        tokens_per_minute: 1_000_000_000,
+        priority: 5,
+        first_token: Duration::from_secs(1),
+        between_tokens: Duration::from_millis(50),
+        deadline: Duration::from_secs(3),
+    };
+    let call = Call {
+        method: "POST".to_owned(),
+        prefix: "/bookings".to_owned(),
+        repeat: Repeat::Once,
+    };
+    let grant = Grant {
+        item: Item::Service {
+            name: "desk".into(),
+            calls: vec![call],
+        },
+        plans: vec![plan.name.clone()],
+    };
+    Configuration::open(Lists {
+        number,
+        plans: vec![plan],
+        grants: vec![grant],
+    })
+    .unwrap()
+}
