Drain in every role, of one endpoint, with a limit; say what is cut off

Cause: an agent kept its queue while it drained and left as soon as nothing ran, so that an entry which had just submitted could not tell whether its request ran; an entry left before its last answers were on the wire and kept idle connections; nothing bounded a drain; an endpoint could not drain alone.

An entry ends its connections with the answer in progress and waits for them. An endpoint drains by its own announcement or by nutmegyoke drain --vm NAME [--endpoint NAME] [--undo], which control passes to the agent.

--- a/crates/nutmegyoke-host/src/connection/http.rs
+++ b/crates/nutmegyoke-host/src/connection/http.rs
@@ -7,6 +7,8 @@
 
 use compio::net::TcpStream;
 use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,6 +27,12 @@
 
     /// Whether connections shall be closed after the answer in progress.
     fn closing(&self) -> bool;
+
+    /// Resolves when connections shall be closed: idle ones at once, others after
+    /// the answer in progress.
+    fn closed(&self) -> impl Future<Output = ()> {
+        std::future::pending()
+    }
 }
 
 /// Serves requests on `stream` until either side closes it.
@@ -42,11 +50,19 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(HEADER_TIMEOUT)
-        .serve_connection(HyperStream::new_plain(stream), service)
-        .await;
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let closed = handler.closed();
+    pin_mut!(connection, closed);
+    let served = match select(connection.as_mut(), closed).await {
+        Either::Left((served, _)) => served,
+        Either::Right(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         let why = error.to_string();
         Event::ConnectionFailed { peer, why: &why }.log();
--- a/crates/nutmegyoke-host/src/connection/listener.rs
+++ b/crates/nutmegyoke-host/src/connection/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts TCP connections until it is closed.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +20,7 @@
 pub struct Listener {
     address: SocketAddr,
     close: RefCell<Option<oneshot::Sender<()>>>,
+    connections: Rc<Cell<usize>>,
 }
 
 /// Serves one accepted connection.
@@ -47,10 +48,13 @@
         let listener = TcpListener::bind(address).await.map_err(failure)?;
         let address = listener.local_addr().map_err(failure)?;
         let (close, closed) = oneshot::channel();
-        compio::runtime::spawn(accept(listener, service, closed)).detach();
+        let connections = Rc::new(Cell::new(0));
+        let counter = Rc::clone(&connections);
+        compio::runtime::spawn(accept(listener, service, closed, counter)).detach();
         Ok(Self {
             address,
             close: RefCell::new(Some(close)),
+            connections,
         })
     }
 
@@ -60,16 +64,43 @@
         self.address
     }
 
+    /// Connections that are open now.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
     /// Accepts no further connection; those accepted go on.
     pub fn close(&self) {
         self.close.borrow_mut().take();
     }
 }
 
+/// An open connection in the counter; dropping it takes it out.
+struct Open {
+    connections: Rc<Cell<usize>>,
+}
+
+impl Open {
+    fn count(connections: &Rc<Cell<usize>>) -> Self {
+        connections.set(connections.get() + 1);
+        Self {
+            connections: Rc::clone(connections),
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.connections.set(self.connections.get() - 1);
+    }
+}
+
 async fn accept<S: Serve + 'static>(
     listener: TcpListener,
     service: Rc<S>,
     mut closed: oneshot::Receiver<()>,
+    connections: Rc<Cell<usize>>,
 ) {
     loop {
         let next = listener.accept();
@@ -79,7 +110,12 @@
                 // Small messages must not wait for an acknowledgement.
                 let _ = stream.set_nodelay(true);
                 let service = Rc::clone(&service);
-                compio::runtime::spawn(service.serve(stream, peer)).detach();
+                let open = Open::count(&connections);
+                compio::runtime::spawn(async move {
+                    service.serve(stream, peer).await;
+                    drop(open);
+                })
+                .detach();
             }
             // Out of file descriptors, or the peer left at once: go on after a pause.
             Either::Left((Err(_), _)) => compio::time::sleep(PAUSE).await,
--- a/crates/nutmegyoke-host/src/connection/mod.rs
+++ b/crates/nutmegyoke-host/src/connection/mod.rs
@@ -1,9 +1,11 @@
 //! What lives as long as one connection.
 
 pub mod http;
+pub mod latch;
 pub mod link;
 pub mod listener;
 pub mod pool;
 
+pub use latch::Latch;
 pub use listener::Listener;
 pub use pool::Pool;
--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use compio::net::TcpStream;
 use http_body_util::{BodyExt, Limited};
@@ -32,6 +33,13 @@
 /// The longest announcement of an endpoint, in bytes.
 const ANNOUNCEMENT_BYTES: usize = 256 * 1024;
 
+/// How long it takes until each entry has heard of a change: its own heartbeat
+/// and the agent's.
+const ANNOUNCED: Duration = Duration::from_millis(2500);
+
+/// How long the last verdicts take to the entries' connections.
+const FLUSHED: Duration = Duration::from_millis(200);
+
 /// A running agent.
 pub struct Agent<C: Clock + 'static> {
     driver: Rc<Driver<decision::Agent, C>>,
@@ -102,7 +110,29 @@
     pub async fn drain(&self) {
         self.driver.feed(Input::Drained);
         self.hurry();
-        super::drained(|| self.driver.machine().in_flight()).await;
+        super::drained(|| self.in_flight()).await;
+    }
+
+    /// As [`Agent::drain`], and waits until every entry knows that this agent
+    /// leaves and has the verdicts of its requests.
+    ///
+    /// An entry that submitted to a process which is gone could not tell whether
+    /// the request ran.
+    pub async fn leave(&self) {
+        let announced = compio::time::sleep(ANNOUNCED);
+        futures_util::join!(self.drain(), announced);
+        loop {
+            compio::time::sleep(FLUSHED).await;
+            if self.in_flight() == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Requests queued or running.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.driver.machine().in_flight()
     }
 
     fn hurry(&self) {
--- a/crates/nutmegyoke-host/src/process/control.rs
+++ b/crates/nutmegyoke-host/src/process/control.rs
@@ -16,7 +16,7 @@
 use nutmegyoke_core::request::claim;
 use nutmegyoke_core::version::Configuration;
 use nutmegyoke_wire::connection::link::text;
-use nutmegyoke_wire::connection::link_capnp::control;
+use nutmegyoke_wire::connection::link_capnp::{agent, control};
 use nutmegyoke_wire::process::{Settings, Status, member, news};
 use nutmegyoke_wire::request as wire;
 use nutmegyoke_wire::version::json;
@@ -24,9 +24,9 @@
 
 use super::driver::Addressed;
 use super::operators::{self, Operators, respond};
-use super::{Driver, Event, Failure, Metrics};
+use super::{Driver, Event, Failure, Metrics, withdrawal};
 use crate::connection::listener::Serve;
-use crate::connection::{Listener, link};
+use crate::connection::{Latch, Listener, Pool, link};
 use crate::request::Body;
 
 /// The longest configuration, in bytes of JSON.
@@ -38,6 +38,8 @@
     metrics: Metrics,
     member: Member,
     listeners: OnceCell<[Listener; 2]>,
+    closing: Latch,
+    agents: Rc<Pool<agent::Client>>,
 }
 
 impl Addressed for Command {
@@ -70,6 +72,8 @@
             metrics: Metrics::open(registry, &member)?,
             member,
             listeners: OnceCell::new(),
+            closing: Latch::default(),
+            agents: Rc::default(),
         });
         let listener = Listener::bind(settings.listen, "listen", Rc::clone(&control)).await?;
         let operators = Operators::open(&control);
@@ -93,6 +97,20 @@
         }
     }
 
+    /// Takes nothing new, and waits until the operators' requests are answered.
+    pub async fn drain(&self) {
+        self.close();
+        self.closing.open();
+        super::drained(|| self.in_flight()).await;
+    }
+
+    /// Connections of operators that are open.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        let operators = self.listeners.get().map(|[_, operators]| operators);
+        operators.map_or(0, Listener::connections)
+    }
+
     /// Submits a configuration.
     pub async fn apply(&self, configuration: &Rc<Configuration>) -> Option<Acceptance> {
         let mut mailbox = self.driver.open();
@@ -274,9 +292,20 @@
         true
     }
 
+    fn closed(&self) -> impl Future<Output = ()> {
+        self.closing.opened()
+    }
+
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/configuration") => Some(self.take(request).await),
+            (&Method::POST, "/v1/withdrawal") => {
+                let member = |name: &str| {
+                    let machine = self.driver.machine();
+                    machine.directory().member(name).cloned()
+                };
+                Some(withdrawal::take(request, &self.agents, member).await)
+            }
             (&Method::GET, "/v1/status") => Some(self.status()),
             _ => None,
         }
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -23,10 +23,10 @@
 use super::driver::Addressed;
 use super::heartbeat::{Heartbeat, Learner};
 use super::operators::{self, Operators};
-use super::{Driver, Event, Failure, Metrics};
+use super::{Driver, Failure, Metrics};
 use crate::connection::http::{self, Handler};
 use crate::connection::listener::Serve;
-use crate::connection::{Listener, Pool};
+use crate::connection::{Latch, Listener, Pool};
 use crate::request::{Body, caller};
 
 /// A running entry.
@@ -38,6 +38,7 @@
     member: Member,
     heartbeat: OnceCell<Heartbeat>,
     listeners: OnceCell<[Listener; 2]>,
+    closing: Latch,
 }
 
 impl Addressed for Command {
@@ -73,6 +74,7 @@
             member,
             heartbeat: OnceCell::new(),
             listeners: OnceCell::new(),
+            closing: Latch::default(),
         });
         let callers = Listener::bind(own.callers, "callers", Rc::clone(&entry)).await?;
         let operators = Operators::open(&entry);
@@ -120,13 +122,23 @@
         self.body_bytes
     }
 
-    /// Takes nothing new and waits until nothing is in flight.
+    /// Requests in flight and connections whose last answer is not sent yet.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        let callers = self.listeners.get().map(|[callers, _]| callers);
+        let connections = callers.map_or(0, Listener::connections);
+        self.driver.machine().in_flight().max(connections)
+    }
+
+    /// Takes nothing new, closes connections after the answer in progress and
+    /// waits until nothing is in flight.
     pub async fn drain(&self) {
         self.driver.feed(Input::Drained);
         if let Some([callers, _]) = self.listeners.get() {
             callers.close();
         }
-        super::drained(|| self.driver.machine().in_flight()).await;
+        self.closing.open();
+        super::drained(|| self.in_flight()).await;
     }
 }
 
@@ -162,6 +174,10 @@
     fn closing(&self) -> bool {
         !self.driver.machine().ready()
     }
+
+    fn closed(&self) -> impl Future<Output = ()> {
+        self.closing.opened()
+    }
 }
 
 impl<C: Clock + 'static> Learner for Entry<C> {
@@ -199,9 +215,3 @@
         None
     }
 }
-
-impl<C: Clock + 'static> Drop for Entry<C> {
-    fn drop(&mut self) {
-        Event::Stopped.log();
-    }
-}
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -11,7 +11,9 @@
 pub mod load;
 pub mod metrics;
 pub mod operators;
+pub mod shutdown;
 pub mod signal;
+pub mod withdrawal;
 
 pub use agent::Agent;
 pub use control::Control;
--- a/crates/nutmegyoke-host/src/process/operators.rs
+++ b/crates/nutmegyoke-host/src/process/operators.rs
@@ -19,6 +19,10 @@
     fn metrics(&self) -> &Metrics;
     /// Whether the process can do its work.
     fn ready(&self) -> bool;
+    /// Resolves when the process leaves and connections shall be closed.
+    fn closed(&self) -> impl Future<Output = ()> {
+        std::future::pending()
+    }
     /// Answers a path that is particular to the role; `None` if there is no such path.
     fn answer(
         self: Rc<Self>,
@@ -76,6 +80,10 @@
     fn closing(&self) -> bool {
         false
     }
+
+    fn closed(&self) -> impl Future<Output = ()> {
+        self.role.closed()
+    }
 }
 
 /// Builds a response.
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/withdrawal.rs
@@ -0,0 +1,93 @@
+//! Passes an operator's withdrawal of endpoints on to their agent.
+//!
+//! The agent has the authority over its endpoints, so it decides and remembers;
+//! a restarted agent offers its endpoints again.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use nutmegyoke_core::process::Member;
+use nutmegyoke_core::process::member::Role;
+use nutmegyoke_wire::connection::link_capnp::agent;
+use nutmegyoke_wire::process::Withdrawal;
+
+use super::operators::respond;
+use crate::connection::Pool;
+use crate::request::Body;
+
+/// The longest withdrawal, in bytes of JSON.
+const WITHDRAWAL_BYTES: usize = 64 * 1024;
+
+/// How long an agent may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why an agent did not answer.
+#[derive(Debug, Display, Error, From)]
+enum Failure {
+    #[display("cannot connect: {_0}")]
+    Dial(io::Error),
+    #[display("call failed: {_0}")]
+    Call(capnp::Error),
+    #[display("no answer in time")]
+    Timeout(compio::time::Elapsed),
+}
+
+/// Answers an operator; `member` looks a VM up.
+pub async fn take(
+    request: Request<Incoming>,
+    agents: &Rc<Pool<agent::Client>>,
+    member: impl Fn(&str) -> Option<Member>,
+) -> Response<Body> {
+    let body = Limited::new(request.into_body(), WITHDRAWAL_BYTES);
+    let Ok(body) = body.collect().await else {
+        return answer(StatusCode::BAD_REQUEST, "the body broke off or is too long");
+    };
+    let withdrawal = match Withdrawal::decode(&body.to_bytes()) {
+        Ok(withdrawal) => withdrawal,
+        Err(error) => return answer(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let vm = &withdrawal.vm;
+    let Some(member) = member(vm) else {
+        let why = format!("no VM `{vm}` is listed: look at `nutmegyoke status`");
+        return answer(StatusCode::NOT_FOUND, &why);
+    };
+    if member.role != Role::Agent {
+        let why = format!("`{vm}` is no agent: send SIGTERM to its process to stop it gracefully");
+        return answer(StatusCode::CONFLICT, &why);
+    }
+    match pass(agents, &member, &withdrawal).await {
+        Ok(true) => answer(StatusCode::OK, "done"),
+        Ok(false) => {
+            let why = format!("`{vm}` has no such endpoint: look at `nutmegyoke status --json`");
+            answer(StatusCode::NOT_FOUND, &why)
+        }
+        Err(failure) => {
+            let why = format!("the agent on `{vm}`: {failure}; send it again");
+            answer(StatusCode::BAD_GATEWAY, &why)
+        }
+    }
+}
+
+/// Returns whether the agent has such an endpoint.
+async fn pass(
+    agents: &Rc<Pool<agent::Client>>,
+    member: &Member,
+    withdrawal: &Withdrawal,
+) -> Result<bool, Failure> {
+    let client = agents.get(member.address).await?;
+    let mut request = client.withdraw_request();
+    let mut params = request.get();
+    params.set_endpoint(withdrawal.endpoint.as_deref().unwrap_or(""));
+    params.set_withdrawn(withdrawal.withdrawn);
+    let response = compio::time::timeout(TIMEOUT, request.send().promise).await??;
+    Ok(response.get()?.get_known())
+}
+
+fn answer(status: StatusCode, text: &str) -> Response<Body> {
+    respond(status, "text/plain", text.as_bytes().to_vec())
+}
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -7,7 +7,9 @@
 pub mod news;
 pub mod settings;
 pub mod status;
+pub mod withdrawal;
 
 pub use announcement::Announcement;
 pub use settings::Settings;
 pub use status::Status;
+pub use withdrawal::Withdrawal;
--- a/crates/nutmegyoke-wire/src/process/settings.rs
+++ b/crates/nutmegyoke-wire/src/process/settings.rs
@@ -13,6 +13,7 @@
 //! ```
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use nutmegyoke_core::process::DataCentre;
 use nutmegyoke_core::process::member::Role;
@@ -37,6 +38,9 @@
     pub operators: SocketAddr,
     /// The control processes.
     pub control: Vec<SocketAddr>,
+    /// How long a stopping process may take to finish what is in flight; `None`
+    /// sets no limit.
+    pub drain_limit: Option<Duration>,
     /// The settings of the role.
     pub own: Own,
 }
@@ -92,6 +96,9 @@
             listen,
             operators: process.required("operators", ADDRESS)?,
             control,
+            drain_limit: process
+                .optional("drain-limit-s", "a number of seconds")?
+                .map(Duration::from_secs),
             own,
         };
         process.finish()?;
--- a/src/bin/nutmegyoke/commands/mod.rs
+++ b/src/bin/nutmegyoke/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod drain;
 mod status;
 
 use clap::Subcommand;
@@ -13,6 +14,7 @@
 pub enum Command {
     Check(check::Check),
     Apply(apply::Apply),
+    Drain(drain::Drain),
     Status(status::Status),
 }
 
@@ -22,6 +24,7 @@
         match self {
             Self::Check(command) => command.run(),
             Self::Apply(command) => command.run(),
+            Self::Drain(command) => command.run(),
             Self::Status(command) => command.run(),
         }
     }
--- a/src/bin/nutmegyoke/commands/status.rs
+++ b/src/bin/nutmegyoke/commands/status.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use clap::Args;
+use nutmegyoke_core::process::endpoint::Phase;
 use nutmegyoke_wire::process;
 
 use crate::operators::{self, Failure};
@@ -40,13 +41,18 @@
             status.number, status.digest
         );
         for member in &status.members {
+            let draining = member
+                .endpoints
+                .iter()
+                .filter(|row| row.phase == Phase::Draining);
             println!(
-                "{:<12} {:<20} {:<8} configuration {:<6} {} endpoints",
+                "{:<12} {:<20} {:<8} configuration {:<6} {} endpoints, {} draining",
                 member.data_centre.as_str(),
                 member.vm.name,
                 member.role.to_string(),
                 member.configuration,
-                member.endpoints.len()
+                member.endpoints.len(),
+                draining.count()
             );
         }
         Ok(())
--- a/src/bin/nutmegyoked/demo.rs
+++ b/src/bin/nutmegyoked/demo.rs
@@ -8,7 +8,7 @@
 use nutmegyoke_core::process::endpoint::Target;
 use nutmegyoke_core::version::Configuration;
 use nutmegyoke_core::version::configuration::Lists;
-use nutmegyoke_host::process::{Agent, Control, Entry, signal};
+use nutmegyoke_host::process::{Agent, Control, Entry, shutdown};
 use nutmegyoke_standin::engine::Behaviour;
 use nutmegyoke_standin::{Desk, Engine, announcer};
 use nutmegyoke_wire::process::settings::Own;
@@ -16,7 +16,7 @@
 use nutmegyoke_wire::version::ini;
 use prometheus::Registry;
 
-use super::run::Failure;
+use super::run::{self, Failure};
 
 /// The demo's plans list.
 const PLANS: &str = include_str!("../../../examples/demo/plans.ini");
@@ -79,13 +79,15 @@
         compio::time::sleep(READY_PERIOD).await;
     }
     print(entry.callers().unwrap_or(callers), operators);
-    signal::stop().await?;
-    entry.drain().await;
-    first.drain().await;
-    second.drain().await;
-    control.close();
+    let drain = async {
+        entry.drain().await;
+        first.drain().await;
+        second.drain().await;
+        control.close();
+    };
+    let stop = shutdown::run(None, || entry.in_flight(), drain).await?;
     drop(engines);
-    Ok(())
+    run::finish(stop)
 }
 
 fn configuration() -> Result<Rc<Configuration>, Failure> {
@@ -118,6 +120,7 @@
         listen: ANY,
         operators,
         control: control.to_vec(),
+        drain_limit: None,
         own,
     }
 }
--- a/src/bin/nutmegyoked/main.rs
+++ b/src/bin/nutmegyoked/main.rs
@@ -5,7 +5,8 @@
 //! role and small stand-in endpoints in one process.
 //!
 //! Exit codes: 0 after a graceful stop, 1 when the process can't start, 2 when
-//! the command line or the settings are wrong.
+//! the command line or the settings are wrong, 3 when it stopped before it was
+//! idle and cut off requests.
 
 mod demo;
 mod run;
@@ -39,6 +40,7 @@
 
 const EXIT_START: u8 = 1;
 const EXIT_USAGE: u8 = 2;
+const EXIT_CUT_OFF: u8 = 3;
 
 fn main() -> ExitCode {
     let options = Options::parse();
--- a/src/bin/nutmegyoked/run.rs
+++ b/src/bin/nutmegyoked/run.rs
@@ -5,12 +5,13 @@
 
 use derive_more::{Display, Error, From};
 use nutmegyoke_core::process::clock::System;
-use nutmegyoke_host::process::{self, Agent, Control, Entry, signal};
+use nutmegyoke_host::process::shutdown::{self, Stop};
+use nutmegyoke_host::process::{self, Agent, Control, Entry};
 use nutmegyoke_wire::process::settings::Own;
 use nutmegyoke_wire::process::{Settings, ini};
 use prometheus::Registry;
 
-use super::{EXIT_START, EXIT_USAGE};
+use super::{EXIT_CUT_OFF, EXIT_START, EXIT_USAGE};
 
 /// Why the daemon ends with an error.
 #[derive(Debug, Display, Error, From)]
@@ -28,6 +29,10 @@
     /// The signal handlers can't be installed.
     #[display("cannot wait for signals: {_0}")]
     Signal(io::Error),
+    /// The process stopped before it was idle.
+    #[display("stopped before it was idle: {cut_off} requests cut off")]
+    #[from(ignore)]
+    CutOff { cut_off: usize },
 }
 
 impl Failure {
@@ -36,6 +41,7 @@
         match self {
             Self::Read { .. } | Self::Settings(_) => EXIT_USAGE,
             Self::Start(_) | Self::Signal(_) => EXIT_START,
+            Self::CutOff { .. } => EXIT_CUT_OFF,
         }
     }
 }
@@ -52,22 +58,27 @@
     })?;
     let settings = Settings::parse(&path.display().to_string(), &text)?;
     let registry = Registry::new();
+    let limit = settings.drain_limit;
     match &settings.own {
         Own::Entry(own) => {
             let entry = Entry::spawn(&settings, own, System, &registry).await?;
-            signal::stop().await?;
-            entry.drain().await;
+            finish(shutdown::run(limit, || entry.in_flight(), entry.drain()).await?)
         }
         Own::Agent => {
             let agent = Agent::spawn(&settings, System, &registry).await?;
-            signal::stop().await?;
-            agent.drain().await;
+            finish(shutdown::run(limit, || agent.in_flight(), agent.leave()).await?)
         }
         Own::Control => {
             let control = Control::spawn(&settings, System, &registry).await?;
-            signal::stop().await?;
-            control.close();
+            finish(shutdown::run(limit, || control.in_flight(), control.drain()).await?)
         }
     }
-    Ok(())
+}
+
+/// Turns the way a process stopped into its result.
+pub fn finish(stop: Stop) -> Result<(), Failure> {
+    match stop {
+        Stop::Graceful => Ok(()),
+        Stop::CutOff { cut_off } => Err(Failure::CutOff { cut_off }),
+    }
 }
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -22,6 +22,7 @@
     pub agent: Daemon,
     /// The entry.
     pub entry: Daemon,
+    control_listen: SocketAddr,
 }
 
 impl Fleet {
@@ -51,9 +52,29 @@
             control: control_process,
             agent,
             entry,
+            control_listen: control,
         }
     }
 
+    /// Spawns one more agent, with lines added to its settings; returns where
+    /// endpoints announce themselves to it.
+    pub fn add_agent(&self, name: &str, more: &str) -> (Daemon, SocketAddr) {
+        let (announce, listen) = (free_address(), free_address());
+        let text = format!(
+            "[process]\nrole = agent\nname = {name}\ndata-centre = alp-a\n\
+             operators = {announce}\nlisten = {listen}\ncontrol = {}\n{more}",
+            self.control_listen
+        );
+        (spawn(&self.folder, name, &text), announce)
+    }
+
+    /// Runs the command-line tool against the control process.
+    pub fn tool(&self, verb: &str, options: &[&str]) -> std::process::Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegyoke"));
+        command.args([verb, "--control", &self.operators.to_string()]);
+        command.args(options).output().unwrap()
+    }
+
     /// Applies the demo's lists under `number` with the command-line tool.
     pub fn apply(&self, number: u64) -> std::process::Output {
         let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegyoke"));
