--- a/crates/nutmegyoke-core/src/process/control/replica/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/event.rs
@@ -34,6 +34,16 @@
     pub entries: Vec<Entry<S::Change>>,
 }
 
+impl<S: State> Default for Recovered<S> {
+    fn default() -> Self {
+        Self {
+            vote: Vote::default(),
+            snapshot: None,
+            entries: Vec::new(),
+        }
+    }
+}
+
 /// The term and the vote given in it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Vote {
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -21,6 +21,7 @@
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::{Clock, Member};
 use nutmegyoke_core::version::Configuration;
+use nutmegyoke_wire::connection::link_capnp::agent;
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::process::{Settings, Status, settings, status};
 use nutmegyoke_wire::version::json;
@@ -31,14 +32,11 @@
 use super::journal::medium::Memory;
 use super::journal::{self, Folder, Journal, Medium};
 use super::operators::{self, Operators, respond};
-use super::{Driver, Event, Failure, Metrics};
+use super::{Driver, Event, Failure, Metrics, withdrawal};
 use crate::connection::listener::Serve;
-use crate::connection::{Listener, Pool, link};
+use crate::connection::{Latch, Listener, Pool, link};
 use crate::request::Body;
 
-/// How long a stopping process waits for its calls in flight.
-const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// How long the message that hands leadership over has to leave.
 const HAND_OVER: Duration = Duration::from_millis(100);
 
@@ -58,6 +56,8 @@
     pending: Cell<usize>,
     failed: RefCell<Option<oneshot::Receiver<journal::Failure>>>,
     listeners: OnceCell<[Listener; 2]>,
+    closing: Latch,
+    agents: Rc<Pool<agent::Client>>,
 }
 
 impl Addressed for Command {
@@ -126,6 +126,8 @@
             pending: Cell::new(0),
             failed: RefCell::new(Some(failed)),
             listeners: OnceCell::new(),
+            closing: Latch::default(),
+            agents: Rc::default(),
         });
         let listener = Listener::bind(settings.listen, "listen", Rc::clone(&control)).await?;
         let operators = Operators::open(&control);
@@ -166,17 +168,22 @@
         std::future::pending().await
     }
 
-    /// Hands leadership over, lets calls in flight end, and stops.
+    /// Hands leadership over, takes nothing new, and waits until what is in
+    /// flight has ended.
     pub async fn drain(&self) {
         self.driver.feed(Input::Resigned);
-        let leaving = compio::time::timeout(LEAVE_TIMEOUT, async {
-            // The message that hands over has to leave first.
-            compio::time::sleep(HAND_OVER).await;
-            super::drained(|| self.pending.get()).await;
-        });
-        let _ = leaving.await;
+        // The message that hands over has to leave first.
+        compio::time::sleep(HAND_OVER).await;
         self.close();
-        Event::Stopped.log();
+        self.closing.open();
+        super::drained(|| self.in_flight()).await;
+    }
+
+    /// Connections of operators that are open, and calls that wait for the leader.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        let operators = self.listeners.get().map(|[_, operators]| operators);
+        self.pending.get() + operators.map_or(0, Listener::connections)
     }
 
     async fn take(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
@@ -227,16 +234,21 @@
     }
 
     /// The status as the leader sees it, or as this process does if none answers.
-    async fn status(&self) -> Response<Body> {
+    async fn status(&self) -> Status {
         let asked = compio::time::timeout(STATUS_TIMEOUT, async {
             let leader = self.leader().await?;
             let response = leader.status_request().send().promise.await.ok()?;
-            let json = response.get().ok()?.get_json().ok()?;
-            Some(json.to_vec())
+            Status::decode(response.get().ok()?.get_json().ok()?).ok()
         });
         let told = asked.await.ok().flatten();
-        let json = told.unwrap_or_else(|| self.own_status().encode());
-        respond(StatusCode::OK, "application/json", json)
+        told.unwrap_or_else(|| self.own_status())
+    }
+
+    /// Withdraws an endpoint or puts it back, by its agent.
+    async fn withdraw(&self, request: Request<Incoming>) -> Response<Body> {
+        let members = self.status().await.members;
+        let member = |name: &str| members.iter().find(|row| row.vm.name == name).cloned();
+        withdrawal::take(request, &self.agents, member).await
     }
 
     fn own_status(&self) -> Status {
@@ -300,10 +312,18 @@
         self.driver.machine().replica().leader().is_some()
     }
 
+    fn closed(&self) -> impl Future<Output = ()> {
+        self.closing.opened()
+    }
+
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/configuration") => Some(self.take(request).await),
-            (&Method::GET, "/v1/status") => Some(self.status().await),
+            (&Method::POST, "/v1/withdrawal") => Some(self.withdraw(request).await),
+            (&Method::GET, "/v1/status") => {
+                let status = self.status().await.encode();
+                Some(respond(StatusCode::OK, "application/json", status))
+            }
             (&Method::PUT, path) => {
                 let name = path.strip_prefix("/v1/replicas/")?.to_owned();
                 Some(self.change(Wish::Add(&name)).await)
--- a/crates/nutmegyoke-host/src/process/journal/mod.rs
+++ b/crates/nutmegyoke-host/src/process/journal/mod.rs
@@ -42,11 +42,7 @@
             .read()
             .await
             .map_err(|source| Failure::Read { source })?;
-        let mut recovered = Recovered {
-            vote: Vote::default(),
-            snapshot: None,
-            entries: Vec::new(),
-        };
+        let mut recovered = Recovered::default();
         let mut id = None;
         let mut frames = frame::Frames::open(&bytes);
         while let Some(payload) = frames.read()? {
--- a/crates/nutmegyoke-host/tests/journal.rs
+++ b/crates/nutmegyoke-host/tests/journal.rs
@@ -211,11 +211,11 @@
     let (fake, _) = three();
     let (mut journal, _) = open(&fake).unwrap();
     fake.0.borrow_mut().fault = Some(fault);
-    let failure = run(journal.append(batch)).err().expect("the write fails");
+    let failure = run(journal.append(batch)).expect_err("the write fails");
     assert_eq!(failure.is_full(), full);
     // The process may end here, or go on when there is room.
     let left = Fake::default();
-    left.0.borrow_mut().bytes = fake.0.borrow().bytes.clone();
+    left.0.borrow_mut().bytes.clone_from(&fake.0.borrow().bytes);
     assert_eq!(indices(&open(&left).unwrap().1), [1, 2, 3]);
     run(journal.append(batch)).unwrap();
     let (_, recovered) = open(&fake).unwrap();
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -9,7 +9,9 @@
 pub mod replica;
 pub mod settings;
 pub mod status;
+pub mod withdrawal;
 
 pub use announcement::Announcement;
 pub use settings::Settings;
 pub use status::Status;
+pub use withdrawal::Withdrawal;
--- a/crates/nutmegyoke-wire/src/process/settings.rs
+++ b/crates/nutmegyoke-wire/src/process/settings.rs
@@ -47,6 +47,9 @@
     pub operators: SocketAddr,
     /// The control processes.
     pub control: Vec<SocketAddr>,
+    /// How long a stopping process may take to finish what is in flight; `None`
+    /// sets no limit.
+    pub drain_limit: Option<Duration>,
     /// The settings of the role.
     pub own: Own,
 }
@@ -123,6 +126,9 @@
             listen,
             operators: process.required("operators", ADDRESS)?,
             control,
+            drain_limit: process
+                .optional("drain-limit-s", "a number of seconds")?
+                .map(Duration::from_secs),
             own,
         };
         process.finish()?;
--- a/crates/nutmegyoke-wire/tests/readers.rs
+++ b/crates/nutmegyoke-wire/tests/readers.rs
@@ -145,8 +145,10 @@
 
 fn a_submission() -> impl Strategy<Value = Submission> {
     let numbers = any::<(u64, u64, u32, u8, u64)>();
-    (numbers, "[a-z]{1,9}", any::<bool>(), 0..1_u64 << 40).prop_map(
-        |((entry, number, attempt, priority, configuration), name, once, remaining)| Submission {
+    let first_token = prop::option::of(0..1_u64 << 40);
+    let times = (0..1_u64 << 40, first_token, any::<u64>());
+    (numbers, "[a-z]{1,9}", any::<bool>(), times).prop_map(
+        |((entry, number, attempt, priority, configuration), name, once, times)| Submission {
             id: Id { entry, number },
             attempt,
             customer: name.as_str().into(),
@@ -161,12 +163,12 @@
             } else {
                 Repeat::Repeatable
             },
-            remaining: std::time::Duration::from_millis(remaining),
+            remaining: std::time::Duration::from_millis(times.0),
+            first_token: times.1.map(std::time::Duration::from_millis),
+            tokens: times.2,
             configuration,
             incarnation: number,
             keyed: once,
-            first_token: None,
-            tokens: 0,
         },
     )
 }
--- a/src/bin/nutmegyoke/commands/status.rs
+++ b/src/bin/nutmegyoke/commands/status.rs
@@ -5,6 +5,7 @@
 
 use clap::Args;
 use nutmegyoke_core::process::Member;
+use nutmegyoke_core::process::endpoint::Phase;
 use nutmegyoke_wire::process;
 
 use crate::operators::{self, Failure};
@@ -59,13 +60,18 @@
             println!("{place:<12} configuration {number:<6} in force in {count} processes");
         }
         for member in &status.members {
+            let draining = member
+                .endpoints
+                .iter()
+                .filter(|row| row.phase == Phase::Draining);
             println!(
-                "{:<12} {:<20} {:<8} configuration {:<6} {} endpoints",
+                "{:<12} {:<20} {:<8} configuration {:<6} {} endpoints, {} draining",
                 member.data_centre.as_str(),
                 member.vm.name,
                 member.role.to_string(),
                 member.configuration,
-                member.endpoints.len()
+                member.endpoints.len(),
+                draining.count()
             );
         }
         Ok(())
--- a/src/bin/nutmegyoked/run.rs
+++ b/src/bin/nutmegyoked/run.rs
@@ -7,12 +7,13 @@
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
 use nutmegyoke_core::process::clock::System;
-use nutmegyoke_host::process::{self, Agent, Control, Entry, signal};
+use nutmegyoke_host::process::shutdown::{self, Stop};
+use nutmegyoke_host::process::{self, Agent, Control, Entry};
 use nutmegyoke_wire::process::settings::Own;
 use nutmegyoke_wire::process::{Settings, ini};
 use prometheus::Registry;
 
-use super::{EXIT_START, EXIT_USAGE};
+use super::{EXIT_CUT_OFF, EXIT_START, EXIT_USAGE};
 
 /// Why the daemon ends with an error.
 #[derive(Debug, Display, Error, From)]
@@ -30,6 +31,10 @@
     /// The signal handlers can't be installed.
     #[display("cannot wait for signals: {_0}")]
     Signal(io::Error),
+    /// The process stopped before it was idle.
+    #[display("stopped before it was idle: {cut_off} requests cut off")]
+    #[from(ignore)]
+    CutOff { cut_off: usize },
 }
 
 impl Failure {
@@ -38,6 +43,7 @@
         match self {
             Self::Read { .. } | Self::Settings(_) => EXIT_USAGE,
             Self::Start(_) | Self::Signal(_) => EXIT_START,
+            Self::CutOff { .. } => EXIT_CUT_OFF,
         }
     }
 }
@@ -54,35 +60,33 @@
     })?;
     let settings = Settings::parse(&path.display().to_string(), &text)?;
     let registry = Registry::new();
+    let limit = settings.drain_limit;
     match &settings.own {
         Own::Entry(own) => {
             let entry = Entry::spawn(&settings, own, System, &registry).await?;
-            signal::stop().await?;
-            entry.drain().await;
+            finish(shutdown::run(limit, || entry.in_flight(), entry.drain()).await?)
         }
         Own::Agent => {
             let agent = Agent::spawn(&settings, System, &registry).await?;
-            signal::stop().await?;
-            agent.drain().await;
+            finish(shutdown::run(limit, || agent.in_flight(), agent.leave()).await?)
         }
         Own::Control(own) => {
             let control = Control::spawn(&settings, own, System, &registry).await?;
-            run_control(&control).await?;
+            let stopping = shutdown::run(limit, || control.in_flight(), control.drain());
+            let failed = control.failed();
+            pin_mut!(stopping, failed);
+            match select(stopping, failed).await {
+                Either::Left((stopped, _)) => finish(stopped?),
+                Either::Right((source, _)) => Err(process::Failure::Journal { source }.into()),
+            }
         }
     }
-    Ok(())
 }
 
-/// Runs until the process is asked to stop or its disk fails.
-async fn run_control(control: &Control<System>) -> Result<(), Failure> {
-    let (stop, failed) = (signal::stop(), control.failed());
-    pin_mut!(stop, failed);
-    match select(stop, failed).await {
-        Either::Left((stopped, _)) => {
-            stopped?;
-            control.drain().await;
-            Ok(())
-        }
-        Either::Right((source, _)) => Err(Failure::Start(process::Failure::Journal { source })),
+/// Turns the way a process stopped into its result.
+pub fn finish(stop: Stop) -> Result<(), Failure> {
+    match stop {
+        Stop::Graceful => Ok(()),
+        Stop::CutOff { cut_off } => Err(Failure::CutOff { cut_off }),
     }
 }
