--- /dev/null
+++ b/benches/control.rs
@@ -0,0 +1,440 @@
+//! What control costs: commits with sync, fail-over, configuration changes,
+//! heartbeats, snapshots. Each figure stands beside a baseline of the same run.
+//!
+//! `cargo bench --bench control` prints all. For instruction counts run the
+//! built bench under callgrind with `change N`, `whole N` or `heartbeat N` and
+//! take the difference between two values of N.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nutmegyoke_core::process::control::claims::{Claims, Row};
+use nutmegyoke_core::process::control::replica::{
+    Batch, Command, Event, Id, Membership, Position, Recovered, Replica, Seed, Setup, Snapshot,
+};
+use nutmegyoke_core::process::control::store::Change;
+use nutmegyoke_core::process::control::{Store, claims};
+use nutmegyoke_core::process::directory::{Delta, Mark};
+use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::process::news::{Known, News};
+use nutmegyoke_core::process::{Machine, Member, Vm};
+use nutmegyoke_core::request;
+use nutmegyoke_core::request::claim::{Key, Name};
+use nutmegyoke_core::version::configuration::Lists;
+use nutmegyoke_core::version::diff::Diff;
+use nutmegyoke_core::version::grant::Item;
+use nutmegyoke_core::version::{Configuration, Grant, Plan};
+use nutmegyoke_host::process::journal::{Folder, Journal, frame};
+use nutmegyoke_wire::connection::link_capnp;
+use nutmegyoke_wire::process::{member, news, record};
+use support::replicas::Replicas;
+
+/// Rows of a configuration at the target size.
+const MODELS: u64 = 520;
+const ADAPTERS: u64 = 2080;
+const PLANS: u32 = 200;
+
+/// Claims of the target's peak, all keyed, within their retention and skew.
+const CLAIMS: u64 = 4_300 * 130;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let count = arguments.get(1).and_then(|text| text.parse().ok());
+    match (arguments.first().map(String::as_str), count) {
+        (Some("change"), Some(count)) => changes(count),
+        (Some("whole"), Some(count)) => wholes(count),
+        (Some("heartbeat"), Some(count)) => heartbeats(count),
+        _ => all(),
+    }
+}
+
+fn all() {
+    println!("## Commits with sync, one replica, one disk");
+    for outstanding in [1, 16, 256] {
+        commits(outstanding);
+    }
+    println!("## Teaching one changed grant of {} rows", rows());
+    teaching();
+    println!("## Heartbeat of an agent with 12 endpoints, nothing new");
+    heartbeat();
+    println!("## Snapshot with {CLAIMS} claims and {} rows", rows());
+    snapshot();
+    println!("## Fail-over of three replicas, election timeout 500 ms");
+    fail_over();
+}
+
+fn rows() -> u64 {
+    MODELS + ADAPTERS + u64::from(PLANS)
+}
+
+fn configuration(number: u64) -> Rc<Configuration> {
+    let plan = |index: u32| Plan {
+        name: format!("plan-{index:03}"),
+        customer: format!("customer-{:02}", index % 50).as_str().into(),
+        key: format!("key-{index:024}"),
+        requests_per_second: 100,
+        concurrency: 100,
+        tokens_per_minute: 1_000_000,
+        priority: 5,
+        first_token: Duration::from_secs(1),
+        between_tokens: Duration::from_millis(50),
+        deadline: Duration::from_secs(30),
+    };
+    let model = |index: u64| format!("model-{index:03}");
+    let plans =
+        |index: u64| (0..4).map(move |step| format!("plan-{:03}", (index + step * 37) % 200));
+    let models = (0..MODELS).map(|index| Grant {
+        item: Item::Model {
+            name: model(index).as_str().into(),
+            bytes: 7_000_000_000 + if index == 260 { number } else { 0 },
+        },
+        plans: plans(index).collect(),
+    });
+    let adapters = (0..ADAPTERS).map(|index| Grant {
+        item: Item::Adapter {
+            name: format!("adapter-{index:04}").as_str().into(),
+            model: model(index % MODELS).as_str().into(),
+            bytes: 120_000_000,
+        },
+        plans: plans(index).collect(),
+    });
+    let lists = Lists {
+        number,
+        plans: (0..PLANS).map(plan).collect(),
+        grants: models.chain(adapters).collect(),
+    };
+    Configuration::open(lists).expect("a configuration")
+}
+
+fn seed() -> Seed {
+    Seed {
+        name: "control-1".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+    }
+}
+
+fn wish(number: u64) -> claims::Wish {
+    let name = Name {
+        customer: "kayal".into(),
+        key: format!("lot-{number}"),
+    };
+    claims::Wish {
+        key: name.key(),
+        holder: request::Id { entry: 1, number },
+        digest: number,
+        at: 1,
+    }
+}
+
+/// Keeps `outstanding` claims under way for a second; the first is the baseline
+/// of one sync an entry.
+fn commits(outstanding: u64) {
+    let runtime = compio::runtime::Runtime::new().expect("a loop");
+    runtime.block_on(async {
+        let folder = tempfile::TempDir::new().expect("a folder");
+        let medium = Folder::open(folder.path()).expect("the folder");
+        let (mut journal, recovered) = Journal::open(medium, Id(1)).await.expect("a journal");
+        let setup = Setup {
+            id: Id(1),
+            seed: seed(),
+            seeds: Vec::new(),
+            election: Duration::from_millis(100),
+            random: 1,
+        };
+        let mut replica: Replica<Store> = Replica::open(Instant::now(), setup, recovered);
+        let mut batches: VecDeque<Batch<Store>> = VecDeque::new();
+        let (mut proposed, mut committed, mut syncs) = (0, 0, 0_u64);
+        let mut start = Instant::now();
+        let mut offset = journal.length();
+        let mut led = false;
+        while start.elapsed() < Duration::from_secs(1) || !led {
+            let mut out = Vec::new();
+            let now = Instant::now();
+            replica.handle(now, Event::Ticked, &mut out);
+            if replica.is_current() && !led {
+                led = true;
+                start = now;
+                offset = journal.length();
+                syncs = 0;
+            }
+            while led && proposed < committed + outstanding {
+                proposed += 1;
+                let change = Change::Claim { wish: wish(proposed) };
+                let event = Event::Proposed {
+                    call: proposed,
+                    change: &change,
+                };
+                replica.handle(now, event, &mut out);
+            }
+            take(out, &mut batches, &mut committed);
+            if let Some(batch) = batches.pop_front() {
+                journal.append(&batch).await.expect("room");
+                syncs += 1;
+                let mut out = Vec::new();
+                let ticket = batch.ticket;
+                replica.handle(Instant::now(), Event::Synced { ticket }, &mut out);
+                take(out, &mut batches, &mut committed);
+            }
+        }
+        let seconds = start.elapsed().as_secs_f64();
+        println!(
+            "{outstanding:>4} outstanding: {:>8.0} commits/s, {:>6.1} entries a sync, {:>5.0} bytes a commit",
+            ratio(committed, 1) / seconds,
+            ratio(committed, syncs),
+            ratio(journal.length() - offset, committed)
+        );
+    });
+}
+
+/// Divides counts of a bounded run.
+fn ratio(count: u64, by: u64) -> f64 {
+    let [count, by] = [count, by].map(|number| u32::try_from(number).unwrap_or(u32::MAX));
+    f64::from(count) / f64::from(by)
+}
+
+fn take(out: Vec<Command<Store>>, batches: &mut VecDeque<Batch<Store>>, committed: &mut u64) {
+    for command in out {
+        match command {
+            Command::Persist { batch } => batches.push_back(batch),
+            Command::Outcome { .. } => *committed += 1,
+            _ => {}
+        }
+    }
+}
+
+fn timed(name: &str, count: u32, mut work: impl FnMut() -> usize) {
+    let start = Instant::now();
+    let mut bytes = 0;
+    for _ in 0..count {
+        bytes = work();
+    }
+    let each = start.elapsed() / count;
+    println!("{name:<34} {bytes:>9} bytes, {each:>10.1?} to make, encode, decode and apply");
+}
+
+/// Encodes news, decodes it at the other side and returns its length.
+fn pass(told: &News, base: &Rc<Configuration>) -> usize {
+    let mut message = capnp::message::Builder::new_default();
+    news::write(told, message.init_root::<link_capnp::news::Builder<'_>>());
+    let bytes = capnp::serialize::write_message_to_words(&message);
+    let options = capnp::message::ReaderOptions::new();
+    let reader = capnp::serialize::read_message(&mut &bytes[..], options).expect("a message");
+    let root = reader
+        .get_root::<link_capnp::news::Reader<'_>>()
+        .expect("news");
+    let learned = news::read(root, base).expect("news");
+    assert!(learned.configuration.is_some());
+    bytes.len()
+}
+
+fn changed(old: &Rc<Configuration>, new: &Rc<Configuration>) -> News {
+    News {
+        changes: vec![Rc::new(Diff::between(old, new))],
+        ..News::default()
+    }
+}
+
+fn teaching() {
+    let (old, new) = (configuration(1), configuration(2));
+    let whole = News {
+        configuration: Some(Rc::clone(&new)),
+        ..News::default()
+    };
+    timed("whole lists (baseline)", 50, || pass(&whole, &old));
+    timed("change", 50, || pass(&changed(&old, &new), &old));
+}
+
+fn changes(count: u64) {
+    let (old, new) = (configuration(1), configuration(2));
+    let told = changed(&old, &new);
+    for _ in 0..count {
+        pass(&told, &old);
+    }
+}
+
+fn wholes(count: u64) {
+    let (old, new) = (configuration(1), configuration(2));
+    let told = News {
+        configuration: Some(new),
+        ..News::default()
+    };
+    for _ in 0..count {
+        pass(&told, &old);
+    }
+}
+
+fn agent() -> Member {
+    let endpoint = |index: u32| nutmegyoke_core::process::Endpoint {
+        name: format!("engine-{index}"),
+        holding: nutmegyoke_core::process::endpoint::Holding::Engine {
+            models: vec!["model-001".into()],
+            adapters: (0..4)
+                .map(|number| format!("adapter-{number:04}").as_str().into())
+                .collect(),
+        },
+        slots: 16,
+        phase: nutmegyoke_core::process::endpoint::Phase::Ready,
+    };
+    Member {
+        vm: Vm {
+            name: "engine-vm-001".to_owned(),
+            incarnation: 1_700_000_000_000,
+        },
+        role: Role::Agent,
+        data_centre: "alp-a".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        endpoints: (0..12).map(endpoint).collect(),
+        configuration: 7,
+    }
+}
+
+/// Passes one heartbeat and its answer; returns the bytes of both.
+fn beat(told: &Member) -> usize {
+    let mut message = capnp::message::Builder::new_default();
+    let mut params = message.init_root::<link_capnp::control::exchange_params::Builder<'_>>();
+    member::write(told, params.reborrow().init_member());
+    news::write_known(Known::default(), params.init_known());
+    let bytes = capnp::serialize::write_message_to_words(&message);
+    let options = capnp::message::ReaderOptions::new();
+    let reader = capnp::serialize::read_message(&mut &bytes[..], options).expect("a message");
+    let root = reader.get_root::<link_capnp::control::exchange_params::Reader<'_>>();
+    let read = member::read(root.expect("params").get_member().expect("a member"));
+    assert_eq!(&read.expect("a member"), told);
+    let answer = News {
+        directory: Delta {
+            mark: Mark {
+                epoch: 1,
+                revision: 1,
+            },
+            ..Delta::default()
+        },
+        ..News::default()
+    };
+    let mut message = capnp::message::Builder::new_default();
+    news::write(
+        &answer,
+        message.init_root::<link_capnp::news::Builder<'_>>(),
+    );
+    bytes.len() + capnp::serialize::write_message_to_words(&message).len()
+}
+
+fn heartbeat() {
+    let told = agent();
+    let start = Instant::now();
+    let count = 2000;
+    let mut bytes = 0;
+    for _ in 0..count {
+        bytes = beat(&told);
+    }
+    println!("{bytes} bytes both ways, {:.1?}", start.elapsed() / count);
+}
+
+fn heartbeats(count: u64) {
+    let told = agent();
+    for _ in 0..count {
+        beat(&told);
+    }
+}
+
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let field = line.and_then(|line| line.split_whitespace().nth(1));
+    field.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) * 1024
+}
+
+fn snapshot() {
+    let before = resident();
+    let row = |number| Row {
+        at: 1,
+        holder: request::Id { entry: 1, number },
+        digest: number,
+        verdict: Some(request::Verdict::Ran),
+        vm: Some("engine-vm-001".into()),
+    };
+    let key = |number: u64| Key {
+        hash: [number.wrapping_mul(0x9e37_79b9_7f4a_7c15), number],
+        born: None,
+    };
+    let claims = Claims::open(1, (0..CLAIMS).map(|number| (key(number), row(number))));
+    let held = resident() - before;
+    println!(
+        "{} bytes of memory a claim, {} MB in all",
+        held / CLAIMS,
+        held / 1_000_000
+    );
+    let start = Instant::now();
+    let copy = claims.clone();
+    println!("copied in {:.1?}", start.elapsed());
+    drop(copy);
+    let snapshot = Snapshot {
+        position: Position { term: 1, index: 1 },
+        membership: Membership::default(),
+        state: Store {
+            configuration: configuration(1),
+            claims,
+        },
+    };
+    let batch = Batch {
+        ticket: 1,
+        vote: nutmegyoke_core::process::control::replica::Vote::default(),
+        snapshot: Some(Rc::new(snapshot)),
+        entries: Vec::new(),
+    };
+    let start = Instant::now();
+    let frame = frame::encode(&record::encode(Id(1), &batch));
+    println!("{} bytes, encoded in {:.1?}", frame.len(), start.elapsed());
+    let runtime = compio::runtime::Runtime::new().expect("a loop");
+    runtime.block_on(async {
+        let folder = tempfile::TempDir::new().expect("a folder");
+        let medium = Folder::open(folder.path()).expect("the folder");
+        let (mut journal, _) = Journal::open(medium, Id(1)).await.expect("a journal");
+        let start = Instant::now();
+        journal.append(&batch).await.expect("room");
+        println!("encoded, written and synced in {:.1?}", start.elapsed());
+        drop(journal);
+        let medium = Folder::open(folder.path()).expect("the folder");
+        let start = Instant::now();
+        let (_, recovered): (_, Recovered<Store>) =
+            Journal::open(medium, Id(1)).await.expect("a journal");
+        let claims = recovered.snapshot.map_or(0, |held| held.state.claims.len());
+        println!("loaded in {:.1?}, {claims} claims", start.elapsed());
+    });
+}
+
+/// Kills the leader and waits for the first acknowledged configuration.
+fn fail_over() {
+    const TIMES: u64 = 8;
+    let mut replicas = Replicas::spawn(3);
+    let mut gaps = Vec::new();
+    let mut base = Vec::new();
+    for round in 1..=TIMES {
+        let leader = replicas.leader();
+        let other = (leader + 1) % 3;
+        let start = Instant::now();
+        assert!(replicas.apply(other, round * 2).status.success());
+        base.push(start.elapsed());
+        replicas.kill(leader);
+        let start = Instant::now();
+        while !replicas.apply(other, round * 2 + 1).status.success() {}
+        gaps.push(start.elapsed());
+        replicas.start(leader);
+        replicas.wait_for_voters();
+    }
+    gaps.sort();
+    base.sort();
+    println!(
+        "apply without a fault (baseline): median {:.0?}",
+        base[base.len() / 2]
+    );
+    println!(
+        "kill to the next acknowledged apply: least {:.0?}, median {:.0?}, most {:.0?}",
+        gaps[0],
+        gaps[gaps.len() / 2],
+        gaps[gaps.len() - 1]
+    );
+}
--- a/crates/nutmegyoke-core/src/process/control/history.rs
+++ b/crates/nutmegyoke-core/src/process/control/history.rs
@@ -56,6 +56,10 @@
         if number >= self.latest.number() {
             return Lesson::Nothing;
         }
+        // A process without a configuration, or one whose own can't be trusted, asks as 0.
+        if number == 0 {
+            return Lesson::Whole(Rc::clone(&self.latest));
+        }
         let first = self.changes.iter().position(|diff| diff.from == number);
         let changes = first.map(|first| self.changes.range(first..));
         let lists = self.latest.lists();
--- a/crates/nutmegyoke-core/src/version/configuration.rs
+++ b/crates/nutmegyoke-core/src/version/configuration.rs
@@ -14,7 +14,7 @@
 ///
 /// Values of this type are immutable and shared by reference; a newer version
 /// replaces the whole value.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Configuration {
     lists: Lists,
     digest: u64,
@@ -58,6 +58,21 @@
     UnknownModel { adapter: String, model: String },
 }
 
+impl Default for Configuration {
+    /// No configuration: two empty lists under the number 0, with their digest.
+    fn default() -> Self {
+        let lists = Lists::default();
+        Self {
+            digest: digest(&lists),
+            lists,
+            plans: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            models: BTreeMap::new(),
+            services: BTreeMap::new(),
+        }
+    }
+}
+
 impl Configuration {
     /// Checks both lists whole and indexes them.
     ///
--- a/crates/nutmegyoke-host/src/process/heartbeat.rs
+++ b/crates/nutmegyoke-host/src/process/heartbeat.rs
@@ -65,6 +65,9 @@
     Dial(io::Error),
     #[display("call failed: {_0}")]
     Call(capnp::Error),
+    #[display("what control teaches does not fit: {_0}")]
+    #[from(ignore)]
+    Lesson(capnp::Error),
     #[display("no answer in time")]
     Timeout(compio::time::Elapsed),
 }
@@ -77,9 +80,13 @@
     let pool = Rc::new(Pool::default());
     let mut current = 0;
     let mut found = None;
+    let mut whole = false;
     loop {
         let address = control[current];
-        match beat(&*learner, &pool, address).await {
+        let beaten = beat(&*learner, &pool, address, whole).await;
+        // Changes that don't fit the own configuration are not asked for twice.
+        whole = matches!(beaten, Err(Failure::Lesson(_)));
+        match beaten {
             Ok(()) => {
                 if found != Some(address) {
                     found = Some(address);
@@ -104,14 +111,20 @@
     learner: &L,
     pool: &Rc<Pool<control::Client>>,
     address: SocketAddr,
+    whole: bool,
 ) -> Result<(), Failure> {
     let client = pool.get(address).await?;
     let mut request = client.exchange_request();
     let mut params = request.get();
     member::write(&learner.member(), params.reborrow().init_member());
-    news::write_known(learner.known(), params.init_known());
+    let mut known = learner.known();
+    if whole {
+        known.configuration = 0;
+    }
+    news::write_known(known, params.init_known());
     let response = compio::time::timeout(TIMEOUT, request.send().promise).await??;
-    let news = news::read(response.get()?.get_news()?, &learner.configuration())?;
+    let news = news::read(response.get()?.get_news()?, &learner.configuration());
+    let news = news.map_err(Failure::Lesson)?;
     learner.learn(&news);
     Ok(())
 }
--- a/crates/nutmegyoke-wire/schema/replica.capnp
+++ b/crates/nutmegyoke-wire/schema/replica.capnp
@@ -55,13 +55,25 @@
   }
 }
 
+# Flat, because a snapshot holds hundreds of thousands.
 struct ClaimRow {
-  key @0 :Key;
-  holder @1 :Link.Id;
-  digest @2 :UInt64;
-  at @3 :UInt64;
-  verdict @4 :Link.Verdict;  # null: may be running
-  vm @5 :Text;
+  high @0 :UInt64;
+  low @1 :UInt64;
+  born @2 :UInt64;  # 0: the key carries no time
+  entry @3 :UInt64;
+  number @4 :UInt64;
+  digest @5 :UInt64;
+  at @6 :UInt64;
+  vm @7 :UInt32;  # index into Snapshot.vms, counted from 1; 0: not told
+  reason @8 :UInt16;  # index into Snapshot.reasons
+  ended @9 :Ended;
+}
+
+enum Ended {
+  running @0;
+  ran @1;
+  mayHaveRun @2;
+  notRun @3;
 }
 
 struct Snapshot {
@@ -70,6 +82,8 @@
   configuration @2 :Link.Lists;
   time @3 :UInt64;
   claims @4 :List(ClaimRow);
+  vms @5 :List(Text);
+  reasons @6 :List(Text);
 }
 
 struct Message {
--- a/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
@@ -2398,7 +2398,7 @@
         }
     }
 
-    impl <'a,> Reader<'a,>  {
+    impl <> Reader<'_,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -2407,50 +2407,50 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<crate::replica_capnp::key::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_high(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_low(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_holder(self) -> ::capnp::Result<crate::link_capnp::id::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_born(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn has_holder(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_entry(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn get_digest(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn get_at(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+        pub fn get_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
         }
         #[inline]
-        pub fn get_verdict(self) -> ::capnp::Result<crate::link_capnp::verdict::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_at(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn has_verdict(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn get_vm(self) -> u32 {
+            self.reader.get_data_field::<u32>(14)
         }
         #[inline]
-        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        pub fn get_reason(self) -> u16 {
+            self.reader.get_data_field::<u16>(30)
         }
         #[inline]
-        pub fn has_vm(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+        pub fn get_ended(self) -> ::core::result::Result<crate::replica_capnp::Ended,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(31))
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2501,84 +2501,84 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<crate::replica_capnp::key::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_high(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_key(&mut self, value: crate::replica_capnp::key::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        pub fn set_high(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_key(self, ) -> crate::replica_capnp::key::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        pub fn get_low(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_low(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_holder(self) -> ::capnp::Result<crate::link_capnp::id::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_born(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_holder(&mut self, value: crate::link_capnp::id::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn set_born(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn init_holder(self, ) -> crate::link_capnp::id::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        pub fn get_entry(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn has_holder(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_entry(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
-        pub fn get_digest(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn set_digest(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
         }
         #[inline]
-        pub fn get_at(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn get_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
         }
         #[inline]
-        pub fn set_at(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn set_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
         }
         #[inline]
-        pub fn get_verdict(self) -> ::capnp::Result<crate::link_capnp::verdict::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_at(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn set_verdict(&mut self, value: crate::link_capnp::verdict::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        pub fn set_at(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(6, value);
         }
         #[inline]
-        pub fn init_verdict(self, ) -> crate::link_capnp::verdict::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        pub fn get_vm(self) -> u32 {
+            self.builder.get_data_field::<u32>(14)
         }
         #[inline]
-        pub fn has_verdict(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn set_vm(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(14, value);
         }
         #[inline]
-        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        pub fn get_reason(self) -> u16 {
+            self.builder.get_data_field::<u16>(30)
         }
         #[inline]
-        pub fn set_vm(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
+        pub fn set_reason(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(30, value);
         }
         #[inline]
-        pub fn init_vm(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(3).init_text(size)
+        pub fn get_ended(self) -> ::core::result::Result<crate::replica_capnp::Ended,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(31))
         }
         #[inline]
-        pub fn has_vm(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+        pub fn set_ended(&mut self, value: crate::replica_capnp::Ended)  {
+            self.builder.set_data_field::<u16>(31, value as u16);
         }
     }
 
@@ -2589,91 +2589,134 @@
         }
     }
     impl Pipeline  {
-        pub fn get_key(&self) -> crate::replica_capnp::key::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
-        pub fn get_holder(&self) -> crate::link_capnp::id::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
-        }
-        pub fn get_verdict(&self) -> crate::link_capnp::verdict::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 167] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(56, 197, 102, 198, 187, 228, 148, 178),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 67, 108),
             ::capnp::word(97, 105, 109, 82, 111, 119, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 226, 79, 198, 77, 25, 120, 184),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 111, 108, 100, 101, 114, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 46, 98, 99, 84, 28, 75, 152),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 30, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 31, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 105, 103, 104, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 119, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
@@ -2692,31 +2735,43 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 101, 114, 100, 105, 99, 116, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(147, 157, 32, 199, 6, 5, 128, 248),
+            ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 115, 111, 110, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(178, 143, 48, 204, 159, 135, 176, 134),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::replica_capnp::key::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <crate::link_capnp::id::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <crate::link_capnp::verdict::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::replica_capnp::Ended as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2730,13 +2785,90 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,0,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,2,5,9,3,0,1,4,8,7];
         pub(crate) const TYPE_ID: u64 = 0xb294_e4bb_c666_c538;
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Running = 0,
+    Ran = 1,
+    MayHaveRun = 2,
+    NotRun = 3,
+}
+
+impl ::capnp::introspect::Introspect for Ended {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&ended::ARENA, ended::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Ended> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Ended) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&ended::ARENA, ended::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Ended {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Ended as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Running),
+            1 => ::core::result::Result::Ok(Self::Ran),
+            2 => ::core::result::Result::Ok(Self::MayHaveRun),
+            3 => ::core::result::Result::Ok(Self::NotRun),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Ended> for u16 {
+    #[inline]
+    fn from(x: Ended) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Ended {
+    const TYPE_ID: u64 = 0x86b0_879f_cc30_8fb2u64;
+}
+mod ended {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(178, 143, 48, 204, 159, 135, 176, 134),
+    ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
+    ::capnp::word(99, 97, 112, 110, 112, 58, 69, 110),
+    ::capnp::word(100, 101, 100, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 34, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+    ::capnp::word(114, 97, 110, 0, 0, 0, 0, 0),
+    ::capnp::word(109, 97, 121, 72, 97, 118, 101, 82),
+    ::capnp::word(117, 110, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(110, 111, 116, 82, 117, 110, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 pub mod snapshot {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2834,11 +2966,27 @@
         pub fn has_claims(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_vms(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_vms(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_reasons(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_reasons(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2960,6 +3108,38 @@
         pub fn has_claims(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_vms(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_vms(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_vms(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_vms(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_reasons(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_reasons(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_reasons(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_reasons(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2980,59 +3160,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 99] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 137] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(102, 103, 238, 10, 39, 141, 7, 237),
             ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 83, 110),
             ::capnp::word(97, 112, 115, 104, 111, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -3080,6 +3274,30 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 109, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 115, 111, 110, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3088,6 +3306,8 @@
                 2 => <crate::link_capnp::lists::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::replica_capnp::claim_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3101,9 +3321,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,1,0,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,1,0,6,3,5];
         pub(crate) const TYPE_ID: u64 = 0xed07_8d27_0aee_6766;
     }
 }
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! Encodings that live as long as a process.
 
 pub mod announcement;
+pub mod claims;
 pub mod directory;
 pub mod ini;
 pub mod member;
--- a/crates/nutmegyoke-wire/src/process/record.rs
+++ b/crates/nutmegyoke-wire/src/process/record.rs
@@ -6,7 +6,7 @@
 use capnp::message::{Builder, ReaderOptions};
 use capnp::struct_list;
 use nutmegyoke_core::process::control::Store;
-use nutmegyoke_core::process::control::claims::{Claims, Row, Wish};
+use nutmegyoke_core::process::control::claims::Wish;
 use nutmegyoke_core::process::control::replica::{
     Batch, Content, Entry, Id, Membership, Peer, Position, Seed, Snapshot, Vote,
 };
@@ -14,9 +14,10 @@
 use nutmegyoke_core::request::claim::Key;
 use nutmegyoke_core::version::Configuration;
 
+use super::claims;
 use crate::connection::link::{length, parse, set_texts, text, texts};
 use crate::connection::replica_capnp::{
-    claim_row, entry, key, membership, peer, position, record, seed, snapshot, wish,
+    entry, key, membership, peer, position, record, seed, snapshot, wish,
 };
 use crate::request::{id, verdict};
 use crate::version::lists;
@@ -243,14 +244,12 @@
 }
 
 pub(super) fn read_snapshot(reader: snapshot::Reader<'_>) -> capnp::Result<Snapshot<Store>> {
-    let rows = reader.get_claims()?;
-    let rows: Vec<(Key, Row)> = rows.iter().map(read_row).collect::<capnp::Result<_>>()?;
     Ok(Snapshot {
         position: read_position(reader.get_position()?),
         membership: read_membership(reader.get_membership()?)?,
         state: Store {
             configuration: read_configuration(reader.get_configuration()?)?,
-            claims: Claims::open(reader.get_time(), rows),
+            claims: claims::read(reader)?,
         },
     })
 }
@@ -260,40 +259,5 @@
     write_membership(&snapshot.membership, builder.reborrow().init_membership());
     let configuration = snapshot.state.configuration.lists();
     lists::write(configuration, builder.reborrow().init_configuration());
-    let claims = &snapshot.state.claims;
-    builder.set_time(claims.time());
-    let count = length(claims.rows().count());
-    let mut list = builder.init_claims(count);
-    for (index, (key, row)) in (0..).zip(claims.rows()) {
-        write_row(key, row, list.reborrow().get(index));
-    }
-}
-
-fn read_row(reader: claim_row::Reader<'_>) -> capnp::Result<(Key, Row)> {
-    let vm = text(reader.get_vm())?;
-    let row = Row {
-        at: reader.get_at(),
-        holder: id::read(reader.get_holder()?),
-        digest: reader.get_digest(),
-        verdict: if reader.has_verdict() {
-            Some(verdict::read(reader.get_verdict()?)?)
-        } else {
-            None
-        },
-        vm: (!vm.is_empty()).then(|| vm.into()),
-    };
-    Ok((read_key(reader.get_key()?), row))
-}
-
-fn write_row(key: Key, row: &Row, mut builder: claim_row::Builder<'_>) {
-    write_key(key, builder.reborrow().init_key());
-    id::write(row.holder, builder.reborrow().init_holder());
-    builder.set_digest(row.digest);
-    builder.set_at(row.at);
-    if let Some(verdict) = row.verdict {
-        verdict::write(verdict, builder.reborrow().init_verdict());
-    }
-    if let Some(vm) = &row.vm {
-        builder.set_vm(vm);
-    }
+    claims::write(&snapshot.state.claims, builder);
 }
