--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -27,6 +27,7 @@
 /// An agent's decision state.
 #[derive(Debug)]
 pub struct Agent {
+    incarnation: u64,
     configuration: Rc<Configuration>,
     endpoints: BTreeMap<String, Backend>,
     calls: HashMap<u64, Call>,
@@ -44,17 +45,14 @@
     answered: bool,
 }
 
-impl Default for Agent {
-    fn default() -> Self {
-        Self::open()
-    }
-}
-
 impl Agent {
     /// Opens an agent that knows no endpoint yet.
+    ///
+    /// `incarnation` tells this run from earlier ones on the same VM.
     #[must_use]
-    pub fn open() -> Self {
+    pub fn open(incarnation: u64) -> Self {
         Self {
+            incarnation,
             configuration: Rc::default(),
             endpoints: BTreeMap::new(),
             calls: HashMap::new(),
@@ -141,6 +139,9 @@
     }
 
     fn check(&self, now: Instant, submission: &Submission, item: &Item) -> Result<(), Refusal> {
+        if submission.incarnation != self.incarnation {
+            return Err(Refusal::at_once(Reason::Restarted));
+        }
         if self.draining {
             return Err(Refusal::at_once(Reason::Draining));
         }
@@ -331,7 +332,8 @@
     pub fn verdict(reason: Reason) -> Verdict {
         match reason {
             // The earlier submission of the same attempt may be running.
-            Reason::Duplicate => Verdict::MayHaveRun { reason },
+            // The earlier run of this agent may have taken it; that is forgotten.
+            Reason::Duplicate | Reason::Restarted => Verdict::MayHaveRun { reason },
             _ => Verdict::NotRun { reason },
         }
     }
--- a/crates/nutmegyoke-core/tests/agent.rs
+++ b/crates/nutmegyoke-core/tests/agent.rs
@@ -19,6 +19,9 @@
 const WHOLE: Duration = Duration::from_secs(1);
 const FIRST: Duration = Duration::from_millis(100);
 
+/// The run of the agent.
+const INCARNATION: u64 = 3;
+
 /// An agent with one endpoint of one slot, which call 0 holds.
 struct Bench {
     agent: Agent,
@@ -54,13 +57,15 @@
         first_token: None,
         tokens: 100,
         configuration: 0,
+        incarnation: INCARNATION,
+        keyed: false,
     }
 }
 
 impl Bench {
     fn open() -> Self {
         let mut bench = Self {
-            agent: Agent::open(),
+            agent: Agent::open(INCARNATION),
             now: Instant::now(),
             out: Vec::new(),
         };
--- a/crates/nutmegyoke-host/src/request/ticket.rs
+++ b/crates/nutmegyoke-host/src/request/ticket.rs
@@ -8,6 +8,7 @@
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::entry::{Command, Event};
 use nutmegyoke_core::request::arrival::Subject;
+use nutmegyoke_core::request::claim::Outcome;
 use nutmegyoke_core::request::{Arrival, Id, Pace, Verdict};
 use nutmegyoke_wire::request::Meter;
 
@@ -81,6 +82,13 @@
         }
     }
 
+    /// Tells that the request used no token, because it did not run.
+    pub fn unused(&self) {
+        let number = self.mailbox.number();
+        let tokens = 0;
+        self.entry.driver().feed(Event::Metered { number, tokens });
+    }
+
     /// Takes in the whole of an answer that is not streamed.
     pub fn whole(&self, body: &[u8]) {
         self.meter.borrow_mut().whole(body);
@@ -97,6 +105,21 @@
         self.mailbox.next().await
     }
 
+    /// Tells how control answered the wish for a claim.
+    pub fn judged(&self, outcome: Option<&Outcome>) {
+        let number = self.mailbox.number();
+        self.entry.driver().feed(match outcome {
+            Some(outcome) => Event::Judged { number, outcome },
+            None => Event::Unclaimed { number },
+        });
+    }
+
+    /// Tells that the agent no longer keeps the answer that was recalled.
+    pub fn forgotten(&self) {
+        let number = self.mailbox.number();
+        self.entry.driver().feed(Event::Forgotten { number });
+    }
+
     /// Tells that the first part of the answer is about to reach the caller.
     pub fn started(&self) {
         let number = self.mailbox.number();
--- a/crates/nutmegyoke-host/tests/attempt.rs
+++ b/crates/nutmegyoke-host/tests/attempt.rs
@@ -107,6 +107,8 @@
         first_token: None,
         tokens: 0,
         configuration: 1,
+        incarnation: 0,
+        keyed: false,
     }
 }
 
--- a/crates/nutmegyoke-wire/src/request/submission.rs
+++ b/crates/nutmegyoke-wire/src/request/submission.rs
@@ -38,6 +38,8 @@
         },
         tokens: reader.get_tokens(),
         configuration: reader.get_configuration(),
+        incarnation: reader.get_incarnation(),
+        keyed: reader.get_keyed(),
     })
 }
 
@@ -58,6 +60,8 @@
     builder.set_first_token_ms(first_token.map_or(NO_FIRST_TOKEN, milliseconds));
     builder.set_tokens(submission.tokens);
     builder.set_configuration(submission.configuration);
+    builder.set_incarnation(submission.incarnation);
+    builder.set_keyed(submission.keyed);
 }
 
 fn read_destination(reader: destination::Reader<'_>) -> capnp::Result<Destination> {
--- a/crates/nutmegyoke-wire/tests/readers.rs
+++ b/crates/nutmegyoke-wire/tests/readers.rs
@@ -166,6 +166,8 @@
             first_token: times.1.map(std::time::Duration::from_millis),
             tokens: times.2,
             configuration,
+            incarnation: number,
+            keyed: once,
         },
     )
 }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -98,7 +98,7 @@
     link::dial(agent.listen).await.unwrap()
 }
 
-fn asked(number: u64, endpoint: &str) -> Submission {
+fn asked(agent: &Lone, number: u64, endpoint: &str) -> Submission {
     Submission {
         id: Id { entry: 1, number },
         attempt: 0,
@@ -113,6 +113,8 @@
         first_token: None,
         tokens: 0,
         configuration: 1,
+        incarnation: agent.agent.incarnation(),
+        keyed: false,
     }
 }
 
@@ -153,7 +155,7 @@
     let (ended, chunks, taken) = block_on(async {
         announce(&agent, endpoint(WHOLE)).await;
         let link = dial(&agent).await;
-        submit(&link.client, &asked(1, "desk")).await
+        submit(&link.client, &asked(&agent, 1, "desk")).await
     });
     assert_eq!((ended, taken.status), (Verdict::Ran, 200));
     assert_eq!(taken.body, b"ok");
@@ -166,7 +168,9 @@
         let address = answer.map_or_else(support::free_address, endpoint);
         announce(&agent, address).await;
         let link = dial(&agent).await;
-        submit(&link.client, &asked(1, endpoint_name)).await.0
+        submit(&link.client, &asked(&agent, 1, endpoint_name))
+            .await
+            .0
     });
     assert_eq!(ended, expected);
 }
@@ -202,10 +206,13 @@
     let (first, second) = block_on(async {
         announce(&agent, endpoint(WHOLE)).await;
         let link = dial(&agent).await;
-        let first = submit(&link.client, &asked(1, "desk")).await.0;
+        let first = submit(&link.client, &asked(&agent, 1, "desk")).await.0;
         // Over another link, as after a lost one.
         let link = dial(&agent).await;
-        (first, submit(&link.client, &asked(1, "desk")).await.0)
+        (
+            first,
+            submit(&link.client, &asked(&agent, 1, "desk")).await.0,
+        )
     });
     let reason = Reason::Duplicate;
     assert_eq!(first, Verdict::Ran);
@@ -220,14 +227,14 @@
     block_on(async {
         announce(&agent, endpoint(WHOLE)).await;
         let link = dial(&agent).await;
-        let (mut bad, taken) = request(&link.client, &asked(1, "desk"));
+        let (mut bad, taken) = request(&link.client, &asked(&agent, 1, "desk"));
         spoil(bad.get());
         let response = bad.send().promise.await;
         let refused = response.and_then(|response| verdict::read(response.get()?.get_verdict()?));
         // An error of the call leaves it open whether the request ran; it did not.
         assert!(!matches!(refused, Ok(Verdict::Ran)), "{refused:?}");
         assert_eq!(taken.borrow().status, 0);
-        let after = submit(&link.client, &asked(2, "desk")).await;
+        let after = submit(&link.client, &asked(&agent, 2, "desk")).await;
         assert_eq!(after.0, Verdict::Ran);
     });
 }
@@ -256,7 +263,7 @@
     let ended = block_on(async {
         announce(&agent, endpoint(WHOLE)).await;
         let link = dial(&agent).await;
-        submit(&link.client, &asked(1, "desk")).await.0
+        submit(&link.client, &asked(&agent, 1, "desk")).await.0
     });
     assert_eq!(ended, Verdict::Ran);
 }
@@ -269,7 +276,7 @@
     block_on(async {
         announce(&agent, silent.local_addr().unwrap()).await;
         let link = dial(&agent).await;
-        let (request, _) = request(&link.client, &asked(1, "desk"));
+        let (request, _) = request(&link.client, &asked(&agent, 1, "desk"));
         let call = request.send().promise;
         let waited = compio::time::timeout(Duration::from_millis(200), call).await;
         assert!(waited.is_err(), "the endpoint is silent");
@@ -277,7 +284,7 @@
         announce(&agent, endpoint(WHOLE)).await;
         let link = dial(&agent).await;
         assert_eq!(
-            submit(&link.client, &asked(2, "desk")).await.0,
+            submit(&link.client, &asked(&agent, 2, "desk")).await.0,
             Verdict::Ran
         );
     });
