--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -120,10 +120,12 @@
             cost: submission.tokens.clamp(1, queue::COST),
             bytes,
         };
-        if let Err(refusal) = self.check(now, submission, &item) {
+        if let Err(refusal) = self
+            .recognise(submission)
+            .and_then(|()| self.check(now, submission, &item))
+        {
             return out.push(Command::refuse(call, refusal));
         }
-        self.seen.insert(submission.id, submission.attempt);
         self.calls.insert(
             call,
             Call {
@@ -138,19 +140,26 @@
         });
     }
 
-    fn check(&self, now: Instant, submission: &Submission, item: &Item) -> Result<(), Refusal> {
+    /// Lets each submission pass once, also one that is refused then: a copy of it may
+    /// arrive when the cause of the refusal is gone and the entry has tried elsewhere.
+    fn recognise(&mut self, submission: &Submission) -> Result<(), Refusal> {
         if submission.incarnation != self.incarnation {
             return Err(Refusal::at_once(Reason::Restarted));
         }
+        if self.seen.contains(submission.id, submission.attempt) {
+            return Err(Refusal::at_once(Reason::Duplicate));
+        }
+        self.seen.insert(submission.id, submission.attempt);
+        Ok(())
+    }
+
+    fn check(&self, now: Instant, submission: &Submission, item: &Item) -> Result<(), Refusal> {
         if self.draining {
             return Err(Refusal::at_once(Reason::Draining));
         }
         if submission.configuration < self.configuration.number() {
             return Err(Refusal::at_once(Reason::StaleConfiguration));
         }
-        if self.seen.contains(submission.id, submission.attempt) {
-            return Err(Refusal::at_once(Reason::Duplicate));
-        }
         let backend = self.endpoints.get(&submission.endpoint);
         let backend = backend.ok_or(Refusal::at_once(Reason::NotHeld))?;
         backend.check(now, submission.destination.target(), item)
--- a/crates/nutmegyoke-core/src/process/entry/claiming.rs
+++ b/crates/nutmegyoke-core/src/process/entry/claiming.rs
@@ -9,7 +9,7 @@
 
 use super::backoff;
 use super::request::{Phase, Request};
-use super::{Command, Entry, close};
+use super::{Command, Entry};
 use crate::process::{Sink, directory};
 use crate::request::claim::{Claim, Outcome};
 use crate::request::{Reason, Verdict};
@@ -53,7 +53,7 @@
                 let verdict = Verdict::NotRun {
                     reason: Reason::KeyReused,
                 };
-                close(number, request, verdict, out);
+                self.close(number, request, verdict, out);
             }
         }
     }
@@ -73,7 +73,7 @@
         let verdict = Verdict::NotRun {
             reason: Reason::Unclaimed,
         };
-        close(number, request, verdict, out);
+        self.close(number, request, verdict, out);
     }
 
     /// Tells that the request ran although its answer is gone.
@@ -82,7 +82,7 @@
         S: Sink<Command = Command>,
     {
         if let Some(request) = self.take(number, Phase::Recalling) {
-            close(number, request, Verdict::Ran, out);
+            self.close(number, request, Verdict::Ran, out);
         }
     }
 
@@ -99,7 +99,7 @@
         match claim.verdict {
             Some(Verdict::Ran) => {
                 let Some(member) = self.directory.member(&claim.vm) else {
-                    return close(number, request, Verdict::Ran, out);
+                    return self.close(number, request, Verdict::Ran, out);
                 };
                 out.push(Command::Recall {
                     number,
@@ -110,7 +110,7 @@
                 self.requests.insert(number, request);
             }
             Some(verdict @ Verdict::MayHaveRun { .. }) => {
-                close(number, request, verdict, out);
+                self.close(number, request, verdict, out);
             }
             // A request that did not run releases its claim.
             Some(Verdict::NotRun { .. }) | None => self.wait(now, number, request, claim, out),
@@ -140,7 +140,7 @@
             return;
         };
         // The request behind the claim may have run.
-        close(number, request, Verdict::MayHaveRun { reason }, out);
+        self.close(number, request, Verdict::MayHaveRun { reason }, out);
     }
 
     /// Whether the entry that holds a claim is gone, as far as the directory shows.
--- a/crates/nutmegyoke-core/src/process/entry/event.rs
+++ b/crates/nutmegyoke-core/src/process/entry/event.rs
@@ -79,6 +79,4 @@
     Retried { reason: Reason },
     /// Count a retry that the budget did not allow.
     Withheld { reason: Reason },
-    /// Ask control for news at once: an agent knows a newer configuration.
-    Refresh,
 }
--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -17,7 +17,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use budget::Budget;
 pub use event::{Command, Event};
@@ -42,10 +42,10 @@
     directory: Directory,
     requests: HashMap<u64, Request>,
     loads: route::Loads,
-    quotas: Quotas,
-    entries: u32,
     budget: Budget,
     timer: Timer,
+    quotas: Quotas,
+    entries: u32,
     random: fastrand::Rng,
     draining: bool,
 }
@@ -64,10 +64,10 @@
             directory: Directory::default(),
             requests: HashMap::new(),
             loads: route::Loads::default(),
-            quotas: Quotas::default(),
-            entries: 1,
             budget: Budget::default(),
             timer: Timer::default(),
+            quotas: Quotas::default(),
+            entries: 1,
             random: fastrand::Rng::with_seed(seed),
             draining: false,
         }
@@ -124,7 +124,7 @@
             Ok(admission) => admission,
             Err(reason) => return out.push(refuse(number, reason)),
         };
-        let tokens = arrival.subject.tokens();
+        let (_, tokens) = expected(arrival, &admission);
         let charged = self
             .quotas
             .charge(now, number, admission.plan, tokens, self.entries);
@@ -152,10 +152,9 @@
         arrival: &Arrival<'_>,
         admission: Admission<'_>,
     ) -> Request {
+        let (first_token, tokens) = expected(arrival, &admission);
         let once = admission.repeat == Repeat::Once;
         let key = arrival.idempotency.filter(|_| once);
-        let expected = admission.plan.first_token;
-        let first_token = arrival.subject.streams().then_some(expected);
         let submission = Submission {
             id: self.id(number),
             attempt: 0,
@@ -182,8 +181,8 @@
         });
         Request {
             deadline: now + admission.plan.deadline,
-            first_token: first_token.map(|expected| now + expected),
             arrived: now,
+            first_token: first_token.map(|expected| now + expected),
             submission,
             started: false,
             uncertain: None,
@@ -198,7 +197,7 @@
         S: Sink<Command = Command>,
     {
         if now >= request.deadline {
-            return give_up(number, request, Reason::DeadlinePassed, out);
+            return self.give_up(number, request, Reason::DeadlinePassed, out);
         }
         if !self.allowed(number, &request) {
             return give_up(number, request, Reason::NotGranted, out);
@@ -210,7 +209,7 @@
         };
         let Some(choice) = route::choose(&self.directory, &self.loads, query, &mut self.random)
         else {
-            return give_up(number, request, Reason::NoEndpoint, out);
+            return self.give_up(number, request, Reason::NoEndpoint, out);
         };
         self.loads.add(&choice);
         request.submission.endpoint.clone_from(&choice.endpoint);
@@ -266,7 +265,7 @@
                 }
                 self.retry(now, number, request, reason, out);
             }
-            Next::Settle { verdict } => close(number, request, verdict, out),
+            Next::Settle { verdict } => self.close(number, request, verdict, out),
         }
     }
 
@@ -284,11 +283,11 @@
         request.submission.attempt += 1;
         let until = now + backoff::ATTEMPT.pause(request.submission.attempt, &mut self.random);
         if until >= request.deadline {
-            return give_up(number, request, reason, out);
+            return self.give_up(number, request, reason, out);
         }
         if !self.budget.spend() {
             out.push(Command::Withheld { reason });
-            return give_up(number, request, reason, out);
+            return self.give_up(number, request, reason, out);
         }
         out.push(Command::Retried { reason });
         if reason == Reason::StaleConfiguration {
@@ -299,6 +298,31 @@
         self.requests.insert(number, request);
     }
 
+    /// Ends a request whose last attempt did not run, or was never made.
+    fn give_up<S>(&mut self, number: u64, request: Request, reason: Reason, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let verdict = attempt::whole(request.uncertain, Verdict::NotRun { reason });
+        self.close(number, request, verdict, out);
+    }
+
+    /// Answers the caller and concludes the claim that the request holds.
+    fn close<S>(&mut self, number: u64, request: Request, verdict: Verdict, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        if let Verdict::NotRun { .. } = verdict {
+            self.quotas.meter(number, 0);
+        }
+        out.push(Command::Settle {
+            number,
+            verdict,
+            after: None,
+        });
+        conclude(request, verdict, out);
+    }
+
     fn leave<S>(&mut self, number: u64, out: &mut S)
     where
         S: Sink<Command = Command>,
@@ -396,26 +420,15 @@
     }
 }
 
-/// Ends a request whose last attempt did not run, or was never made.
-fn give_up<S>(number: u64, request: Request, reason: Reason, out: &mut S)
-where
-    S: Sink<Command = Command>,
-{
-    let verdict = attempt::whole(request.uncertain, Verdict::NotRun { reason });
-    close(number, request, verdict, out);
-}
-
-/// Answers the caller and concludes the claim that the request holds.
-fn close<S>(number: u64, request: Request, verdict: Verdict, out: &mut S)
-where
-    S: Sink<Command = Command>,
-{
-    out.push(Command::Settle {
-        number,
-        verdict,
-        after: None,
-    });
-    conclude(request, verdict, out);
+/// When the first token is due after the arrival, and the tokens it may cost.
+fn expected(arrival: &Arrival<'_>, admission: &Admission<'_>) -> (Option<Duration>, u64) {
+    match arrival.subject {
+        Subject::Completion { prompt, tokens, .. } => {
+            let all = u64::from(prompt) + u64::from(tokens);
+            (Some(admission.plan.first_token), all)
+        }
+        Subject::Call { .. } => (None, 0),
+    }
 }
 
 /// Tells control how the holder of a claim ended.
--- a/crates/nutmegyoke-core/tests/agent.rs
+++ b/crates/nutmegyoke-core/tests/agent.rs
@@ -57,7 +57,7 @@
         first_token: None,
         tokens: 100,
         configuration: 0,
-        incarnation: INCARNATION,
+        incarnation: 0,
         keyed: false,
     }
 }
@@ -65,7 +65,7 @@
 impl Bench {
     fn open() -> Self {
         let mut bench = Self {
-            agent: Agent::open(INCARNATION),
+            agent: Agent::open(0),
             now: Instant::now(),
             out: Vec::new(),
         };
--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -236,8 +236,8 @@
                 Ok(Outcome {
                     verdict: Command::verdict(reason),
                     chunks: 0,
-                    after,
                     record: None,
+                    after,
                 })
             }
             None => Err(capnp::Error::failed("the agent is gone".to_owned())),
@@ -258,8 +258,8 @@
         let keep = submission.keyed;
         let call = self.mailbox.number();
         let answered = || agent.driver.feed(Input::Answered { call });
-        let sent = call::run(&agent.client, address, payload, answer, keep, answered);
-        let mut outcome = sent.await;
+        let run = call::run(&agent.client, address, payload, answer, keep, answered);
+        let mut outcome = run.await;
         if let Some(record) = outcome.record.take() {
             let now = agent.driver.clock().now();
             agent.kept.borrow_mut().insert(now, submission.id, record);
@@ -299,19 +299,6 @@
         Ok(())
     }
 
-    async fn withdraw(
-        self: Rc<Self>,
-        params: agent::WithdrawParams,
-        mut results: agent::WithdrawResults,
-    ) -> capnp::Result<()> {
-        let params = params.get()?;
-        let known = self
-            .agent
-            .withdraw(text(params.get_endpoint())?, params.get_withdrawn());
-        results.get().set_known(known);
-        Ok(())
-    }
-
     async fn recall(
         self: Rc<Self>,
         params: agent::RecallParams,
@@ -329,6 +316,19 @@
         }
         Ok(())
     }
+
+    async fn withdraw(
+        self: Rc<Self>,
+        params: agent::WithdrawParams,
+        mut results: agent::WithdrawResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let known = self
+            .agent
+            .withdraw(text(params.get_endpoint())?, params.get_withdrawn());
+        results.get().set_known(known);
+        Ok(())
+    }
 }
 
 impl<C: Clock + 'static> Serve for Agent<C> {
--- a/crates/nutmegyoke-host/src/request/call.rs
+++ b/crates/nutmegyoke-host/src/request/call.rs
@@ -25,10 +25,10 @@
     pub verdict: Verdict,
     /// Chunks sent to the entry.
     pub chunks: u64,
-    /// When another try may succeed; zero if that is not known.
-    pub after: Duration,
     /// The whole answer, if it is to be kept.
     pub record: Option<Record>,
+    /// When another try may succeed; zero if that is not known.
+    pub after: Duration,
 }
 
 /// Sends the request to its endpoint and the answer to the entry.
@@ -65,7 +65,7 @@
 pub async fn replay(record: Record, answer: &answer::Client) -> capnp::Result<u64> {
     send_head(answer, record.status, &record.content_type).await?;
     let parts = record.parts.into_iter().map(Ok::<_, cyper::Error>);
-    let outcome = copy(futures_util::stream::iter(parts), answer, None, || ()).await;
+    let outcome = copy(futures_util::stream::iter(parts), answer, None, || {}).await;
     match outcome.verdict {
         Verdict::Ran => Ok(outcome.chunks),
         _ => Err(capnp::Error::disconnected("the entry left".to_owned())),
@@ -135,8 +135,8 @@
     Outcome {
         verdict: Verdict::Ran,
         chunks,
-        after: Duration::ZERO,
         record,
+        after: Duration::ZERO,
     }
 }
 
@@ -157,8 +157,8 @@
     Outcome {
         verdict,
         chunks,
-        after: Duration::ZERO,
         record: None,
+        after: Duration::ZERO,
     }
 }
 
--- a/crates/nutmegyoke-host/src/request/forward.rs
+++ b/crates/nutmegyoke-host/src/request/forward.rs
@@ -110,9 +110,6 @@
                 Begun::Failed { verdict } => ticket.settle(verdict),
             },
             Command::Settle { verdict, after, .. } => {
-                if let Verdict::NotRun { .. } = verdict {
-                    ticket.unused();
-                }
                 let after = after.or(ticket.after());
                 return fail_after(ticket.entry(), Some(ticket.id()), verdict, after);
             }
@@ -162,8 +159,8 @@
     };
     let answer = Answer::open(&entry.metrics().dropped);
     let attempt = Attempt::spawn(&client, submission, payload, answer);
-    let until = entry.driver().clock().now() + submission.remaining;
     let hint = attempt.hint();
+    let until = entry.driver().clock().now() + submission.remaining;
     let begun = begin(attempt, until).await;
     ticket.hint(hint.get());
     begun
--- a/crates/nutmegyoke-host/src/request/stream.rs
+++ b/crates/nutmegyoke-host/src/request/stream.rs
@@ -56,7 +56,8 @@
     until: Instant,
 ) {
     let Writer { mut parts, left } = writer;
-    let copied = compio::time::timeout_at(until, copy(&ticket, &mut attempt, &mut parts));
+    let copied = copy(&ticket, &mut attempt, &mut parts);
+    let copied = compio::time::timeout_at(until, copied);
     let verdict = {
         pin_mut!(copied);
         match select(copied, left).await {
--- a/crates/nutmegyoke-wire/schema/link.capnp
+++ b/crates/nutmegyoke-wire/schema/link.capnp
@@ -58,7 +58,7 @@
 
 interface Agent {
   # Returns when the attempt ended; `chunks` is how many were sent, `load` the requests
-  # queued and running at the endpoint then, `retryAfterMs` when another try may succeed.
+  # queued and running at the endpoint then.
   submit @0 (submission :Submission, payload :Payload, answer :Answer) -> (verdict :Verdict, chunks :UInt64, load :UInt32, retryAfterMs :UInt64);
 
   # Sends the kept answer to a keyed request that ran; `found` is whether it was still kept.
