Judge a waiting request again when the configuration changed

Cause: a request paused for a retry was dispatched under the newer configuration's number without being judged by it, so that it ran for a plan or grant that had been removed.

Change: before each dispatch under another number than the one that admitted the request, plan and grant are looked up again; not_granted if they are gone.

Conclusion: the number that a submission carries now means what it says.

--- a/crates/nutmegyoke-core/src/process/entry/event.rs
+++ b/crates/nutmegyoke-core/src/process/entry/event.rs
@@ -75,6 +75,8 @@
         /// When another try may succeed, if the entry knows.
         after: Option<Duration>,
     },
+    /// Send the next heartbeat now: an agent knows a newer configuration.
+    Refresh,
     /// Count a retry.
     Retried { reason: Reason },
     /// Count a retry that the budget did not allow.
--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -28,6 +28,7 @@
 use super::member::Role;
 use super::news::News;
 use super::{DataCentre, Directory, Machine, Sink};
+use crate::request::arrival::Subject;
 use crate::request::attempt::{self, Next, Progress};
 use crate::request::{Admission, Arrival, Id, Reason, Submission, Verdict, admission, claim};
 use crate::version::Configuration;
@@ -119,8 +120,7 @@
         if self.draining {
             return out.push(refuse(number, Reason::Draining));
         }
-        let configuration = Rc::clone(&self.configuration);
-        let admission = match admission::admit(&configuration, arrival) {
+        let admission = match admission::admit(&self.configuration, arrival) {
             Ok(admission) => admission,
             Err(reason) => return out.push(refuse(number, reason)),
         };
@@ -165,7 +165,7 @@
             repeat: admission.repeat,
             remaining: admission.plan.deadline,
             first_token,
-            tokens: arrival.subject.tokens(),
+            tokens,
             configuration: self.configuration.number(),
             incarnation: 0,
             keyed: key.is_some(),
@@ -200,7 +200,7 @@
             return self.give_up(number, request, Reason::DeadlinePassed, out);
         }
         if !self.allowed(number, &request) {
-            return give_up(number, request, Reason::NotGranted, out);
+            return self.give_up(number, request, Reason::NotGranted, out);
         }
         let query = route::Query {
             target: request.submission.destination.target(),
--- a/crates/nutmegyoke-core/src/process/entry/request.rs
+++ b/crates/nutmegyoke-core/src/process/entry/request.rs
@@ -12,8 +12,6 @@
     pub submission: Submission,
     /// When the caller gives up.
     pub deadline: Instant,
-    /// When the first token is due, if one is expected.
-    pub first_token: Option<Instant>,
     /// When the caller sent it.
     pub arrived: Instant,
     /// When the first token is due, if the request waits for tokens.
--- a/crates/nutmegyoke-core/src/request/arrival.rs
+++ b/crates/nutmegyoke-core/src/request/arrival.rs
@@ -35,23 +35,6 @@
     },
 }
 
-impl Subject<'_> {
-    /// Prompt and generated tokens at most; 0 for a call of a plain service.
-    #[must_use]
-    pub fn tokens(&self) -> u64 {
-        match self {
-            Self::Completion { prompt, tokens, .. } => u64::from(*prompt) + u64::from(*tokens),
-            Self::Call { .. } => 0,
-        }
-    }
-
-    /// Whether the answer comes token by token.
-    #[must_use]
-    pub fn streams(&self) -> bool {
-        matches!(self, Self::Completion { .. })
-    }
-}
-
 /// Where an admitted request goes, in names owned by the request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Destination {
--- a/crates/nutmegyoke-core/tests/agent.rs
+++ b/crates/nutmegyoke-core/tests/agent.rs
@@ -19,9 +19,6 @@
 const WHOLE: Duration = Duration::from_secs(1);
 const FIRST: Duration = Duration::from_millis(100);
 
-/// The run of the agent.
-const INCARNATION: u64 = 3;
-
 /// An agent with one endpoint of one slot, which call 0 holds.
 struct Bench {
     agent: Agent,
--- a/crates/nutmegyoke-host/src/request/ticket.rs
+++ b/crates/nutmegyoke-host/src/request/ticket.rs
@@ -82,13 +82,6 @@
         }
     }
 
-    /// Tells that the request used no token, because it did not run.
-    pub fn unused(&self) {
-        let number = self.mailbox.number();
-        let tokens = 0;
-        self.entry.driver().feed(Event::Metered { number, tokens });
-    }
-
     /// Takes in the whole of an answer that is not streamed.
     pub fn whole(&self, body: &[u8]) {
         self.meter.borrow_mut().whole(body);
--- a/crates/nutmegyoke-host/tests/attempt.rs
+++ b/crates/nutmegyoke-host/tests/attempt.rs
@@ -104,8 +104,6 @@
         },
         repeat: Repeat::Once,
         remaining: Duration::from_secs(5),
-        first_token: None,
-        tokens: 0,
         configuration: 1,
         incarnation: 0,
         keyed: false,
--- a/crates/nutmegyoke-wire/tests/readers.rs
+++ b/crates/nutmegyoke-wire/tests/readers.rs
@@ -168,8 +168,6 @@
             configuration,
             incarnation: number,
             keyed: once,
-            first_token: None,
-            tokens: 0,
         },
     )
 }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -110,8 +110,6 @@
         },
         repeat: Repeat::Once,
         remaining: Duration::from_secs(5),
-        first_token: None,
-        tokens: 0,
         configuration: 1,
         incarnation: agent.agent.incarnation(),
         keyed: false,
