--- /dev/null
+++ b/crates/nutmegyoke-core/benches/load/fifo.rs
@@ -0,0 +1,82 @@
+//! The agent's queue of the first version, as the baseline.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use nutmegyoke_core::process::agent::{Command, Event};
+use nutmegyoke_core::process::{Machine, Sink};
+use nutmegyoke_core::request::Reason;
+
+/// Requests that wait at most.
+const QUEUE: usize = 64;
+
+/// First in, first out.
+#[derive(Debug)]
+pub struct Fifo {
+    address: SocketAddr,
+    slots: usize,
+    queue: VecDeque<u64>,
+    /// Whether each call runs.
+    calls: BTreeMap<u64, bool>,
+}
+
+impl Fifo {
+    pub fn open(address: SocketAddr, slots: usize) -> Self {
+        Self {
+            address,
+            slots,
+            queue: VecDeque::new(),
+            calls: BTreeMap::new(),
+        }
+    }
+
+    fn start<S: Sink<Command = Command>>(&mut self, out: &mut S) {
+        while self.calls.values().filter(|&&runs| runs).count() < self.slots
+            && let Some(call) = self.queue.pop_front()
+        {
+            self.calls.insert(call, true);
+            let address = self.address;
+            out.push(Command::Start { call, address });
+        }
+    }
+}
+
+impl Machine for Fifo {
+    type Event<'a> = Event<'a>;
+    type Command = Command;
+
+    fn handle<S>(&mut self, _: Instant, event: Event<'_>, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        match event {
+            Event::Submitted { call, .. } if self.queue.len() >= QUEUE => {
+                out.push(Command::Refuse {
+                    call,
+                    reason: Reason::QueueFull,
+                    after: Duration::ZERO,
+                });
+            }
+            Event::Submitted { call, .. } => {
+                self.calls.insert(call, false);
+                self.queue.push_back(call);
+                self.start(out);
+            }
+            Event::Finished { call } => {
+                self.calls.remove(&call);
+                self.queue.retain(|&waiting| waiting != call);
+                self.start(out);
+            }
+            _ => {}
+        }
+    }
+
+    fn tick() -> Event<'static> {
+        Event::Ticked
+    }
+
+    fn deadline(&self) -> Option<Instant> {
+        None
+    }
+}
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -141,12 +141,14 @@
         }
     }
 
-    /// Requests in flight and connections whose last answer is not sent yet.
+    /// Requests in flight, ends of claimed ones still to be told, and
+    /// connections whose last answer is not sent yet.
     #[must_use]
     pub fn in_flight(&self) -> usize {
         let callers = self.listeners.get().map(|[callers, _]| callers);
         let connections = callers.map_or(0, Listener::connections);
-        self.driver.machine().in_flight().max(connections)
+        let requests = self.driver.machine().in_flight().max(connections);
+        requests + self.registrar.pending()
     }
 
     /// Takes nothing new, closes connections after the answer in progress and
@@ -157,7 +159,7 @@
             callers.close();
         }
         self.closing.open();
-        super::drained(|| self.in_flight() + self.registrar.pending()).await;
+        super::drained(|| self.in_flight()).await;
     }
 }
 
