--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -15,7 +15,7 @@
 pub mod route;
 pub mod timer;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -31,8 +31,8 @@
 use crate::request::arrival::Subject;
 use crate::request::attempt::{self, Next, Progress};
 use crate::request::{Admission, Arrival, Id, Reason, Submission, Verdict, admission, claim};
-use crate::version::Configuration;
 use crate::version::grant::Repeat;
+use crate::version::{Configuration, Customer};
 
 /// An entry's decision state.
 #[derive(Debug)]
@@ -43,7 +43,8 @@
     directory: Directory,
     requests: HashMap<u64, Request>,
     loads: route::Loads,
-    budget: Budget,
+    /// By customer, so that the failures of one use up no other's retries.
+    budgets: BTreeMap<Customer, Budget>,
     timer: Timer,
     quotas: Quotas,
     entries: u32,
@@ -65,7 +66,7 @@
             directory: Directory::default(),
             requests: HashMap::new(),
             loads: route::Loads::default(),
-            budget: Budget::default(),
+            budgets: BTreeMap::new(),
             timer: Timer::default(),
             quotas: Quotas::default(),
             entries: 1,
@@ -250,7 +251,7 @@
         };
         self.loads.remove(&request.target);
         if verdict == Verdict::Ran {
-            self.budget.earn();
+            self.budget(&request.submission.customer).earn();
         }
         let progress = Progress {
             attempts: request.submission.attempt + 1,
@@ -269,6 +270,10 @@
         }
     }
 
+    fn budget(&mut self, customer: &Customer) -> &mut Budget {
+        self.budgets.entry(customer.clone()).or_default()
+    }
+
     /// Pauses a request until its next attempt, if time and budget allow one.
     fn retry<S>(
         &mut self,
@@ -285,7 +290,7 @@
         if until >= request.deadline {
             return self.give_up(number, request, reason, out);
         }
-        if !self.budget.spend() {
+        if !self.budget(&request.submission.customer).spend() {
             out.push(Command::Withheld { reason });
             return self.give_up(number, request, reason, out);
         }
@@ -358,6 +363,9 @@
         {
             self.configuration = Rc::clone(newer);
             self.quotas.retain(newer);
+            let plans = &newer.lists().plans;
+            self.budgets
+                .retain(|customer, _| plans.iter().any(|plan| plan.customer == *customer));
         }
         self.directory.learn(&news.directory);
         self.entries = count(&self.directory);
