Refuse a queued request whose model was unloaded meanwhile

Cause: a request checked at its submission was started later on an endpoint that no longer held its model; the engine's error would have counted as one that may have run.

Change: what a request needs waits with it and is checked again when it gets its slot; not_held and not run if it is gone. A test of the demo scrapes histograms and expectations by plan.

--- a/crates/nutmegyoke-core/src/process/agent/backend.rs
+++ b/crates/nutmegyoke-core/src/process/agent/backend.rs
@@ -6,7 +6,7 @@
 use super::estimate::Estimate;
 use super::queue::{Item, Queue};
 use crate::process::Endpoint;
-use crate::process::endpoint::{Phase, Target};
+use crate::process::endpoint::Phase;
 use crate::request::Reason;
 
 /// An endpoint, what runs on it and what waits for it.
@@ -110,13 +110,11 @@
     ///
     /// The endpoint takes no new work, does not hold the target, or can't answer
     /// in time as far as its pace tells.
-    pub fn check(&self, now: Instant, target: Target<'_>, item: &Item) -> Result<(), Refusal> {
+    pub fn check(&self, now: Instant, item: &Item) -> Result<(), Refusal> {
         if self.draining() {
             return Err(Refusal::at_once(Reason::Draining));
         }
-        if !self.endpoint.serves(target) {
-            return Err(Refusal::at_once(Reason::NotHeld));
-        }
+        self.holds(item)?;
         if item.deadline <= now {
             return Err(Refusal::at_once(Reason::DeadlinePassed));
         }
@@ -145,16 +143,13 @@
         while self.running < self.endpoint.slots
             && let Some(item) = self.queue.pop()
         {
-            // With nothing running there is nothing to wait for, and the
-            // estimate is renewed by trying.
-            if self.running > 0
-                && let Err(refusal) = self.timely(now, &item)
-            {
-                out.push(Outcome::refuse(item.call, refusal));
-                continue;
+            match self.ready(now, &item) {
+                Ok(()) => {
+                    self.running += 1;
+                    out.push(Outcome::Start { item });
+                }
+                Err(refusal) => out.push(Outcome::refuse(item.call, refusal)),
             }
-            self.running += 1;
-            out.push(Outcome::Start { item });
         }
     }
 
@@ -196,6 +191,26 @@
         }
     }
 
+    /// Judges a request that has a free slot.
+    fn ready(&self, now: Instant, item: &Item) -> Result<(), Refusal> {
+        self.holds(item)?;
+        // With nothing running there is nothing to wait for, and the estimate is
+        // renewed by trying.
+        if self.running == 0 {
+            return Ok(());
+        }
+        self.timely(now, item)
+    }
+
+    /// Whether the endpoint holds what the request needs; it may have been
+    /// unloaded while the request waited.
+    fn holds(&self, item: &Item) -> Result<(), Refusal> {
+        if self.endpoint.holding.contains(item.destination.target()) {
+            return Ok(());
+        }
+        Err(Refusal::at_once(Reason::NotHeld))
+    }
+
     fn idle(&self) -> bool {
         self.queue.is_empty() && self.running < self.endpoint.slots
     }
--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -114,6 +114,7 @@
         let item = Item {
             call,
             customer: submission.customer.clone(),
+            destination: submission.destination.clone(),
             priority: submission.priority,
             first_token: submission.first_token.map(|left| later(now, left)),
             deadline: later(now, submission.remaining),
@@ -162,7 +163,7 @@
         }
         let backend = self.endpoints.get(&submission.endpoint);
         let backend = backend.ok_or(Refusal::at_once(Reason::NotHeld))?;
-        backend.check(now, submission.destination.target(), item)
+        backend.check(now, item)
     }
 
     /// Changes one backend, then gives out its free slots.
--- a/crates/nutmegyoke-core/src/process/agent/queue.rs
+++ b/crates/nutmegyoke-core/src/process/agent/queue.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Instant;
 
+use crate::request::arrival::Destination;
 use crate::version::Customer;
 
 /// Requests that wait for one endpoint at most.
@@ -34,6 +35,8 @@
     pub call: u64,
     /// Whose request it is.
     pub customer: Customer,
+    /// What the endpoint has to hold when it starts.
+    pub destination: Destination,
     /// 0 is the most urgent, 9 the least.
     pub priority: u8,
     /// When the first token is due, if one is expected.
--- a/crates/nutmegyoke-core/tests/agent.rs
+++ b/crates/nutmegyoke-core/tests/agent.rs
@@ -207,6 +207,23 @@
     bench.submit(9_000, &submission(9_000));
 }
 
+fn unloaded_while_queued(bench: &mut Bench) {
+    bench.submit(9_000, &submission(9_000));
+    let empty = Endpoint {
+        holding: Holding::Engine {
+            models: Vec::new(),
+            adapters: Vec::new(),
+        },
+        // Room for the one that waits.
+        slots: 2,
+        ..endpoint(Phase::Ready)
+    };
+    bench.feed(Event::Announced {
+        endpoint: &empty,
+        address: address(),
+    });
+}
+
 fn stale_configuration(bench: &mut Bench) {
     learn(bench, 7);
     let stale = Submission {
@@ -293,6 +310,7 @@
     after_withdrawal: (submitted_to_withdrawn, Reason::Draining),
     older_configuration: (stale_configuration, Reason::StaleConfiguration),
     duplicate: (submitted_twice, Reason::Duplicate),
+    unloaded: (unloaded_while_queued, Reason::NotHeld),
     gone_endpoint: (unknown_endpoint, Reason::NotHeld),
 });
 
--- a/crates/nutmegyoke-core/tests/queue.rs
+++ b/crates/nutmegyoke-core/tests/queue.rs
@@ -5,6 +5,7 @@
 
 use nutmegyoke_cases::cases;
 use nutmegyoke_core::process::agent::queue::{BYTES, CAPACITY, Item, Queue};
+use nutmegyoke_core::request::arrival::Destination;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -24,6 +25,9 @@
     Item {
         call,
         customer: customer.into(),
+        destination: Destination::Service {
+            service: "desk".into(),
+        },
         priority,
         first_token: None,
         deadline: base + Duration::from_secs(deadline),
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -30,6 +30,12 @@
     (response.status().as_u16(), response.text().await.unwrap())
 }
 
+async fn scrape(demo: &Demo) -> String {
+    let url = format!("http://{}/metrics", demo.operators);
+    let request = cyper::Client::new().unwrap().get(url).unwrap();
+    request.send().await.unwrap().text().await.unwrap()
+}
+
 #[test]
 fn whole_answer_arrives() {
     let demo = Demo::spawn();
@@ -88,15 +94,32 @@
     assert!(used <= TICKS_AT_MOST, "{used} ticks");
 }
 
+#[test]
+fn attainment_is_measured_by_plan() {
+    let demo = Demo::spawn();
+    let body = r#"{"model":"price-ml","max_tokens":5,"stream":true}"#;
+    let (status, _) = block_on(post(&demo, COMPLETIONS, KEY, body));
+    assert_eq!(status, 200);
+    let text = block_on(scrape(&demo));
+    let labels = r#"plan="demo",role="entry",vm="entry-1""#;
+    for line in [
+        format!("nutmegyoke_first_token_seconds_count{{{labels}}} 1"),
+        format!("nutmegyoke_between_tokens_seconds_count{{{labels}}} 4"),
+    ] {
+        assert!(text.contains(&line), "{text}");
+    }
+    for expectation in ["first_token", "between_tokens", "deadline"] {
+        let start = format!("nutmegyoke_expectations_total{{expectation=\"{expectation}\"");
+        let counted = text.lines().filter(|line| line.starts_with(&start));
+        assert_eq!(counted.count(), 1, "{text}");
+    }
+}
+
 #[test]
 fn refusals_are_counted_by_reason() {
     let demo = Demo::spawn();
     block_on(post(&demo, COMPLETIONS, "wrong", "{}"));
-    let url = format!("http://{}/metrics", demo.operators);
-    let text = block_on(async {
-        let request = cyper::Client::new().unwrap().get(url).unwrap();
-        request.send().await.unwrap().text().await.unwrap()
-    });
+    let text = block_on(scrape(&demo));
     let line = r#"nutmegyoke_refusals_total{reason="bad_key",role="entry",vm="entry-1"} 1"#;
     assert!(text.contains(line), "{text}");
 }
