Route by an index of targets, sampled places and loads that ride on replies

Cause: a choice scanned every endpoint of the directory and knew no load but the entry's own requests. An agent that had just failed was chosen again.

Change: route::Index lists by target the places that hold it, near and far; it follows the directory's changes.

--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -86,6 +86,16 @@
         &self.configuration
     }
 
+    /// Requests queued or running at one endpoint.
+    #[must_use]
+    pub fn load(&self, endpoint: &str) -> u32 {
+        let backend = self.endpoints.get(endpoint);
+        backend.map_or(0, |backend| {
+            let queued = u32::try_from(backend.queue.len()).unwrap_or(u32::MAX);
+            backend.running.saturating_add(queued)
+        })
+    }
+
     /// Requests queued or running.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/crates/nutmegyoke-core/src/process/entry/event.rs
+++ b/crates/nutmegyoke-core/src/process/entry/event.rs
@@ -24,6 +24,8 @@
     Forgotten { number: u64 },
     /// The first part of an answer is about to reach the caller.
     Started { number: u64 },
+    /// The agent told how many requests are queued and running at the endpoint.
+    Reported { number: u64, load: u32 },
     /// The attempt in flight ended.
     Settled { number: u64, verdict: Verdict },
     /// The caller closed the connection.
--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -20,6 +20,8 @@
 use budget::Budget;
 pub use event::{Command, Event};
 use request::{Phase, Request, Wish};
+use route::Router;
+use route::policy::NearFirst;
 use timer::Timer;
 
 use super::news::News;
@@ -33,11 +35,10 @@
 #[derive(Debug)]
 pub struct Entry {
     run: u64,
-    data_centre: DataCentre,
     configuration: Rc<Configuration>,
     directory: Directory,
     requests: HashMap<u64, Request>,
-    loads: route::Loads,
+    router: Router<NearFirst>,
     budget: Budget,
     timer: Timer,
     random: fastrand::Rng,
@@ -53,11 +54,10 @@
     pub fn open(run: u64, data_centre: &DataCentre, seed: u64) -> Self {
         Self {
             run,
-            data_centre: data_centre.clone(),
             configuration: Rc::default(),
             directory: Directory::default(),
             requests: HashMap::new(),
-            loads: route::Loads::default(),
+            router: Router::open(data_centre, seed),
             budget: Budget::default(),
             timer: Timer::default(),
             random: fastrand::Rng::with_seed(seed),
@@ -148,7 +148,7 @@
             submission,
             started: false,
             uncertain: None,
-            target: route::Choice::default(),
+            target: None,
             phase: Phase::Running,
             claim,
         }
@@ -161,26 +161,22 @@
         if now >= request.deadline {
             return give_up(number, request, Reason::DeadlinePassed, out);
         }
-        let query = route::Query {
-            target: request.submission.destination.target(),
-            data_centre: &self.data_centre,
-            avoid: &request.target,
-        };
-        let Some(choice) = route::choose(&self.directory, &self.loads, query, &mut self.random)
-        else {
+        let target = request.submission.destination.target();
+        let avoid = request.target.as_deref();
+        let Some(place) = self.router.choose(now, target, avoid) else {
             return give_up(number, request, Reason::NoEndpoint, out);
         };
-        self.loads.add(&choice);
-        request.submission.endpoint.clone_from(&choice.endpoint);
+        place.gauge.add();
+        request.submission.endpoint.clone_from(&place.endpoint);
         request.submission.remaining = request.deadline.saturating_duration_since(now);
         request.submission.configuration = self.configuration.number();
-        request.submission.incarnation = choice.incarnation;
+        request.submission.incarnation = place.incarnation;
         out.push(Command::Dispatch {
             number,
-            agent: choice.address,
+            agent: place.address,
             submission: request.submission.clone(),
         });
-        request.target = choice;
+        request.target = Some(place);
         request.phase = Phase::Running;
         self.requests.insert(number, request);
     }
@@ -192,7 +188,12 @@
         let Some(mut request) = self.take(number, Phase::Running) else {
             return;
         };
-        self.loads.remove(&request.target);
+        if let Some(place) = &request.target {
+            place.gauge.remove();
+            if shuns(verdict) {
+                place.gauge.shun(now);
+            }
+        }
         if verdict == Verdict::Ran {
             self.budget.earn();
         }
@@ -254,7 +255,9 @@
         }
         let reason = Reason::CallerLeft;
         let last = if request.phase == Phase::Running {
-            self.loads.remove(&request.target);
+            if let Some(place) = &request.target {
+                place.gauge.remove();
+            }
             Verdict::MayHaveRun { reason }
         } else {
             Verdict::NotRun { reason }
@@ -278,6 +281,7 @@
             self.configuration = Rc::clone(newer);
         }
         self.directory.learn(&news.directory);
+        self.router.learn(&news.directory);
     }
 
     /// Goes on with every request whose pause is over.
@@ -315,6 +319,12 @@
                     request.started = true;
                 }
             }
+            Event::Reported { number, load } => {
+                let request = self.requests.get(&number);
+                if let Some(place) = request.and_then(|request| request.target.as_ref()) {
+                    place.gauge.report(now, load);
+                }
+            }
             Event::Settled { number, verdict } => self.settle(now, number, verdict, out),
             Event::Left { number } => self.leave(number, out),
             Event::Taught { news } => self.learn(news),
@@ -332,6 +342,20 @@
     }
 }
 
+/// Whether a verdict tells that the place takes no requests now.
+fn shuns(verdict: Verdict) -> bool {
+    matches!(
+        verdict.reason(),
+        Some(
+            Reason::Unreachable
+                | Reason::LinkLost
+                | Reason::Draining
+                | Reason::NotHeld
+                | Reason::Restarted
+        )
+    )
+}
+
 /// Ends a request whose last attempt did not run, or was never made.
 fn give_up<S>(number: u64, request: Request, reason: Reason, out: &mut S)
 where
@@ -362,7 +386,9 @@
             name: wish.name,
             holder: request.submission.id,
             verdict,
-            vm: request.target.vm,
+            vm: request
+                .target
+                .map_or_else(String::new, |place| place.vm.clone()),
         });
     }
 }
--- a/crates/nutmegyoke-core/src/process/entry/request.rs
+++ b/crates/nutmegyoke-core/src/process/entry/request.rs
@@ -1,8 +1,9 @@
 //! One request in flight at an entry.
 
+use std::rc::Rc;
 use std::time::Instant;
 
-use super::route::Choice;
+use super::route::Place;
 use crate::request::{Reason, Submission, claim};
 
 /// A request from its admission to its end.
@@ -19,7 +20,7 @@
     /// Why an earlier attempt may have run, if one may.
     pub uncertain: Option<Reason>,
     /// The endpoint of the attempt in flight, or of the one before.
-    pub target: Choice,
+    pub target: Option<Rc<Place>>,
     /// What the request waits for.
     pub phase: Phase,
     /// The claim that the request needs, if it is keyed and not repeatable.
--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -15,6 +15,7 @@
 use nutmegyoke_core::process::news::{Known, News};
 use nutmegyoke_core::process::{Clock, Member};
 use nutmegyoke_core::request::Submission;
+use nutmegyoke_wire::connection::link::text;
 use nutmegyoke_wire::connection::link_capnp::{agent, answer};
 use nutmegyoke_wire::process::{Announcement, Settings};
 use nutmegyoke_wire::request::{Payload, id, submission, verdict};
@@ -231,7 +232,10 @@
             mailbox: self.agent.driver.open(),
         };
         let outcome = ticket.run(&params).await?;
+        let endpoint = text(params.get()?.get_submission()?.get_endpoint())?;
         let mut results = results.get();
+        // The ended request itself still counts; the entry takes it out when it learns.
+        results.set_load(self.agent.driver.machine().load(endpoint));
         results.set_chunks(outcome.chunks);
         verdict::write(outcome.verdict, results.init_verdict());
         Ok(())
--- a/crates/nutmegyoke-host/src/request/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/attempt.rs
@@ -15,10 +15,18 @@
 
 /// A submission in progress. Dropping it cancels the request at the agent.
 pub struct Attempt {
-    result: Option<Promise<(Verdict, u64), capnp::Error>>,
+    result: Option<Promise<End, capnp::Error>>,
     parts: mpsc::Receiver<Part>,
     received: u64,
-    end: Option<(Verdict, u64)>,
+    end: Option<End>,
+}
+
+/// What the agent told at the end.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    verdict: Verdict,
+    sent: u64,
+    load: Option<u32>,
 }
 
 /// What an attempt yields.
@@ -52,8 +60,11 @@
                 // An empty message reads as the first verdict, which is that it ran.
                 return Err(capnp::Error::failed("no verdict".to_owned()));
             }
-            let verdict = verdict::read(results.get_verdict()?)?;
-            Ok((verdict, results.get_chunks()))
+            Ok(End {
+                verdict: verdict::read(results.get_verdict()?)?,
+                sent: results.get_chunks(),
+                load: Some(results.get_load()),
+            })
         });
         Self::open(result, parts)
     }
@@ -73,12 +84,16 @@
         let sent = request.send();
         let result = Promise::from_future(async move {
             let response = sent.promise.await?;
-            Ok((Verdict::Ran, response.get()?.get_chunks()))
+            Ok(End {
+                verdict: Verdict::Ran,
+                sent: response.get()?.get_chunks(),
+                load: None,
+            })
         });
         Self::open(result, parts)
     }
 
-    fn open(result: Promise<(Verdict, u64), capnp::Error>, parts: mpsc::Receiver<Part>) -> Self {
+    fn open(result: Promise<End, capnp::Error>, parts: mpsc::Receiver<Part>) -> Self {
         Self {
             result: Some(result),
             parts,
@@ -103,6 +118,12 @@
         }
     }
 
+    /// The requests queued and running at the endpoint when the attempt ended.
+    #[must_use]
+    pub fn load(&self) -> Option<u32> {
+        self.end?.load
+    }
+
     fn step(&mut self, part: Part) -> Step {
         if matches!(part, Part::Chunk { .. }) {
             self.received += 1;
@@ -113,10 +134,14 @@
     /// The agent's verdict, unless the answer lacks a part.
     fn verdict(&self) -> Verdict {
         match self.end {
-            Some((Verdict::Ran, sent)) if sent != self.received => Verdict::MayHaveRun {
+            Some(End {
+                verdict: Verdict::Ran,
+                sent,
+                ..
+            }) if sent != self.received => Verdict::MayHaveRun {
                 reason: Reason::Truncated,
             },
-            Some((verdict, _)) => verdict,
+            Some(End { verdict, .. }) => verdict,
             None => LOST,
         }
     }
@@ -133,7 +158,7 @@
             match Pin::new(result).poll(context) {
                 Poll::Pending => Poll::Pending,
                 Poll::Ready(result) => {
-                    self.end = Some(result.unwrap_or((LOST, 0)));
+                    self.end = Some(result.unwrap_or(NO_END));
                     self.result = None;
                     Poll::Ready(None)
                 }
@@ -147,3 +172,9 @@
 const LOST: Verdict = Verdict::MayHaveRun {
     reason: Reason::LinkLost,
 };
+
+const NO_END: End = End {
+    verdict: LOST,
+    sent: 0,
+    load: None,
+};
--- a/crates/nutmegyoke-host/src/request/forward.rs
+++ b/crates/nutmegyoke-host/src/request/forward.rs
@@ -154,7 +154,7 @@
     let answer = Answer::open(&entry.metrics().dropped);
     let attempt = Attempt::spawn(&client, submission, payload, answer);
     let until = entry.driver().clock().now() + submission.remaining;
-    begin(attempt, until).await
+    begin(ticket, attempt, until).await
 }
 
 /// Fetches an answer that an agent keeps.
@@ -180,9 +180,14 @@
 }
 
 /// Takes the answer until it is whole, or until it turns out to be a stream.
-async fn begin(mut attempt: Attempt, until: Instant) -> Begun {
-    let assembled = assemble(&mut attempt);
-    match compio::time::timeout_at(until + GRACE, assembled).await {
+async fn begin<C: Clock + 'static>(
+    ticket: &Ticket<C>,
+    mut attempt: Attempt,
+    until: Instant,
+) -> Begun {
+    let assembled = compio::time::timeout_at(until + GRACE, assemble(&mut attempt)).await;
+    ticket.reported(attempt.load());
+    match assembled {
         Err(_) => Begun::Failed {
             verdict: Verdict::MayHaveRun {
                 reason: Reason::DeadlinePassed,
--- a/crates/nutmegyoke-host/src/request/stream.rs
+++ b/crates/nutmegyoke-host/src/request/stream.rs
@@ -61,6 +61,7 @@
             Either::Right(_) => return ticket.entry().metrics().refused(Reason::CallerLeft),
         }
     };
+    ticket.reported(attempt.load());
     ticket.settle(verdict);
     if let Some(reason) = verdict.reason() {
         ticket.entry().metrics().refused(reason);
--- a/crates/nutmegyoke-host/src/request/ticket.rs
+++ b/crates/nutmegyoke-host/src/request/ticket.rs
@@ -61,6 +61,14 @@
         self.entry.driver().feed(Event::Started { number });
     }
 
+    /// Tells the load that the agent reported with the end of an attempt.
+    pub fn reported(&self, load: Option<u32>) {
+        if let Some(load) = load {
+            let number = self.mailbox.number();
+            self.entry.driver().feed(Event::Reported { number, load });
+        }
+    }
+
     /// Tells how the attempt in flight ended.
     pub fn settle(&self, verdict: Verdict) {
         let number = self.mailbox.number();
