--- a/crates/nutmegyoke-core/src/process/entry/request.rs
+++ b/crates/nutmegyoke-core/src/process/entry/request.rs
@@ -15,6 +15,8 @@
     pub deadline: Instant,
     /// When the caller sent it.
     pub arrived: Instant,
+    /// When the first token is due, if the request waits for tokens.
+    pub first_token: Option<Instant>,
     /// Whether a part of the answer reached the caller.
     pub started: bool,
     /// Why an earlier attempt may have run, if one may.
--- a/crates/nutmegyoke-core/tests/network/mod.rs
+++ b/crates/nutmegyoke-core/tests/network/mod.rs
@@ -234,7 +234,9 @@
                 Command::Dispatch {
                     number, submission, ..
                 } => self.dispatch(entry, number, submission),
-                Command::Settle { number, verdict } => {
+                Command::Settle {
+                    number, verdict, ..
+                } => {
                     self.settled(Id { entry: run, number }, verdict);
                 }
                 _ => {}
@@ -342,7 +344,14 @@
         self.next += 1;
         let call = self.next;
         self.calls.insert((agent, call), reply);
-        self.feed_agent(agent, AgentEvent::Submitted { call, submission });
+        self.feed_agent(
+            agent,
+            AgentEvent::Submitted {
+                call,
+                submission,
+                bytes: 0,
+            },
+        );
     }
 
     fn feed_agent(&mut self, agent: usize, event: AgentEvent<'_>) {
@@ -351,7 +360,7 @@
         for command in out {
             match command {
                 AgentCommand::Start { call, .. } => self.start(agent, call),
-                AgentCommand::Refuse { call, reason } => {
+                AgentCommand::Refuse { call, reason, .. } => {
                     if let Some(reply) = self.calls.remove(&(agent, call)) {
                         let verdict = AgentCommand::verdict(reason);
                         self.messages.push(Message::Outcome { reply, verdict });
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the process: roles, their driver, logs and metrics.
 
 pub mod agent;
+pub mod attainment;
 pub mod control;
 pub mod driver;
 pub mod entry;
@@ -8,6 +9,7 @@
 pub mod failure;
 pub mod heartbeat;
 pub mod kept;
+pub mod load;
 pub mod metrics;
 pub mod operators;
 pub mod signal;
--- a/crates/nutmegyoke-host/src/request/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::Poll;
+use std::time::Duration;
 
 use capnp::capability::Promise;
 use futures_channel::mpsc;
@@ -27,6 +28,8 @@
     verdict: Verdict,
     sent: u64,
     load: Option<u32>,
+    /// When another try may succeed; zero while that is not known.
+    after: Duration,
 }
 
 /// What an attempt yields.
@@ -64,6 +67,7 @@
                 verdict: verdict::read(results.get_verdict()?)?,
                 sent: results.get_chunks(),
                 load: Some(results.get_load()),
+                after: Duration::from_millis(results.get_retry_after_ms()),
             })
         });
         Self::open(result, parts)
@@ -88,6 +92,7 @@
                 verdict: Verdict::Ran,
                 sent: response.get()?.get_chunks(),
                 load: None,
+                after: Duration::ZERO,
             })
         });
         Self::open(result, parts)
@@ -102,6 +107,12 @@
         }
     }
 
+    /// The agent's hint when another try may succeed; zero while that is not known.
+    #[must_use]
+    pub fn hint(&self) -> Duration {
+        self.end.map_or(Duration::ZERO, |end| end.after)
+    }
+
     /// Waits for the next part or the end.
     pub async fn next(&mut self) -> Step {
         if self.end.is_none()
@@ -177,4 +188,5 @@
     verdict: LOST,
     sent: 0,
     load: None,
+    after: Duration::ZERO,
 };
--- a/crates/nutmegyoke-host/src/request/call.rs
+++ b/crates/nutmegyoke-host/src/request/call.rs
@@ -1,6 +1,7 @@
 //! Carries one submission to its endpoint, in an agent.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cyper::Client;
@@ -26,15 +27,20 @@
     pub chunks: u64,
     /// The whole answer, if it is to be kept.
     pub record: Option<Record>,
+    /// When another try may succeed; zero if that is not known.
+    pub after: Duration,
 }
 
 /// Sends the request to its endpoint and the answer to the entry.
+///
+/// `answered` is called when the first part of the answer came.
 pub async fn run(
     client: &Client,
     address: SocketAddr,
     payload: &Payload<'_>,
     answer: &answer::Client,
     keep: bool,
+    answered: impl FnOnce(),
 ) -> Outcome {
     let response = match send(client, address, payload).await {
         Ok(response) => response,
@@ -48,7 +54,7 @@
         return failed(LEFT, 0);
     }
     let record = keep.then(|| Record::open(status, content_type));
-    copy(response.bytes_stream(), answer, record).await
+    copy(response.bytes_stream(), answer, record, answered).await
 }
 
 /// Sends a kept answer again; returns the number of its chunks.
@@ -59,7 +65,7 @@
 pub async fn replay(record: Record, answer: &answer::Client) -> capnp::Result<u64> {
     send_head(answer, record.status, &record.content_type).await?;
     let parts = record.parts.into_iter().map(Ok::<_, cyper::Error>);
-    let outcome = copy(futures_util::stream::iter(parts), answer, None).await;
+    let outcome = copy(futures_util::stream::iter(parts), answer, None, || {}).await;
     match outcome.verdict {
         Verdict::Ran => Ok(outcome.chunks),
         _ => Err(capnp::Error::disconnected("the entry left".to_owned())),
@@ -94,7 +100,9 @@
     body: impl Stream<Item = cyper::Result<Bytes>>,
     answer: &answer::Client,
     mut record: Option<Record>,
+    answered: impl FnOnce(),
 ) -> Outcome {
+    let mut answered = Some(answered);
     pin_mut!(body);
     let mut window = FuturesUnordered::new();
     let mut chunks = 0;
@@ -102,6 +110,9 @@
         let Ok(data) = data else {
             return failed(BROKEN, chunks);
         };
+        if let Some(answered) = answered.take() {
+            answered();
+        }
         if let Some(record) = &mut record {
             record.push(&data);
         }
@@ -125,6 +136,7 @@
         verdict: Verdict::Ran,
         chunks,
         record,
+        after: Duration::ZERO,
     }
 }
 
@@ -146,6 +158,7 @@
         verdict,
         chunks,
         record: None,
+        after: Duration::ZERO,
     }
 }
 
--- a/crates/nutmegyoke-host/src/request/forward.rs
+++ b/crates/nutmegyoke-host/src/request/forward.rs
@@ -14,7 +14,7 @@
 use super::answer::Answer;
 use super::assembly::{Assembly, assemble};
 use super::attempt::Attempt;
-use super::reply::{fail, respond};
+use super::reply::{fail, fail_after, respond};
 use super::ticket::Ticket;
 use super::{Body, stream};
 use crate::process;
@@ -95,6 +95,9 @@
                 agent, submission, ..
             } => match dispatch(&ticket, agent, &submission, &payload).await {
                 Begun::Whole { response } => {
+                    if let Body::Whole { bytes } = response.body() {
+                        ticket.whole(bytes);
+                    }
                     ticket.settle(Verdict::Ran);
                     return response;
                 }
@@ -106,7 +109,10 @@
                 } => return stream::pass(ticket, attempt, status, &content_type, until),
                 Begun::Failed { verdict } => ticket.settle(verdict),
             },
-            Command::Settle { verdict, .. } => return fail(ticket.entry(), verdict, ""),
+            Command::Settle { verdict, after, .. } => {
+                let after = after.or(ticket.after());
+                return fail_after(ticket.entry(), Some(ticket.id()), verdict, after);
+            }
             _ => {}
         }
     }
@@ -187,6 +193,7 @@
 ) -> Begun {
     let assembled = compio::time::timeout_at(until + GRACE, assemble(&mut attempt)).await;
     ticket.reported(attempt.load());
+    ticket.hint(attempt.hint());
     match assembled {
         Err(_) => Begun::Failed {
             verdict: Verdict::MayHaveRun {
--- a/crates/nutmegyoke-host/tests/attempt.rs
+++ b/crates/nutmegyoke-host/tests/attempt.rs
@@ -107,6 +107,8 @@
         configuration: 1,
         incarnation: 0,
         keyed: false,
+        first_token: None,
+        tokens: 0,
     }
 }
 
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -113,6 +113,8 @@
         configuration: 1,
         incarnation: agent.agent.incarnation(),
         keyed: false,
+        first_token: None,
+        tokens: 0,
     }
 }
 
