--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -130,8 +130,10 @@
             cost: submission.tokens.clamp(1, queue::COST),
             bytes,
         };
-        let known = self.recognise(submission);
-        if let Err(refusal) = known.and_then(|()| self.check(now, submission, &item)) {
+        if let Err(refusal) = self
+            .recognise(submission)
+            .and_then(|()| self.check(now, submission, &item))
+        {
             return out.push(Command::refuse(call, refusal));
         }
         self.calls.insert(
