--- a/crates/nutmegyoke-core/tests/network/bed.rs
+++ b/crates/nutmegyoke-core/tests/network/bed.rs
@@ -75,7 +75,6 @@
     pub fn news(&self) -> News {
         News {
             configuration: Some(configuration(self.number)),
-            changes: Vec::new(),
             directory: Delta {
                 mark: Mark {
                     epoch: 1,
@@ -85,6 +84,7 @@
                 members: (0..AGENTS).map(|agent| self.member(agent)).collect(),
                 gone: Vec::new(),
             },
+            ..News::default()
         }
     }
 
--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -293,7 +293,10 @@
             mailbox: self.agent.driver.open(),
         };
         let outcome = ticket.run(&params).await?;
+        let endpoint = text(params.get()?.get_submission()?.get_endpoint())?;
         let mut results = results.get();
+        // The ended request itself still counts; the entry takes it out when it learns.
+        results.set_load(self.agent.driver.machine().load(endpoint));
         results.set_chunks(outcome.chunks);
         results.set_retry_after_ms(milliseconds(outcome.after));
         verdict::write(outcome.verdict, results.init_verdict());
