--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -82,6 +82,16 @@
         &self.configuration
     }
 
+    /// Requests queued or running at one endpoint.
+    #[must_use]
+    pub fn load(&self, endpoint: &str) -> u32 {
+        let backend = self.endpoints.get(endpoint);
+        backend.map_or(0, |backend| {
+            let queued = u32::try_from(backend.queue().len()).unwrap_or(u32::MAX);
+            backend.running().saturating_add(queued)
+        })
+    }
+
     /// Requests queued or running.
     #[must_use]
     pub fn in_flight(&self) -> usize {
@@ -114,6 +124,7 @@
         let item = Item {
             call,
             customer: submission.customer.clone(),
+            destination: submission.destination.clone(),
             priority: submission.priority,
             first_token: submission.first_token.map(|left| later(now, left)),
             deadline: later(now, submission.remaining),
@@ -162,7 +173,7 @@
         }
         let backend = self.endpoints.get(&submission.endpoint);
         let backend = backend.ok_or(Refusal::at_once(Reason::NotHeld))?;
-        backend.check(now, submission.destination.target(), item)
+        backend.check(now, item)
     }
 
     /// Changes one backend, then gives out its free slots.
--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -15,7 +15,7 @@
 pub mod route;
 pub mod timer;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,8 @@
 pub use event::{Command, Event};
 use quota::Quotas;
 use request::{Phase, Request, Wish};
+use route::Router;
+use route::policy::NearFirst;
 use timer::Timer;
 
 use super::member::Role;
@@ -31,19 +33,19 @@
 use crate::request::arrival::Subject;
 use crate::request::attempt::{self, Next, Progress};
 use crate::request::{Admission, Arrival, Id, Reason, Submission, Verdict, admission, claim};
-use crate::version::Configuration;
 use crate::version::grant::Repeat;
+use crate::version::{Configuration, Customer};
 
 /// An entry's decision state.
 #[derive(Debug)]
 pub struct Entry {
     run: u64,
-    data_centre: DataCentre,
     configuration: Rc<Configuration>,
     directory: Directory,
     requests: HashMap<u64, Request>,
-    loads: route::Loads,
-    budget: Budget,
+    router: Router<NearFirst>,
+    /// By customer, so that the failures of one use up no other's retries.
+    budgets: BTreeMap<Customer, Budget>,
     timer: Timer,
     quotas: Quotas,
     entries: u32,
@@ -60,12 +62,11 @@
     pub fn open(run: u64, data_centre: &DataCentre, seed: u64) -> Self {
         Self {
             run,
-            data_centre: data_centre.clone(),
             configuration: Rc::default(),
             directory: Directory::default(),
             requests: HashMap::new(),
-            loads: route::Loads::default(),
-            budget: Budget::default(),
+            router: Router::open(data_centre, seed),
+            budgets: BTreeMap::new(),
             timer: Timer::default(),
             quotas: Quotas::default(),
             entries: 1,
@@ -186,7 +187,7 @@
             submission,
             started: false,
             uncertain: None,
-            target: route::Choice::default(),
+            target: None,
             phase: Phase::Running,
             claim,
         }
@@ -199,32 +200,44 @@
         if now >= request.deadline {
             return self.give_up(number, request, Reason::DeadlinePassed, out);
         }
-        let query = route::Query {
-            target: request.submission.destination.target(),
-            data_centre: &self.data_centre,
-            avoid: &request.target,
-        };
-        let Some(choice) = route::choose(&self.directory, &self.loads, query, &mut self.random)
-        else {
+        if !self.allowed(number, &request) {
+            return self.give_up(number, request, Reason::NotGranted, out);
+        }
+        let target = request.submission.destination.target();
+        let avoid = request.target.as_deref();
+        let Some(place) = self.router.choose(now, target, avoid) else {
             return self.give_up(number, request, Reason::NoEndpoint, out);
         };
-        self.loads.add(&choice);
-        request.submission.endpoint.clone_from(&choice.endpoint);
+        place.gauge.add();
+        request.submission.endpoint.clone_from(&place.endpoint);
         request.submission.remaining = request.deadline.saturating_duration_since(now);
         let due = request.first_token;
         request.submission.first_token = due.map(|due| due.saturating_duration_since(now));
         request.submission.configuration = self.configuration.number();
-        request.submission.incarnation = choice.incarnation;
+        request.submission.incarnation = place.incarnation;
         out.push(Command::Dispatch {
             number,
-            agent: choice.address,
+            agent: place.address,
             submission: request.submission.clone(),
         });
-        request.target = choice;
+        request.target = Some(place);
         request.phase = Phase::Running;
         self.requests.insert(number, request);
     }
 
+    /// Whether the configuration in force still allows a request that an earlier
+    /// one admitted.
+    fn allowed(&self, number: u64, request: &Request) -> bool {
+        if request.submission.configuration == self.configuration.number() {
+            return true;
+        }
+        let pace = self.quotas.pace(number);
+        let plan = pace.and_then(|pace| self.configuration.plan(pace.plan()));
+        let grant = self.configuration.grant(&request.submission.destination);
+        plan.zip(grant)
+            .is_some_and(|(plan, grant)| admission::allows(grant, plan))
+    }
+
     fn settle<S>(&mut self, now: Instant, number: u64, verdict: Verdict, out: &mut S)
     where
         S: Sink<Command = Command>,
@@ -232,9 +245,14 @@
         let Some(mut request) = self.take(number, Phase::Running) else {
             return;
         };
-        self.loads.remove(&request.target);
+        if let Some(place) = &request.target {
+            place.gauge.remove();
+            if shuns(verdict) {
+                place.gauge.shun(now);
+            }
+        }
         if verdict == Verdict::Ran {
-            self.budget.earn();
+            self.budget(&request.submission.customer).earn();
         }
         let progress = Progress {
             attempts: request.submission.attempt + 1,
@@ -253,6 +271,10 @@
         }
     }
 
+    fn budget(&mut self, customer: &Customer) -> &mut Budget {
+        self.budgets.entry(customer.clone()).or_default()
+    }
+
     /// Pauses a request until its next attempt, if time and budget allow one.
     fn retry<S>(
         &mut self,
@@ -269,7 +291,7 @@
         if until >= request.deadline {
             return self.give_up(number, request, reason, out);
         }
-        if !self.budget.spend() {
+        if !self.budget(&request.submission.customer).spend() {
             out.push(Command::Withheld { reason });
             return self.give_up(number, request, reason, out);
         }
@@ -319,7 +341,9 @@
         }
         let reason = Reason::CallerLeft;
         let last = if request.phase == Phase::Running {
-            self.loads.remove(&request.target);
+            if let Some(place) = &request.target {
+                place.gauge.remove();
+            }
             Verdict::MayHaveRun { reason }
         } else {
             Verdict::NotRun { reason }
@@ -342,8 +366,12 @@
         {
             self.configuration = Rc::clone(newer);
             self.quotas.retain(newer);
+            let plans = &newer.lists().plans;
+            self.budgets
+                .retain(|customer, _| plans.iter().any(|plan| plan.customer == *customer));
         }
         self.directory.learn(&news.directory);
+        self.router.learn(&news.directory);
         self.entries = count(&self.directory);
     }
 
@@ -382,6 +410,12 @@
                     request.started = true;
                 }
             }
+            Event::Reported { number, load } => {
+                let request = self.requests.get(&number);
+                if let Some(place) = request.and_then(|request| request.target.as_ref()) {
+                    place.gauge.report(now, load);
+                }
+            }
             Event::Settled { number, verdict } => self.settle(now, number, verdict, out),
             Event::Metered { number, tokens } => self.quotas.meter(number, tokens),
             Event::Left { number } => {
@@ -404,6 +438,20 @@
     }
 }
 
+/// Whether a verdict tells that the place takes no requests now.
+fn shuns(verdict: Verdict) -> bool {
+    matches!(
+        verdict.reason(),
+        Some(
+            Reason::Unreachable
+                | Reason::LinkLost
+                | Reason::Draining
+                | Reason::NotHeld
+                | Reason::Restarted
+        )
+    )
+}
+
 /// When the first token is due after the arrival, and the tokens it may cost.
 fn expected(arrival: &Arrival<'_>, admission: &Admission<'_>) -> (Option<Duration>, u64) {
     match arrival.subject {
@@ -427,7 +475,9 @@
             name: wish.name,
             holder: request.submission.id,
             verdict,
-            vm: request.target.vm,
+            vm: request
+                .target
+                .map_or_else(String::new, |place| place.vm.clone()),
         });
     }
 }
--- a/crates/nutmegyoke-core/src/version/configuration.rs
+++ b/crates/nutmegyoke-core/src/version/configuration.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::grant::Item;
-use super::{Grant, Plan};
+use super::{Adapter, Grant, Plan};
+use crate::request::arrival::Destination;
 
 /// An accepted configuration, indexed for the request path.
 ///
@@ -168,6 +169,18 @@
             .map(|&index| &self.lists.grants[index])
     }
 
+    /// The grant of what an admitted request needs.
+    #[must_use]
+    pub fn grant(&self, destination: &Destination) -> Option<&Grant> {
+        match destination {
+            Destination::Model { model, adapter } => {
+                let name = adapter.as_ref().map(Adapter::as_str);
+                self.model(name.unwrap_or(model.as_str()))
+            }
+            Destination::Service { service } => self.service(service.as_str()),
+        }
+    }
+
     /// The grant of a plain service.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Grant> {
