--- a/crates/nutmegyoke-core/src/process/control/claims.rs
+++ b/crates/nutmegyoke-core/src/process/control/claims.rs
@@ -10,8 +10,7 @@
 use crate::request::claim::{self, Key, Outcome};
 use crate::request::{Claim, Id, Verdict};
 
-/// How long after its grant a claim is known. A key that carries an older time is refused.
-pub const RETENTION: Duration = Duration::from_mins(2);
+pub use crate::request::claim::RETENTION;
 
 /// How far a key's time may be ahead of the leader's clock.
 pub const SKEW: Duration = Duration::from_secs(10);
--- a/crates/nutmegyoke-core/src/request/claim.rs
+++ b/crates/nutmegyoke-core/src/request/claim.rs
@@ -4,12 +4,18 @@
 //! and key from control, where the first writer wins. A resend that finds the
 //! claim held waits for its outcome or is told the truth.
 
+use std::time::Duration;
+
 use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
 use serde::{Deserialize, Serialize};
 
 use super::{Id, Verdict};
 use crate::version::Customer;
 
+/// How long after its grant a claim is known. A key that carries an older time
+/// is refused, and no request may take longer.
+pub const RETENTION: Duration = Duration::from_mins(2);
+
 /// What a claim is for.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
--- a/crates/nutmegyoke-core/src/version/configuration.rs
+++ b/crates/nutmegyoke-core/src/version/configuration.rs
@@ -10,6 +10,7 @@
 use super::grant::Item;
 use super::{Adapter, Grant, Plan};
 use crate::request::arrival::Destination;
+use crate::request::claim::RETENTION;
 
 /// An accepted configuration, indexed for the request path.
 ///
@@ -46,6 +47,13 @@
     /// Two plans share a bearer key.
     #[display("plan `{name}` has the key of plan `{other}`: give each plan its own key")]
     DuplicateKey { name: String, other: String },
+    /// A plan lets a request run for longer than claims are known.
+    #[display(
+        "plan `{name}` has a longer deadline than {} ms, after which a request's key may be \
+         forgotten: shorten it",
+        RETENTION.as_millis()
+    )]
+    LongDeadline { name: String },
     /// Two items of a kind share a name.
     #[display("item `{name}` is listed twice: rename or remove one")]
     DuplicateItem { name: String },
@@ -87,6 +95,11 @@
         };
         let mut names = BTreeMap::new();
         for (index, plan) in lists.plans.iter().enumerate() {
+            if plan.deadline > RETENTION {
+                return Err(Fault::LongDeadline {
+                    name: plan.name.clone(),
+                });
+            }
             if names.insert(plan.name.as_str(), index).is_some() {
                 return Err(Fault::DuplicatePlan {
                     name: plan.name.clone(),
