--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -1,22 +1,38 @@
-//! The decisions of an entry: admission, routing, retries.
+//! The decisions of an entry: admission, claims, routing, retries.
 //!
-//! An arrival is admitted by the configuration in force, routed to an endpoint
-//! of the directory and dispatched. When the attempt ends, its verdict decides
-//! between another attempt and the answer to the caller.
+//! An arrival is admitted by the configuration in force and routed to an
+//! endpoint of the directory; a keyed request that must not run twice obtains
+//! a claim first. When an attempt ends, its verdict decides between another
+//! attempt after a pause and the answer to the caller.
 
+pub mod backoff;
+pub mod bucket;
+pub mod budget;
+mod claiming;
 pub mod event;
+pub mod quota;
+pub mod request;
 pub mod route;
+pub mod timer;
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use budget::Budget;
 pub use event::{Command, Event};
+use quota::Quotas;
+use request::{Phase, Request, Wish};
+use timer::Timer;
 
+use super::member::Role;
+use super::news::News;
 use super::{DataCentre, Directory, Machine, Sink};
+use crate::request::arrival::Subject;
 use crate::request::attempt::{self, Next, Progress};
-use crate::request::{Arrival, Id, Reason, Submission, Verdict, admission};
+use crate::request::{Admission, Arrival, Id, Reason, Submission, Verdict, admission, claim};
 use crate::version::Configuration;
+use crate::version::grant::Repeat;
 
 /// An entry's decision state.
 #[derive(Debug)]
@@ -27,19 +43,14 @@
     directory: Directory,
     requests: HashMap<u64, Request>,
     loads: route::Loads,
+    budget: Budget,
+    timer: Timer,
+    quotas: Quotas,
+    entries: u32,
     random: fastrand::Rng,
     draining: bool,
 }
 
-/// One request in flight.
-#[derive(Debug)]
-struct Request {
-    submission: Submission,
-    deadline: Instant,
-    started: bool,
-    target: route::Choice,
-}
-
 impl Entry {
     /// Opens an entry without configuration and directory.
     ///
@@ -54,6 +65,10 @@
             directory: Directory::default(),
             requests: HashMap::new(),
             loads: route::Loads::default(),
+            budget: Budget::default(),
+            timer: Timer::default(),
+            quotas: Quotas::default(),
+            entries: 1,
             random: fastrand::Rng::with_seed(seed),
             draining: false,
         }
@@ -77,6 +92,21 @@
         self.requests.len()
     }
 
+    /// The identity of request `number` across processes.
+    #[must_use]
+    pub fn id(&self, number: u64) -> Id {
+        Id {
+            entry: self.run,
+            number,
+        }
+    }
+
+    /// What the plans have used of their limits.
+    #[must_use]
+    pub fn quotas(&self) -> &Quotas {
+        &self.quotas
+    }
+
     /// Whether the entry can serve: it has a configuration and is not leaving.
     #[must_use]
     pub fn ready(&self) -> bool {
@@ -94,11 +124,39 @@
             Ok(admission) => admission,
             Err(reason) => return out.push(refuse(number, reason)),
         };
-        let submission = Submission {
-            id: Id {
-                entry: self.run,
+        let (_, tokens) = expected(arrival, &admission);
+        let charged = self
+            .quotas
+            .charge(now, number, admission.plan, tokens, self.entries);
+        if let Err(refusal) = charged {
+            return out.push(Command::Settle {
                 number,
-            },
+                verdict: Verdict::NotRun {
+                    reason: refusal.reason,
+                },
+                after: Some(refusal.after),
+            });
+        }
+        let request = self.admitted(now, number, arrival, admission);
+        if request.claim.is_some() {
+            self.claim(number, request, out);
+        } else {
+            self.dispatch(now, number, request, out);
+        }
+    }
+
+    fn admitted(
+        &self,
+        now: Instant,
+        number: u64,
+        arrival: &Arrival<'_>,
+        admission: Admission<'_>,
+    ) -> Request {
+        let (first_token, tokens) = expected(arrival, &admission);
+        let once = admission.repeat == Repeat::Once;
+        let key = arrival.idempotency.filter(|_| once);
+        let submission = Submission {
+            id: self.id(number),
             attempt: 0,
             customer: admission.plan.customer.clone(),
             priority: admission.plan.priority,
@@ -106,21 +164,41 @@
             destination: admission.destination,
             repeat: admission.repeat,
             remaining: admission.plan.deadline,
+            first_token,
+            tokens,
             configuration: self.configuration.number(),
+            incarnation: 0,
+            keyed: key.is_some(),
         };
-        let request = Request {
+        let claim = key.map(|key| Wish {
+            name: claim::Name {
+                customer: admission.plan.customer.clone(),
+                key: key.to_owned(),
+            },
+            digest: arrival.digest,
+            asked: 0,
+            granted: false,
+        });
+        Request {
             deadline: now + admission.plan.deadline,
+            arrived: now,
+            first_token: first_token.map(|expected| now + expected),
             submission,
             started: false,
+            uncertain: None,
             target: route::Choice::default(),
-        };
-        self.dispatch(now, number, request, out);
+            phase: Phase::Running,
+            claim,
+        }
     }
 
     fn dispatch<S>(&mut self, now: Instant, number: u64, mut request: Request, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
+        if now >= request.deadline {
+            return self.give_up(number, request, Reason::DeadlinePassed, out);
+        }
         let query = route::Query {
             target: request.submission.destination.target(),
             data_centre: &self.data_centre,
@@ -128,18 +206,22 @@
         };
         let Some(choice) = route::choose(&self.directory, &self.loads, query, &mut self.random)
         else {
-            return out.push(refuse(number, Reason::NoEndpoint));
+            return self.give_up(number, request, Reason::NoEndpoint, out);
         };
         self.loads.add(&choice);
         request.submission.endpoint.clone_from(&choice.endpoint);
         request.submission.remaining = request.deadline.saturating_duration_since(now);
+        let due = request.first_token;
+        request.submission.first_token = due.map(|due| due.saturating_duration_since(now));
         request.submission.configuration = self.configuration.number();
+        request.submission.incarnation = choice.incarnation;
         out.push(Command::Dispatch {
             number,
             agent: choice.address,
             submission: request.submission.clone(),
         });
         request.target = choice;
+        request.phase = Phase::Running;
         self.requests.insert(number, request);
     }
 
@@ -147,23 +229,136 @@
     where
         S: Sink<Command = Command>,
     {
-        let Some(mut request) = self.requests.remove(&number) else {
+        let Some(mut request) = self.take(number, Phase::Running) else {
             return;
         };
         self.loads.remove(&request.target);
+        if verdict == Verdict::Ran {
+            self.budget.earn();
+        }
         let progress = Progress {
             attempts: request.submission.attempt + 1,
             started: request.started,
             repeat: request.submission.repeat,
+            uncertain: request.uncertain,
         };
         match attempt::next(progress, verdict) {
-            Next::Retry { reason } if now < request.deadline => {
-                out.push(Command::Retried { reason });
-                request.submission.attempt += 1;
-                self.dispatch(now, number, request, out);
+            Next::Retry { reason } => {
+                if let Verdict::MayHaveRun { reason } = verdict {
+                    request.uncertain = Some(reason);
+                }
+                self.retry(now, number, request, reason, out);
             }
-            Next::Retry { .. } | Next::Settle { .. } => {
-                out.push(Command::Settle { number, verdict });
+            Next::Settle { verdict } => self.close(number, request, verdict, out),
+        }
+    }
+
+    /// Pauses a request until its next attempt, if time and budget allow one.
+    fn retry<S>(
+        &mut self,
+        now: Instant,
+        number: u64,
+        mut request: Request,
+        reason: Reason,
+        out: &mut S,
+    ) where
+        S: Sink<Command = Command>,
+    {
+        request.submission.attempt += 1;
+        let until = now + backoff::ATTEMPT.pause(request.submission.attempt, &mut self.random);
+        if until >= request.deadline {
+            return self.give_up(number, request, reason, out);
+        }
+        if !self.budget.spend() {
+            out.push(Command::Withheld { reason });
+            return self.give_up(number, request, reason, out);
+        }
+        out.push(Command::Retried { reason });
+        if reason == Reason::StaleConfiguration {
+            out.push(Command::Refresh);
+        }
+        request.phase = Phase::Paused { until };
+        self.timer.set(until, number);
+        self.requests.insert(number, request);
+    }
+
+    /// Ends a request whose last attempt did not run, or was never made.
+    fn give_up<S>(&mut self, number: u64, request: Request, reason: Reason, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let verdict = attempt::whole(request.uncertain, Verdict::NotRun { reason });
+        self.close(number, request, verdict, out);
+    }
+
+    /// Answers the caller and concludes the claim that the request holds.
+    fn close<S>(&mut self, number: u64, request: Request, verdict: Verdict, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        if let Verdict::NotRun { .. } = verdict {
+            self.quotas.meter(number, 0);
+        }
+        out.push(Command::Settle {
+            number,
+            verdict,
+            after: None,
+        });
+        conclude(request, verdict, out);
+    }
+
+    fn leave<S>(&mut self, number: u64, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let Some(request) = self.requests.remove(&number) else {
+            return;
+        };
+        if let Some(at) = request.wake() {
+            self.timer.cancel(at, number);
+        }
+        let reason = Reason::CallerLeft;
+        let last = if request.phase == Phase::Running {
+            self.loads.remove(&request.target);
+            Verdict::MayHaveRun { reason }
+        } else {
+            Verdict::NotRun { reason }
+        };
+        let verdict = attempt::whole(request.uncertain, last);
+        conclude(request, verdict, out);
+    }
+
+    /// Takes a request out if it is in `phase`; a late event finds it elsewhere.
+    fn take(&mut self, number: u64, phase: Phase) -> Option<Request> {
+        if self.requests.get(&number)?.phase != phase {
+            return None;
+        }
+        self.requests.remove(&number)
+    }
+
+    fn learn(&mut self, news: &News) {
+        if let Some(newer) = &news.configuration
+            && newer.number() > self.configuration.number()
+        {
+            self.configuration = Rc::clone(newer);
+            self.quotas.retain(newer);
+        }
+        self.directory.learn(&news.directory);
+        self.entries = count(&self.directory);
+    }
+
+    /// Goes on with every request whose pause is over.
+    fn wake<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        while let Some(number) = self.timer.due(now) {
+            let Some(request) = self.requests.remove(&number) else {
+                continue;
+            };
+            match request.phase {
+                Phase::Held { .. } => self.claim(number, request, out),
+                _ => self.dispatch(now, number, request, out),
             }
         }
     }
@@ -179,27 +374,24 @@
     {
         match event {
             Event::Arrived { number, arrival } => self.arrive(now, number, arrival, out),
+            Event::Judged { number, outcome } => self.judged(now, number, outcome, out),
+            Event::Unclaimed { number } => self.unclaimed(number, out),
+            Event::Forgotten { number } => self.forgotten(number, out),
             Event::Started { number } => {
                 if let Some(request) = self.requests.get_mut(&number) {
                     request.started = true;
                 }
             }
             Event::Settled { number, verdict } => self.settle(now, number, verdict, out),
+            Event::Metered { number, tokens } => self.quotas.meter(number, tokens),
             Event::Left { number } => {
-                if let Some(request) = self.requests.remove(&number) {
-                    self.loads.remove(&request.target);
-                }
-            }
-            Event::Taught { news } => {
-                if let Some(newer) = &news.configuration
-                    && newer.number() > self.configuration.number()
-                {
-                    self.configuration = Rc::clone(newer);
-                }
-                self.directory.learn(&news.directory);
+                self.quotas
+                    .settle(now, number, &self.configuration, self.entries);
+                self.leave(number, out);
             }
+            Event::Taught { news } => self.learn(news),
             Event::Drained => self.draining = true,
-            Event::Ticked => {}
+            Event::Ticked => self.wake(now, out),
         }
     }
 
@@ -208,13 +400,50 @@
     }
 
     fn deadline(&self) -> Option<Instant> {
-        None
+        self.timer.deadline()
+    }
+}
+
+/// When the first token is due after the arrival, and the tokens it may cost.
+fn expected(arrival: &Arrival<'_>, admission: &Admission<'_>) -> (Option<Duration>, u64) {
+    match arrival.subject {
+        Subject::Completion { prompt, tokens, .. } => {
+            let all = u64::from(prompt) + u64::from(tokens);
+            (Some(admission.plan.first_token), all)
+        }
+        Subject::Call { .. } => (None, 0),
+    }
+}
+
+/// Tells control how the holder of a claim ended.
+fn conclude<S>(request: Request, verdict: Verdict, out: &mut S)
+where
+    S: Sink<Command = Command>,
+{
+    if let Some(wish) = request.claim
+        && wish.granted
+    {
+        out.push(Command::Conclude {
+            name: wish.name,
+            holder: request.submission.id,
+            verdict,
+            vm: request.target.vm,
+        });
     }
 }
 
+/// The live entries, this one included.
+fn count(directory: &Directory) -> u32 {
+    let entries = directory
+        .members()
+        .filter(|member| member.role == Role::Entry);
+    u32::try_from(entries.count()).unwrap_or(u32::MAX).max(1)
+}
+
 fn refuse(number: u64, reason: Reason) -> Command {
     Command::Settle {
         number,
         verdict: Verdict::NotRun { reason },
+        after: None,
     }
 }
--- a/crates/nutmegyoke-core/src/request/arrival.rs
+++ b/crates/nutmegyoke-core/src/request/arrival.rs
@@ -13,15 +13,20 @@
     pub idempotency: Option<&'a str>,
     /// Whether the caller itself declared the request as not repeatable.
     pub once: bool,
-    /// A digest of the body, to tell a resend from another request under the same key.
+    /// A digest of method, path and body, to tell a resend from another request under the same key.
     pub digest: u64,
 }
 
 /// What a request is for, in the caller's words.
 #[derive(Clone, Copy, Debug)]
 pub enum Subject<'a> {
-    /// A completion from a model; `name` is a model or an adapter.
-    Completion { name: &'a str, tokens: u32 },
+    /// A completion from a model; `name` is a model or an adapter, `prompt` an
+    /// estimate of the tokens sent, `tokens` the most that may be generated.
+    Completion {
+        name: &'a str,
+        prompt: u32,
+        tokens: u32,
+    },
     /// A call of a plain service; `path` is the rest after the service's name.
     Call {
         service: &'a str,
--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -61,8 +61,10 @@
     LinkLost,
     /// The agent's queue is full.
     QueueFull,
-    /// The expectation can't be met any more.
+    /// The deadline passed before the request was answered.
     DeadlinePassed,
+    /// The first token or the end would come too late.
+    ExpectationMissed,
     /// The endpoint or process takes no new work.
     Draining,
     /// The agent has seen this request before.
@@ -77,6 +79,18 @@
     Truncated,
     /// The caller closed the connection.
     CallerLeft,
+    /// The agent restarted after the entry had chosen it.
+    Restarted,
+    /// No control process granted a claim.
+    Unclaimed,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// Another request with the key is still running.
+    StillRunning,
+    /// The entry that ran a request with the key is lost.
+    HolderLost,
+    /// The request ran, and its answer is not kept any more.
+    AnswerGone,
 }
 
 impl Reason {
--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -14,13 +14,16 @@
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::news::{Known, News};
 use nutmegyoke_core::process::{Clock, Member};
-use nutmegyoke_wire::connection::link_capnp::agent;
+use nutmegyoke_core::request::Submission;
+use nutmegyoke_wire::connection::link::{milliseconds, text};
+use nutmegyoke_wire::connection::link_capnp::{agent, answer};
 use nutmegyoke_wire::process::{Announcement, Settings};
-use nutmegyoke_wire::request::{Payload, submission, verdict};
+use nutmegyoke_wire::request::{Payload, id, submission, verdict};
 use prometheus::Registry;
 
 use super::driver::{Addressed, Mailbox};
 use super::heartbeat::{Heartbeat, Learner};
+use super::kept::Kept;
 use super::operators::{self, Operators, respond};
 use super::{Driver, Event, Failure, Metrics};
 use crate::connection::listener::Serve;
@@ -38,6 +41,7 @@
     metrics: Metrics,
     member: RefCell<Member>,
     known: RefCell<HashSet<String>>,
+    kept: RefCell<Kept>,
     heartbeat: OnceCell<Heartbeat>,
     listeners: OnceCell<[Listener; 2]>,
 }
@@ -62,7 +66,8 @@
         registry: &Registry,
     ) -> Result<Rc<Self>, Failure> {
         let member = super::member(settings, &clock, Role::Agent);
-        let (driver, _background) = Driver::spawn(decision::Agent::open(), clock);
+        let machine = decision::Agent::open(member.vm.incarnation);
+        let (driver, _background) = Driver::spawn(machine, clock);
         let client = cyper::Client::builder()
             .redirect(cyper::redirect::Policy::none())
             .build();
@@ -72,6 +77,7 @@
             metrics: Metrics::open(registry, &member)?,
             member: RefCell::new(member),
             known: RefCell::default(),
+            kept: RefCell::default(),
             heartbeat: OnceCell::new(),
             listeners: OnceCell::new(),
         });
@@ -110,6 +116,29 @@
         }
     }
 
+    /// Withdraws an endpoint by an operator's order, or puts it back; all when
+    /// `name` is empty. Returns whether there is such an endpoint.
+    fn withdraw(&self, name: &str, withdrawn: bool) -> bool {
+        let endpoints = self.driver.machine().endpoints();
+        let chosen: Vec<_> = endpoints
+            .iter()
+            .filter(|endpoint| name.is_empty() || endpoint.name == name)
+            .collect();
+        for endpoint in &chosen {
+            self.driver.feed(Input::Withdrawn {
+                endpoint: &endpoint.name,
+                withdrawn,
+            });
+            Event::Withdrawn {
+                name: &endpoint.name,
+                withdrawn,
+            }
+            .log();
+        }
+        self.hurry();
+        !chosen.is_empty()
+    }
+
     /// Takes an endpoint's announcement in; it renews it every second.
     fn announce(&self, body: &[u8]) -> Result<(), String> {
         let announcement = Announcement::decode(body).map_err(|error| error.to_string())?;
@@ -164,16 +193,21 @@
         self.agent.driver.feed(Input::Submitted {
             call: self.mailbox.number(),
             submission: &submission,
+            bytes: payload.body.len(),
         });
         match self.mailbox.next().await {
             Some(Command::Start { address, .. }) => {
-                Ok(call::run(&self.agent.client, address, &payload, &answer).await)
+                Ok(self.call(address, &submission, &payload, &answer).await)
             }
-            Some(Command::Refuse { reason, .. }) => {
+            Some(Command::Refuse { reason, after, .. }) => {
                 self.agent.metrics.refused(reason);
+                let request = Some(submission.id);
+                Event::Refused { request, reason }.log();
                 Ok(Outcome {
                     verdict: Command::verdict(reason),
                     chunks: 0,
+                    record: None,
+                    after,
                 })
             }
             None => Err(capnp::Error::failed("the agent is gone".to_owned())),
@@ -181,6 +215,29 @@
     }
 }
 
+impl<C: Clock + 'static> Ticket<C> {
+    /// Sends the request to its endpoint and keeps the answer for resends.
+    async fn call(
+        &self,
+        address: SocketAddr,
+        submission: &Submission,
+        payload: &Payload<'_>,
+        answer: &answer::Client,
+    ) -> Outcome {
+        let agent = &self.agent;
+        let keep = submission.keyed;
+        let call = self.mailbox.number();
+        let answered = || agent.driver.feed(Input::Answered { call });
+        let run = call::run(&agent.client, address, payload, answer, keep, answered);
+        let mut outcome = run.await;
+        if let Some(record) = outcome.record.take() {
+            let now = agent.driver.clock().now();
+            agent.kept.borrow_mut().insert(now, submission.id, record);
+        }
+        outcome
+    }
+}
+
 impl<C: Clock + 'static> Drop for Ticket<C> {
     fn drop(&mut self) {
         let call = self.mailbox.number();
@@ -207,9 +264,41 @@
         let outcome = ticket.run(&params).await?;
         let mut results = results.get();
         results.set_chunks(outcome.chunks);
+        results.set_retry_after_ms(milliseconds(outcome.after));
         verdict::write(outcome.verdict, results.init_verdict());
         Ok(())
     }
+
+    async fn recall(
+        self: Rc<Self>,
+        params: agent::RecallParams,
+        mut results: agent::RecallResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let id = id::read(params.get_id()?);
+        let now = self.agent.driver.clock().now();
+        let record = self.agent.kept.borrow_mut().get(now, id);
+        let mut results = results.get();
+        if let Some(record) = record {
+            let answer = params.get_answer()?;
+            results.set_chunks(call::replay(record, &answer).await?);
+            results.set_found(true);
+        }
+        Ok(())
+    }
+
+    async fn withdraw(
+        self: Rc<Self>,
+        params: agent::WithdrawParams,
+        mut results: agent::WithdrawResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let known = self
+            .agent
+            .withdraw(text(params.get_endpoint())?, params.get_withdrawn());
+        results.get().set_known(known);
+        Ok(())
+    }
 }
 
 impl<C: Clock + 'static> Serve for Agent<C> {
@@ -246,6 +335,8 @@
 
 impl<C: Clock + 'static> operators::Role for Agent<C> {
     fn metrics(&self) -> &Metrics {
+        let machine = self.driver.machine();
+        self.metrics.load.set(machine.in_flight(), machine.queued());
         &self.metrics
     }
 
--- a/crates/nutmegyoke-host/src/request/caller.rs
+++ b/crates/nutmegyoke-host/src/request/caller.rs
@@ -15,7 +15,7 @@
 use nutmegyoke_core::request::arrival::Subject;
 use nutmegyoke_core::request::{Arrival, Reason, admission};
 use nutmegyoke_wire::request::failure::REPEATABLE_HEADER;
-use nutmegyoke_wire::request::{Completion, Payload, models};
+use nutmegyoke_wire::request::{Completion, Payload, meter, models};
 use rapidhash::v3::rapidhash_v3;
 
 use super::forward::forward;
@@ -98,15 +98,16 @@
             path: &target[whole.len() - rest.len()..],
             ..payload
         };
-        return forward(entry, &arrival(&head.headers, subject, body), payload).await;
+        return forward(entry, &arrival(&head.headers, subject, &payload), payload).await;
     }
     match Completion::decode(body) {
         Ok(completion) => {
             let subject = Subject::Completion {
                 name: &completion.model,
+                prompt: meter::prompt(body.len()),
                 tokens: completion.tokens(),
             };
-            forward(entry, &arrival(&head.headers, subject, body), payload).await
+            forward(entry, &arrival(&head.headers, subject, &payload), payload).await
         }
         Err(error) => {
             let why = format!("{error}: send a JSON object with at least `model`");
@@ -115,16 +116,23 @@
     }
 }
 
-fn arrival<'a>(headers: &'a HeaderMap, subject: Subject<'a>, body: &[u8]) -> Arrival<'a> {
+fn arrival<'a>(headers: &'a HeaderMap, subject: Subject<'a>, payload: &Payload<'_>) -> Arrival<'a> {
     Arrival {
         key: bearer(headers),
         subject,
         idempotency: header(headers, IDEMPOTENCY_HEADER),
         once: header(headers, REPEATABLE_HEADER).is_some_and(|value| value == "no"),
-        digest: rapidhash_v3(body),
+        digest: digest(payload),
     }
 }
 
+/// Tells a resend from another request: method, path and body have to be equal.
+fn digest(payload: &Payload<'_>) -> u64 {
+    let call = [payload.method, " ", payload.path].concat();
+    let parts = [rapidhash_v3(call.as_bytes()), rapidhash_v3(payload.body)];
+    rapidhash_v3(&parts.map(u64::to_le_bytes).concat())
+}
+
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/crates/nutmegyoke-host/tests/attempt.rs
+++ b/crates/nutmegyoke-host/tests/attempt.rs
@@ -105,6 +105,10 @@
         repeat: Repeat::Once,
         remaining: Duration::from_secs(5),
         configuration: 1,
+        incarnation: 0,
+        keyed: false,
+        first_token: None,
+        tokens: 0,
     }
 }
 
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -1,5 +1,7 @@
 //! The JSON error that callers receive.
 
+use std::time::Duration;
+
 use nutmegyoke_core::request::{Reason, Verdict};
 use serde::Serialize;
 
@@ -36,6 +38,8 @@
     No,
     /// It may have run.
     Unknown,
+    /// It ran, and its answer can't be given again.
+    Yes,
 }
 
 impl Ran {
@@ -45,6 +49,7 @@
         match self {
             Self::No => "no",
             Self::Unknown => "unknown",
+            Self::Yes => "yes",
         }
     }
 }
@@ -53,7 +58,7 @@
     /// Describes the end of a request that was not answered in whole.
     #[must_use]
     pub fn new(verdict: Verdict, message: &str) -> Self {
-        let reason = verdict.reason().unwrap_or(Reason::Truncated);
+        let reason = verdict.reason().unwrap_or(Reason::AnswerGone);
         Self {
             status: status(reason),
             retry_after: retry_after(reason),
@@ -66,12 +71,21 @@
                 },
                 ran: match verdict {
                     Verdict::NotRun { .. } => Ran::No,
-                    Verdict::MayHaveRun { .. } | Verdict::Ran => Ran::Unknown,
+                    Verdict::MayHaveRun { .. } => Ran::Unknown,
+                    Verdict::Ran => Ran::Yes,
                 },
             },
         }
     }
 
+    /// Tells the caller when another try may succeed, where another try helps.
+    pub fn retry(&mut self, after: Duration) {
+        if self.retry_after.is_some() {
+            let seconds = after.as_millis().div_ceil(1000).max(1);
+            self.retry_after = Some(u32::try_from(seconds).unwrap_or(u32::MAX));
+        }
+    }
+
     /// What is known of the request.
     #[must_use]
     pub fn ran(&self) -> Ran {
@@ -99,20 +113,27 @@
         | Reason::NoConfiguration
         | Reason::Unreachable
         | Reason::QueueFull
+        | Reason::ExpectationMissed
         | Reason::Draining
         | Reason::NotHeld
+        | Reason::Unclaimed
         | Reason::StaleConfiguration => 503,
+        Reason::KeyReused => 422,
+        Reason::StillRunning => 409,
+        Reason::AnswerGone => 410,
         Reason::DeadlinePassed => 504,
         Reason::LinkLost
         | Reason::Duplicate
         | Reason::EndpointFailed
         | Reason::Truncated
+        | Reason::Restarted
+        | Reason::HolderLost
         | Reason::CallerLeft => 502,
     }
 }
 
 fn retry_after(reason: Reason) -> Option<u32> {
-    matches!(status(reason), 429 | 503).then_some(1)
+    matches!(status(reason), 409 | 429 | 503).then_some(1)
 }
 
 fn advice(reason: Reason) -> &'static str {
@@ -138,6 +159,9 @@
         Reason::LinkLost => "the link to the endpoint broke after the request was sent",
         Reason::QueueFull => "the endpoints are busy; try again",
         Reason::DeadlinePassed => "the plan's deadline passed",
+        Reason::ExpectationMissed => {
+            "the endpoints are too busy to answer in time; try again as Retry-After says"
+        }
         Reason::Draining => "this process is stopping; send to another one",
         Reason::Duplicate => "the request was submitted before and may be running",
         Reason::NotHeld => "the endpoint does not hold this any more; try again",
@@ -145,5 +169,13 @@
         Reason::EndpointFailed => "the endpoint failed while it ran the request",
         Reason::Truncated => "the answer broke off before it was whole",
         Reason::CallerLeft => "the caller closed the connection",
+        Reason::Restarted => "the agent restarted; whether it ran the request before is unknown",
+        Reason::Unclaimed => "no control process granted a claim for the key; try again",
+        Reason::KeyReused => "this key was used with another body; send a key of its own",
+        Reason::StillRunning => {
+            "the request with this key is still running; ask again with the key"
+        }
+        Reason::HolderLost => "the entry that ran the request with this key is lost",
+        Reason::AnswerGone => "the request with this key ran; its answer is not kept any more",
     }
 }
--- a/crates/nutmegyoke-wire/tests/readers.rs
+++ b/crates/nutmegyoke-wire/tests/readers.rs
@@ -162,6 +162,10 @@
             },
             remaining: std::time::Duration::from_millis(remaining),
             configuration,
+            incarnation: number,
+            keyed: once,
+            first_token: None,
+            tokens: 0,
         },
     )
 }
