Measure the slopes of the target size; tell agents nothing of the directory

Cause: docs/CAPACITY.md needs slopes from a command.

Mark::UNSUBSCRIBED says that a process keeps no copy of the directory.

--- a/benches/support/mod.rs
+++ b/benches/support/mod.rs
@@ -2,7 +2,11 @@
 
 #![allow(dead_code, reason = "each bench uses its own part")]
 
+pub mod caller;
+pub mod engine;
+pub mod fit;
 pub mod fleet;
+pub mod target;
 
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
--- /dev/null
+++ b/benches/support/target.rs
@@ -0,0 +1,119 @@
+//! The target size, and fleets of it built from real types.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegyoke_core::process::endpoint::{Holding, Phase};
+use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::process::{Endpoint, Member, Vm};
+use nutmegyoke_core::version::configuration::Lists;
+use nutmegyoke_core::version::grant::Item;
+use nutmegyoke_core::version::{Configuration, Grant, Plan};
+
+/// VMs with an agent.
+pub const NODES: u32 = 340;
+/// Engines in all.
+pub const ENGINES: u32 = 3_800;
+/// Models in all.
+pub const MODELS: u32 = 520;
+/// Requests a second at the peak.
+pub const REQUESTS: f64 = 4_300.0;
+/// Tokens a second at the peak.
+pub const TOKENS: f64 = 1_200_000.0;
+/// Changes of the configuration a day.
+pub const CHANGES: f64 = 2_100.0;
+/// Seconds of a day.
+pub const DAY: f64 = 86_400.0;
+/// Control traffic that a node may have, in bytes a second.
+pub const TRAFFIC: f64 = 23_000.0;
+/// Adapters for each model, as at the first two users.
+pub const ADAPTERS: u32 = 5;
+/// Adapters resident on an engine.
+const RESIDENT: u32 = 8;
+
+/// Engines of one VM, on average.
+pub fn engines_each() -> f64 {
+    f64::from(ENGINES) / f64::from(NODES)
+}
+
+/// A VM with `engines` engines.
+pub fn member(number: u32, incarnation: u64, engines: u32) -> Member {
+    let endpoints = (0..engines).map(|engine| endpoint(number, engine));
+    Member {
+        vm: Vm {
+            name: format!("engine-vm-{number:04}"),
+            incarnation: 1_800_000_000_000 + incarnation,
+        },
+        role: Role::Agent,
+        data_centre: format!("dc-{:02}", number % 10).as_str().into(),
+        address: SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + number), 8481)),
+        endpoints: endpoints.collect(),
+        configuration: 2_100,
+    }
+}
+
+fn endpoint(vm: u32, number: u32) -> Endpoint {
+    let model = (vm * 11 + number) % MODELS;
+    let adapters = (0..RESIDENT).map(|index| adapter(model, index % ADAPTERS).as_str().into());
+    Endpoint {
+        name: format!("engine-{number}"),
+        holding: Holding::Engine {
+            models: vec![model_name(model).as_str().into()],
+            adapters: adapters.collect(),
+        },
+        slots: 32,
+        phase: Phase::Ready,
+    }
+}
+
+fn model_name(number: u32) -> String {
+    format!("model-{number:03}")
+}
+
+fn adapter(model: u32, number: u32) -> String {
+    format!("model-{model:03}-adapter-{number:02}")
+}
+
+/// A configuration of `models` models with their adapters, and a plan for each ten.
+pub fn configuration(number: u64, models: u32) -> Rc<Configuration> {
+    let plans = (0..=models / 10).map(plan).collect();
+    let grants = (0..models).flat_map(|model| {
+        let plans = vec![format!("plan-{:03}", model / 10)];
+        let adapters = (0..ADAPTERS).map(move |index| Item::Adapter {
+            name: adapter(model, index).as_str().into(),
+            model: model_name(model).as_str().into(),
+            bytes: 40_000_000,
+        });
+        let own = Item::Model {
+            name: model_name(model).as_str().into(),
+            bytes: 14_000_000_000,
+        };
+        std::iter::once(own).chain(adapters).map(move |item| Grant {
+            item,
+            plans: plans.clone(),
+        })
+    });
+    let grants = grants.collect();
+    let lists = Lists {
+        number,
+        plans,
+        grants,
+    };
+    Configuration::open(lists).expect("valid lists")
+}
+
+fn plan(number: u32) -> Plan {
+    Plan {
+        name: format!("plan-{number:03}"),
+        customer: format!("customer-{number:03}").as_str().into(),
+        key: format!("key-{number:030}"),
+        requests_per_second: 100,
+        concurrency: 100,
+        tokens_per_minute: 1_000_000,
+        priority: 5,
+        first_token: Duration::from_secs(1),
+        between_tokens: Duration::from_millis(50),
+        deadline: Duration::from_secs(30),
+    }
+}
--- a/crates/nutmegyoke-core/src/process/directory.rs
+++ b/crates/nutmegyoke-core/src/process/directory.rs
@@ -52,6 +52,14 @@
     pub revision: u64,
 }
 
+impl Mark {
+    /// Sent by a process that keeps no copy; it is told nothing of the directory.
+    pub const UNSUBSCRIBED: Self = Self {
+        epoch: u64::MAX,
+        revision: u64::MAX,
+    };
+}
+
 /// What brings a copy up to date.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -165,6 +173,9 @@
     /// What a copy at `mark` has not learned yet.
     #[must_use]
     pub fn since(&self, mark: Mark) -> Delta {
+        if mark == Mark::UNSUBSCRIBED {
+            return Delta::default();
+        }
         let snapshot = mark.epoch != self.epoch
             || mark.revision < self.oldest
             || mark.revision > self.revision;
--- a/crates/nutmegyoke-core/tests/directory.rs
+++ b/crates/nutmegyoke-core/tests/directory.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegyoke_core::process::damping::LONGEST;
-use nutmegyoke_core::process::directory::{Delta, LEASE};
+use nutmegyoke_core::process::directory::{Delta, LEASE, Mark};
 use nutmegyoke_core::process::endpoint::{Holding, Phase};
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::{Directory, Endpoint, Member, Vm};
@@ -149,6 +149,13 @@
     assert_eq!(listed(&source)[0].configuration, 2);
 }
 
+#[test]
+fn process_without_a_copy_is_told_nothing() {
+    let mut source = Directory::open(1);
+    source.renew(Instant::now(), &member(1, 1, 1, 0));
+    assert_eq!(source.since(Mark::UNSUBSCRIBED), Delta::default());
+}
+
 #[test]
 fn copy_far_behind_gets_a_snapshot() {
     let mut now = Instant::now();
--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use nutmegyoke_core::process as decision;
 use nutmegyoke_core::process::agent::{Command, Event as Input};
+use nutmegyoke_core::process::directory::Mark;
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::news::{Known, News};
 use nutmegyoke_core::process::{Clock, Member};
@@ -323,7 +324,7 @@
     fn known(&self) -> Known {
         Known {
             configuration: self.driver.machine().configuration().number(),
-            ..Known::default()
+            directory: Mark::UNSUBSCRIBED,
         }
     }
 
