Send changed endpoints to entries, not whole members

Cause: one engine's change sent its whole VM, 11 engines, to every entry.

Change: the source notes for each endpoint when it changed; a delta carries the changed endpoints of a member (capnp: appended field `changes`) where nothing else of it changed. The entry's host makes whole members of them with its copy (Directory::expand), so that those who follow a delta see members only.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -55,6 +55,7 @@
     heartbeat: Fit,
     answer: f64,
     delta: Fit,
+    change: Fit,
     snapshot: Fit,
     configuration: Fit,
     judge: Fit,
@@ -75,6 +76,12 @@
         delta: Fit::measure("B3 delta, by changed VMs", "bytes", &[1, 4, 16], |vms| {
             size(encode(&delta(vms)).len())
         }),
+        change: Fit::measure(
+            "B6 delta, by changed engines",
+            "bytes",
+            &[1, 4, 16],
+            |vms| size(encode(&engines_changed(vms)).len()),
+        ),
         snapshot: Fit::measure("B4 snapshot, by VMs", "bytes", &VMS, |vms| {
             size(encode(&snapshot(vms)).len())
         }),
@@ -196,6 +203,21 @@
     }
 }
 
+/// What an entry learns when one engine changed on each of `vms` VMs.
+fn engines_changed(vms: u32) -> News {
+    let mut source = source(target::NODES);
+    let mark = source.mark();
+    for number in 0..vms {
+        let mut member = target::member(number, 0, engines());
+        member.endpoints[3].slots += 1;
+        source.renew(Instant::now(), &member);
+    }
+    News {
+        directory: source.since(mark),
+        ..News::default()
+    }
+}
+
 fn configured(models: u32) -> News {
     News {
         configuration: Some(target::configuration(1, models)),
@@ -411,11 +433,14 @@
         "S6 configuration = {lists:.0} bytes, at {} changes a day {lists_rate:.0} bytes/s to each process",
         target::CHANGES
     );
-    let per_change = control.delta.at(1.0) - control.answer;
+    let per_vm = control.delta.slope;
+    let per_change = control.change.slope;
     let left = target::TRAFFIC - lists_rate - control.heartbeat.at(0.0) - control.answer;
     println!(
-        "S7 directory change = {per_change:.0} bytes to each entry; the budget allows {:.1} changes/s",
-        left / per_change
+        "S7 directory change = {per_change:.0} bytes of one engine or {per_vm:.0} of a whole VM to each entry; \
+         beside the rest the budget allows {:.0} engine changes/s or {:.1} VM changes/s",
+        left / per_change,
+        left / per_vm
     );
     println!(
         "S8 snapshot = {:.0} bytes, {:.0} s of an entry's budget",
@@ -457,13 +482,13 @@
         state.control.at(nodes) / 1024.0,
         state.configuration.at(models) / 1024.0
     );
-    faults(control, entries, per_change, each);
+    faults(control, entries, per_vm, each);
 }
 
 /// What a day's faults cost in directory messages.
-fn faults(control: &Messages, entries: f64, per_change: f64, each: f64) {
+fn faults(control: &Messages, entries: f64, per_vm: f64, each: f64) {
     // A loss is a name; a return is the VM without engines, then with them.
-    let back = 2.0 * per_change;
+    let back = 2.0 * per_vm;
     let row = |name: &str, vms: f64| {
         let bytes = vms * back;
         println!(
--- a/crates/nutmegyoke-core/src/process/directory.rs
+++ b/crates/nutmegyoke-core/src/process/directory.rs
@@ -14,9 +14,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Member;
 use super::damping::Damping;
 use super::endpoint::Target;
+use super::{Endpoint, Member};
 
 /// How long a process stays listed without a heartbeat.
 pub const LEASE: Duration = Duration::from_secs(4);
@@ -34,9 +34,14 @@
     rows: BTreeMap<String, Row>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Row {
+    /// The last change of any kind.
     revision: u64,
+    /// The last change that has to be told as a whole member.
+    whole: u64,
+    /// The last changes of single endpoints since then.
+    endpoints: BTreeMap<String, u64>,
     member: Option<Member>,
     expires: Option<Instant>,
     damping: Damping,
@@ -70,12 +75,24 @@
     pub mark: Mark,
     /// Whether the copy has to forget all it held before.
     pub snapshot: bool,
-    /// Members that are new or changed.
+    /// Members that are new or changed as a whole.
     pub members: Vec<Member>,
+    /// Members of which only endpoints changed; [`Directory::expand`] makes whole ones of them.
+    pub changes: Vec<Change>,
     /// Names of VMs that left.
     pub gone: Vec<String>,
 }
 
+/// The changed endpoints of one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Change {
+    /// The name of the VM.
+    pub vm: String,
+    /// The endpoints that are new or changed.
+    pub endpoints: Vec<Endpoint>,
+}
+
 impl Directory {
     /// Opens an empty directory that counts its own revisions under `epoch`.
     #[must_use]
@@ -118,12 +135,7 @@
     /// A heartbeat of an earlier incarnation is ignored. A member that is held
     /// back keeps its lease and is listed with a later heartbeat.
     pub fn renew(&mut self, now: Instant, member: &Member) {
-        let row = self.rows.entry(member.vm.name.clone()).or_insert(Row {
-            revision: 0,
-            member: None,
-            expires: None,
-            damping: Damping::default(),
-        });
+        let row = self.rows.entry(member.vm.name.clone()).or_default();
         let known = row.member.as_mut();
         let before = known
             .as_ref()
@@ -145,8 +157,7 @@
             _ => (!held).then(|| member.clone()),
         };
         self.revision += 1;
-        row.revision = self.revision;
-        row.member = listed;
+        row.revise(self.revision, listed);
     }
 
     /// Drops the members whose lease ran out.
@@ -155,9 +166,9 @@
             if row.expires.is_some_and(|expires| expires <= now) {
                 row.expires = None;
                 row.damping.lost(now);
-                if row.member.take().is_some() {
+                if row.member.is_some() {
                     self.revision += 1;
-                    row.revision = self.revision;
+                    row.revise(self.revision, None);
                 }
             }
         }
@@ -188,7 +199,8 @@
         };
         for (name, row) in self.rows.iter().filter(|(_, row)| row.revision > known) {
             match &row.member {
-                Some(member) => delta.members.push(member.clone()),
+                Some(member) if row.whole > known => delta.members.push(member.clone()),
+                Some(member) => delta.changes.push(row.change(member, known)),
                 None if snapshot => {}
                 None => delta.gone.push(name.clone()),
             }
@@ -209,12 +221,18 @@
         for member in &delta.members {
             let row = Row {
                 revision: delta.mark.revision,
+                whole: delta.mark.revision,
                 member: Some(member.clone()),
-                expires: None,
-                damping: Damping::default(),
+                ..Row::default()
             };
             self.rows.insert(member.vm.name.clone(), row);
         }
+        for change in &delta.changes {
+            let row = self.rows.get_mut(&change.vm);
+            if let Some(member) = row.and_then(|row| row.member.as_mut()) {
+                change.apply(member);
+            }
+        }
         for name in &delta.gone {
             self.rows.remove(name);
         }
@@ -223,6 +241,22 @@
         true
     }
 
+    /// Makes whole members of the changed endpoints, with the help of this copy.
+    ///
+    /// Those who follow a delta then see members only.
+    pub fn expand(&self, delta: &mut Delta) {
+        if !self.follows(delta) {
+            return;
+        }
+        for change in std::mem::take(&mut delta.changes) {
+            if let Some(known) = self.member(&change.vm) {
+                let mut member = known.clone();
+                change.apply(&mut member);
+                delta.members.push(member);
+            }
+        }
+    }
+
     fn follows(&self, delta: &Delta) -> bool {
         let forward = self.revision <= delta.mark.revision;
         if delta.mark.epoch != self.epoch {
@@ -250,11 +284,68 @@
     }
 }
 
+impl Row {
+    /// Sets what is listed from now on, and notes which endpoints changed.
+    fn revise(&mut self, revision: u64, listed: Option<Member>) {
+        self.revision = revision;
+        match (&self.member, &listed) {
+            (Some(before), Some(after)) if only_endpoints(before, after) => {
+                let changed = after.endpoints.iter();
+                let changed = changed.filter(|endpoint| !before.endpoints.contains(endpoint));
+                let changed = changed.map(|endpoint| (endpoint.name.clone(), revision));
+                self.endpoints.extend(changed);
+            }
+            _ => {
+                self.whole = revision;
+                self.endpoints.clear();
+            }
+        }
+        self.member = listed;
+    }
+
+    fn change(&self, member: &Member, known: u64) -> Change {
+        let endpoints = member.endpoints.iter();
+        let changed = endpoints.filter(|endpoint| {
+            let revision = self.endpoints.get(&endpoint.name);
+            revision.is_some_and(|&revision| revision > known)
+        });
+        Change {
+            vm: member.vm.name.clone(),
+            endpoints: changed.cloned().collect(),
+        }
+    }
+}
+
+impl Change {
+    fn apply(&self, member: &mut Member) {
+        for changed in &self.endpoints {
+            let mut rows = member.endpoints.iter_mut();
+            match rows.find(|endpoint| endpoint.name == changed.name) {
+                Some(endpoint) => endpoint.clone_from(changed),
+                None => member.endpoints.push(changed.clone()),
+            }
+        }
+        // The order of an agent's own list.
+        member
+            .endpoints
+            .sort_by(|one, other| one.name.cmp(&other.name));
+    }
+}
+
+/// Whether `after` has every endpoint of `before` and differs in nothing but endpoints.
+fn only_endpoints(before: &Member, after: &Member) -> bool {
+    let alike = before.vm == after.vm
+        && before.role == after.role
+        && before.data_centre == after.data_centre
+        && before.address == after.address;
+    alike
+        && before.endpoints.iter().all(|endpoint| {
+            let mut names = after.endpoints.iter().map(|endpoint| &endpoint.name);
+            names.any(|name| *name == endpoint.name)
+        })
+}
+
 /// Whether two states of a member are the same to those who route.
 fn same(one: &Member, other: &Member) -> bool {
-    one.vm == other.vm
-        && one.role == other.role
-        && one.data_centre == other.data_centre
-        && one.address == other.address
-        && one.endpoints == other.endpoints
+    only_endpoints(one, other) && one.endpoints == other.endpoints
 }
--- a/crates/nutmegyoke-core/tests/directory.rs
+++ b/crates/nutmegyoke-core/tests/directory.rs
@@ -36,19 +36,30 @@
         role: Role::Agent,
         data_centre: "alp-a".into(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-        endpoints: vec![Endpoint {
-            name: "engine".to_owned(),
-            holding: Holding::Engine {
-                models: vec!["price-ml".into()],
-                adapters: Vec::new(),
-            },
-            slots,
-            phase: Phase::Ready,
-        }],
+        endpoints: endpoints(slots),
         configuration,
     }
 }
 
+/// Two endpoints, of which one, the other or both differ between values of `slots`.
+fn endpoints(slots: u32) -> Vec<Endpoint> {
+    let number = |name: &str, slots| Endpoint {
+        name: name.to_owned(),
+        holding: Holding::Engine {
+            models: vec!["price-ml".into()],
+            adapters: Vec::new(),
+        },
+        slots,
+        phase: Phase::Ready,
+    };
+    let mut list = vec![number("a", slots / 2)];
+    // Now and then one comes or goes.
+    if slots > 1 {
+        list.push(number("b", slots % 2 + 1));
+    }
+    list
+}
+
 /// What happens to a source and its copies.
 #[derive(Clone, Debug)]
 enum Step {
@@ -70,7 +81,7 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        4 => (0..6_u8, 1..4_u64, 1..4_u32).prop_map(|(name, incarnation, slots)| Step::Renew {
+        4 => (0..6_u8, 1..4_u64, 1..6_u32).prop_map(|(name, incarnation, slots)| Step::Renew {
             name,
             incarnation,
             slots,
@@ -118,7 +129,12 @@
                 Step::Arrive { copy, answer } => {
                     let Some(last) = answers[copy].len().checked_sub(1) else { continue };
                     let before = copies[copy].mark();
-                    copies[copy].learn(&answers[copy][answer.min(last)]);
+                    let mut answer = answers[copy][answer.min(last)].clone();
+                    // As it travels, or made whole on the way.
+                    if answer.mark.revision.is_multiple_of(2) {
+                        copies[copy].expand(&mut answer);
+                    }
+                    copies[copy].learn(&answer);
                     let after = copies[copy].mark();
                     prop_assert!(after.epoch != before.epoch || after.revision >= before.revision);
                 }
@@ -149,6 +165,27 @@
     assert_eq!(listed(&source)[0].configuration, 2);
 }
 
+#[test]
+fn only_the_changed_endpoint_travels() {
+    let mut source = Directory::open(1);
+    let now = Instant::now();
+    source.renew(now, &member(1, 1, 2, 0));
+    let mut copy = Directory::default();
+    copy.learn(&source.since(copy.mark()));
+    source.renew(now, &member(1, 1, 3, 0));
+    let mut delta = source.since(copy.mark());
+    assert_eq!(delta.members, []);
+    let names: Vec<&str> = delta.changes[0]
+        .endpoints
+        .iter()
+        .map(|endpoint| endpoint.name.as_str())
+        .collect();
+    assert_eq!(names, ["b"]);
+    copy.expand(&mut delta);
+    assert_eq!(delta.members, listed(&source));
+    assert!(delta.changes.is_empty());
+}
+
 #[test]
 fn process_without_a_copy_is_told_nothing() {
     let mut source = Directory::open(1);
--- a/crates/nutmegyoke-core/tests/network/bed.rs
+++ b/crates/nutmegyoke-core/tests/network/bed.rs
@@ -77,6 +77,7 @@
             configuration: Some(configuration(self.number)),
             directory: Delta {
                 base: 0,
+                changes: Vec::new(),
                 mark: Mark {
                     epoch: 1,
                     revision: self.revision,
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -209,7 +209,15 @@
     }
 
     fn learn(&self, news: &News) {
-        self.driver.feed(Input::Taught { news });
+        if news.directory.changes.is_empty() {
+            self.driver.feed(Input::Taught { news });
+        } else {
+            let mut whole = news.clone();
+            let machine = self.driver.machine();
+            machine.directory().expand(&mut whole.directory);
+            drop(machine);
+            self.driver.feed(Input::Taught { news: &whole });
+        }
         super::log_configuration(&self.metrics, news);
     }
 }
--- a/crates/nutmegyoke-wire/schema/link.capnp
+++ b/crates/nutmegyoke-wire/schema/link.capnp
@@ -149,12 +149,18 @@
   grants @2 :List(Grant);
 }
 
+struct EndpointChange {
+  vm @0 :Text;
+  endpoints @1 :List(Endpoint);
+}
+
 struct Delta {
   mark @0 :Mark;
   snapshot @1 :Bool;
   members @2 :List(Member);
   gone @3 :List(Text);
   base @4 :UInt64;
+  changes @5 :List(EndpointChange);
 }
 
 struct News {
--- a/crates/nutmegyoke-wire/src/connection/link_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/link_capnp.rs
@@ -8312,6 +8312,259 @@
     }
 }
 
+pub mod endpoint_change {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_vm(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link_capnp::endpoint::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoints(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_vm(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_vm(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_vm(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link_capnp::endpoint::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoints(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link_capnp::endpoint::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_endpoints(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link_capnp::endpoint::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_endpoints(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(40, 185, 157, 16, 146, 64, 9, 228),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(150, 74, 179, 240, 225, 165, 199, 210),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 110, 100, 112, 111),
+            ::capnp::word(105, 110, 116, 67, 104, 97, 110, 103),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(130, 160, 34, 117, 52, 43, 154, 207),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::link_capnp::endpoint::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xe409_4092_109d_b928;
+    }
+}
+
 pub mod delta {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -8405,11 +8658,19 @@
         pub fn get_base(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link_capnp::endpoint_change::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8523,6 +8784,22 @@
         pub fn set_base(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link_capnp::endpoint_change::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_changes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link_capnp::endpoint_change::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_changes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link_capnp::endpoint_change::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8537,59 +8814,66 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 101] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 120] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(223, 173, 68, 75, 130, 125, 112, 130),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(150, 74, 179, 240, 225, 165, 199, 210),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 101, 108, 116, 97),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 97, 114, 107, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(185, 95, 84, 144, 25, 154, 45, 216),
@@ -8639,6 +8923,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 185, 157, 16, 146, 64, 9, 228),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -8647,6 +8943,7 @@
                 2 => <::capnp::struct_list::Owned<crate::link_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::link_capnp::endpoint_change::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8660,9 +8957,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,0,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,5,3,0,2,1];
         pub(crate) const TYPE_ID: u64 = 0x8270_7d82_4b44_addf;
     }
 }
--- a/crates/nutmegyoke-wire/src/process/directory.rs
+++ b/crates/nutmegyoke-wire/src/process/directory.rs
@@ -1,10 +1,10 @@
 //! Changes of the directory between processes.
 
-use nutmegyoke_core::process::directory::{Delta, Mark};
+use nutmegyoke_core::process::directory::{Change, Delta, Mark};
 
 use super::member;
-use crate::connection::link::{length, set_texts, texts};
-use crate::connection::link_capnp::{delta, mark};
+use crate::connection::link::{length, set_texts, text, texts};
+use crate::connection::link_capnp::{delta, endpoint_change, mark};
 
 /// Reads a mark.
 #[must_use]
@@ -36,10 +36,22 @@
             .iter()
             .map(member::read)
             .collect::<capnp::Result<_>>()?,
+        changes: reader
+            .get_changes()?
+            .iter()
+            .map(read_change)
+            .collect::<capnp::Result<_>>()?,
         gone: texts(reader.get_gone())?,
     })
 }
 
+fn read_change(reader: endpoint_change::Reader<'_>) -> capnp::Result<Change> {
+    Ok(Change {
+        vm: text(reader.get_vm())?.to_owned(),
+        endpoints: member::read_endpoints(reader.get_endpoints()?)?,
+    })
+}
+
 /// Writes a delta.
 pub fn write(delta: &Delta, mut builder: delta::Builder<'_>) {
     write_mark(delta.mark, builder.reborrow().init_mark());
@@ -49,6 +61,13 @@
     for (index, member) in (0..).zip(&delta.members) {
         member::write(member, list.reborrow().get(index));
     }
+    let mut list = builder.reborrow().init_changes(length(delta.changes.len()));
+    for (index, change) in (0..).zip(&delta.changes) {
+        let mut row = list.reborrow().get(index);
+        row.set_vm(&change.vm);
+        let endpoints = row.init_endpoints(length(change.endpoints.len()));
+        member::write_endpoints(&change.endpoints, endpoints);
+    }
     let list = builder.init_gone(length(delta.gone.len()));
     set_texts(list, delta.gone.iter().map(String::as_str));
 }
--- a/crates/nutmegyoke-wire/src/process/member.rs
+++ b/crates/nutmegyoke-wire/src/process/member.rs
@@ -1,5 +1,6 @@
 //! Members of the fleet between processes.
 
+use capnp::struct_list;
 use nutmegyoke_core::process::endpoint::{Holding, Phase};
 use nutmegyoke_core::process::{Endpoint, Member, Vm};
 use nutmegyoke_core::version::{Adapter, Model};
@@ -22,11 +23,7 @@
         role: parse(reader.get_role())?,
         data_centre: text(reader.get_data_centre())?.into(),
         address: parse(reader.get_address())?,
-        endpoints: reader
-            .get_endpoints()?
-            .iter()
-            .map(read_endpoint)
-            .collect::<capnp::Result<_>>()?,
+        endpoints: read_endpoints(reader.get_endpoints()?)?,
         configuration: reader.get_configuration(),
     })
 }
@@ -40,8 +37,27 @@
     builder.set_data_centre(member.data_centre.as_str());
     builder.set_address(member.address.to_string());
     builder.set_configuration(member.configuration);
-    let mut list = builder.init_endpoints(length(member.endpoints.len()));
-    for (index, endpoint) in (0..).zip(&member.endpoints) {
+    let list = builder.init_endpoints(length(member.endpoints.len()));
+    write_endpoints(&member.endpoints, list);
+}
+
+/// Reads a list of endpoints.
+///
+/// # Errors
+///
+/// The peer's message is malformed.
+pub fn read_endpoints(
+    list: struct_list::Reader<'_, endpoint::Owned>,
+) -> capnp::Result<Vec<Endpoint>> {
+    list.iter().map(read_endpoint).collect()
+}
+
+/// Writes a list of endpoints.
+pub fn write_endpoints(
+    endpoints: &[Endpoint],
+    mut list: struct_list::Builder<'_, endpoint::Owned>,
+) {
+    for (index, endpoint) in (0..).zip(endpoints) {
         write_endpoint(endpoint, list.reborrow().get(index));
     }
 }
--- a/crates/nutmegyoke-wire/tests/readers.rs
+++ b/crates/nutmegyoke-wire/tests/readers.rs
@@ -4,7 +4,7 @@
 
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize;
-use nutmegyoke_core::process::directory::{Delta, Mark};
+use nutmegyoke_core::process::directory::{Change, Delta, Mark};
 use nutmegyoke_core::process::endpoint::{Holding, Phase};
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::{Endpoint, Member, Vm};
@@ -137,6 +137,13 @@
             base: revision / 2,
             mark: Mark { epoch, revision },
             snapshot,
+            changes: members
+                .iter()
+                .map(|member: &Member| Change {
+                    vm: member.vm.name.clone(),
+                    endpoints: member.endpoints.clone(),
+                })
+                .collect(),
             members,
             gone,
         },
