--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -7,10 +7,12 @@
 mod support;
 
 use std::process::Command;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use capnp::message::{Builder, HeapAllocator, ReaderOptions};
 use capnp::serialize;
+use nutmegyoke_core::process::control::replica::{Id, Recovered, Seed, Setup};
 use nutmegyoke_core::process::control::{Command as Reply, Event};
 use nutmegyoke_core::process::directory::Mark;
 use nutmegyoke_core::process::news::{Known, News};
@@ -155,7 +157,7 @@
     let message = serialize::read_message(bytes, options).expect("a message");
     let results = message.get_root::<control::exchange_results::Reader<'_>>();
     let told = results.and_then(control::exchange_results::Reader::get_news);
-    news::read(told.expect("news")).expect("news")
+    news::read(told.expect("news"), &Rc::default()).expect("news")
 }
 
 fn engines() -> u32 {
@@ -251,8 +253,35 @@
     })
 }
 
+/// Control as a single replica that leads.
+fn leader() -> Control {
+    let setup = Setup {
+        id: Id(1),
+        seed: Seed {
+            name: "control-1".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+        },
+        seeds: Vec::new(),
+        election: Duration::from_millis(1),
+        random: 1,
+    };
+    let mut machine = Control::open(Instant::now(), 1, setup, Recovered::default());
+    let mut out: Vec<Reply> = Vec::new();
+    while machine.leading().is_none() {
+        let due = machine.deadline().expect("an election is due");
+        machine.handle(due, Event::Ticked, &mut out);
+        for reply in std::mem::take(&mut out) {
+            if let Reply::Persist { batch } = reply {
+                let ticket = batch.ticket;
+                machine.handle(due, Event::Synced { ticket }, &mut out);
+            }
+        }
+    }
+    machine
+}
+
 fn control_of(vms: u32) -> Control {
-    let mut machine = Control::open(1);
+    let mut machine = leader();
     let mut out: Vec<Reply> = Vec::new();
     for number in 0..vms {
         let member = target::member(number, 0, engines());
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -8,11 +8,14 @@
 pub mod event;
 pub mod failure;
 pub mod heartbeat;
+pub mod journal;
 pub mod kept;
 pub mod load;
 pub mod metrics;
 pub mod operators;
+pub mod shutdown;
 pub mod signal;
+pub mod withdrawal;
 
 pub use agent::Agent;
 pub use control::Control;
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -117,8 +117,9 @@
         | Reason::Draining
         | Reason::NotHeld
         | Reason::Unclaimed
+        | Reason::ClaimsFull
         | Reason::StaleConfiguration => 503,
-        Reason::KeyReused => 422,
+        Reason::KeyReused | Reason::KeyExpired => 422,
         Reason::StillRunning => 409,
         Reason::AnswerGone => 410,
         Reason::DeadlinePassed => 504,
@@ -171,6 +172,10 @@
         Reason::CallerLeft => "the caller closed the connection",
         Reason::Restarted => "the agent restarted; whether it ran the request before is unknown",
         Reason::Unclaimed => "no control process granted a claim for the key; try again",
+        Reason::KeyExpired => {
+            "the key carries a time that claims are not kept for; an earlier request with it may have run"
+        }
+        Reason::ClaimsFull => "control holds as many claims as it may; try again later",
         Reason::KeyReused => "this key was used with another body; send a key of its own",
         Reason::StillRunning => {
             "the request with this key is still running; ask again with the key"
--- a/src/bin/nutmegyoke/commands/mod.rs
+++ b/src/bin/nutmegyoke/commands/mod.rs
@@ -2,6 +2,8 @@
 
 mod apply;
 mod check;
+mod drain;
+mod replica;
 mod status;
 
 use clap::Subcommand;
@@ -13,6 +15,8 @@
 pub enum Command {
     Check(check::Check),
     Apply(apply::Apply),
+    Drain(drain::Drain),
+    Replica(replica::Replica),
     Status(status::Status),
 }
 
@@ -22,6 +26,8 @@
         match self {
             Self::Check(command) => command.run(),
             Self::Apply(command) => command.run(),
+            Self::Drain(command) => command.run(),
+            Self::Replica(command) => command.run(),
             Self::Status(command) => command.run(),
         }
     }
--- a/src/bin/nutmegyoked/demo.rs
+++ b/src/bin/nutmegyoked/demo.rs
@@ -8,7 +8,7 @@
 use nutmegyoke_core::process::endpoint::Target;
 use nutmegyoke_core::version::Configuration;
 use nutmegyoke_core::version::configuration::Lists;
-use nutmegyoke_host::process::{Agent, Control, Entry, signal};
+use nutmegyoke_host::process::{Agent, Control, Entry, shutdown};
 use nutmegyoke_standin::engine::Behaviour;
 use nutmegyoke_standin::{Desk, Engine, announcer};
 use nutmegyoke_wire::process::settings::Own;
@@ -16,7 +16,7 @@
 use nutmegyoke_wire::version::ini;
 use prometheus::Registry;
 
-use super::run::Failure;
+use super::run::{self, Failure};
 
 /// The demo's plans list.
 const PLANS: &str = include_str!("../../../examples/demo/plans.ini");
@@ -53,8 +53,9 @@
 /// An address can't be bound.
 pub async fn run(callers: SocketAddr, operators: SocketAddr) -> Result<(), Failure> {
     let registry = Registry::new();
-    let own = settings(Own::Control, "control-1", operators, &[]);
-    let control = Control::spawn(&own, System, &registry).await?;
+    let replica = settings::Control::default();
+    let own = settings(Own::Control(replica.clone()), "control-1", operators, &[]);
+    let control = Control::spawn(&own, &replica, System, &registry).await?;
     let addresses: Vec<SocketAddr> = control.listen().into_iter().collect();
     control.apply(&configuration()?).await;
     let own = settings(Own::Agent, "engine-vm-1", ANY, &addresses);
@@ -79,13 +80,15 @@
         compio::time::sleep(READY_PERIOD).await;
     }
     print(entry.callers().unwrap_or(callers), operators);
-    signal::stop().await?;
-    entry.drain().await;
-    first.drain().await;
-    second.drain().await;
-    control.close();
+    let drain = async {
+        entry.drain().await;
+        first.drain().await;
+        second.drain().await;
+        control.drain().await;
+    };
+    let stop = shutdown::run(None, || entry.in_flight(), drain).await?;
     drop(engines);
-    Ok(())
+    run::finish(stop)
 }
 
 fn configuration() -> Result<Rc<Configuration>, Failure> {
@@ -118,6 +121,7 @@
         listen: ANY,
         operators,
         control: control.to_vec(),
+        drain_limit: None,
         own,
     }
 }
