--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -20,7 +20,7 @@
 
 use self::replica::{Recovered, Replica, Setup};
 use self::store::{Change, Outcome};
-use super::directory::{Delta, LEASE};
+use super::directory::{Delta, LEASE, Mark};
 use super::news::{Known, News};
 use super::{Directory, Machine, Member, Sink};
 use crate::version::Configuration;
@@ -128,11 +128,15 @@
     /// What a new leader's directory holds already. It removes nothing from a
     /// copy, because members that have not reported yet may well live.
     fn additions(&self, known: Known) -> Delta {
+        if known.directory == Mark::UNSUBSCRIBED {
+            return Delta::default();
+        }
         Delta {
+            base: known.directory.revision,
             mark: known.directory,
             snapshot: false,
             members: self.directory.members().cloned().collect(),
-            gone: Vec::new(),
+            ..Delta::default()
         }
     }
 
--- a/crates/nutmegyoke-core/src/process/directory.rs
+++ b/crates/nutmegyoke-core/src/process/directory.rs
@@ -4,14 +4,19 @@
 //! copy that it brings up to date with [`Directory::since`] and
 //! [`Directory::learn`]. A lost process is kept as a tombstone so that a copy
 //! learns of the loss.
+//!
+//! A change is counted when it matters to those who route: a member's
+//! configuration number alone is not. A loss counts at once; a member that was
+//! lost repeatedly comes back only after a pause, see [`Damping`].
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use super::Member;
+use super::damping::Damping;
 use super::endpoint::Target;
+use super::{Endpoint, Member};
 
 /// How long a process stays listed without a heartbeat.
 pub const LEASE: Duration = Duration::from_secs(4);
@@ -29,11 +34,17 @@
     rows: BTreeMap<String, Row>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Row {
+    /// The last change of any kind.
     revision: u64,
+    /// The last change that has to be told as a whole member.
+    whole: u64,
+    /// The last changes of single endpoints since then.
+    endpoints: BTreeMap<String, u64>,
     member: Option<Member>,
     expires: Option<Instant>,
+    damping: Damping,
 }
 
 /// Up to which change a copy is complete.
@@ -46,20 +57,42 @@
     pub revision: u64,
 }
 
+impl Mark {
+    /// Sent by a process that keeps no copy; it is told nothing of the directory.
+    pub const UNSUBSCRIBED: Self = Self {
+        epoch: u64::MAX,
+        revision: u64::MAX,
+    };
+}
+
 /// What brings a copy up to date.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Delta {
+    /// The revision that the copy must have reached before; unused in a snapshot.
+    pub base: u64,
     /// The mark of the copy after it learned this.
     pub mark: Mark,
     /// Whether the copy has to forget all it held before.
     pub snapshot: bool,
-    /// Members that are new or changed.
+    /// Members that are new or changed as a whole.
     pub members: Vec<Member>,
+    /// Members of which only endpoints changed; [`Directory::expand`] makes whole ones of them.
+    pub changes: Vec<Change>,
     /// Names of VMs that left.
     pub gone: Vec<String>,
 }
 
+/// The changed endpoints of one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Change {
+    /// The name of the VM.
+    pub vm: String,
+    /// The endpoints that are new or changed.
+    pub endpoints: Vec<Endpoint>,
+}
+
 impl Directory {
     /// Opens an empty directory that counts its own revisions under `epoch`.
     #[must_use]
@@ -99,33 +132,44 @@
 
     /// Takes a heartbeat in and renews the member's lease.
     ///
-    /// A heartbeat of an earlier incarnation is ignored.
+    /// A heartbeat of an earlier incarnation is ignored. A member that is held
+    /// back keeps its lease and is listed with a later heartbeat.
     pub fn renew(&mut self, now: Instant, member: &Member) {
-        let row = self.rows.entry(member.vm.name.clone()).or_insert(Row {
-            revision: 0,
-            member: None,
-            expires: None,
-        });
-        let known = row.member.as_ref();
-        if known.is_some_and(|known| known.vm.incarnation > member.vm.incarnation) {
+        let row = self.rows.entry(member.vm.name.clone()).or_default();
+        let known = row.member.as_mut();
+        let before = known
+            .as_ref()
+            .map_or(member.vm.incarnation, |known| known.vm.incarnation);
+        if before > member.vm.incarnation {
             return;
         }
         row.expires = Some(now + LEASE);
-        if known != Some(member) {
-            self.revision += 1;
-            row.revision = self.revision;
-            row.member = Some(member.clone());
+        if before < member.vm.incarnation {
+            row.damping.lost(now);
         }
+        let held = row.damping.held(now);
+        let listed = match known {
+            Some(known) if !held && same(known, member) => {
+                known.configuration = member.configuration;
+                return;
+            }
+            None if held => return,
+            _ => (!held).then(|| member.clone()),
+        };
+        self.revision += 1;
+        row.revise(self.revision, listed);
     }
 
     /// Drops the members whose lease ran out.
     pub fn expire(&mut self, now: Instant) {
         for row in self.rows.values_mut() {
             if row.expires.is_some_and(|expires| expires <= now) {
-                self.revision += 1;
-                row.revision = self.revision;
-                row.member = None;
                 row.expires = None;
+                row.damping.lost(now);
+                if row.member.is_some() {
+                    self.revision += 1;
+                    row.revise(self.revision, None);
+                }
             }
         }
         self.trim();
@@ -140,18 +184,23 @@
     /// What a copy at `mark` has not learned yet.
     #[must_use]
     pub fn since(&self, mark: Mark) -> Delta {
+        if mark == Mark::UNSUBSCRIBED {
+            return Delta::default();
+        }
         let snapshot = mark.epoch != self.epoch
             || mark.revision < self.oldest
             || mark.revision > self.revision;
         let known = if snapshot { 0 } else { mark.revision };
         let mut delta = Delta {
+            base: known,
             mark: self.mark(),
             snapshot,
             ..Delta::default()
         };
         for (name, row) in self.rows.iter().filter(|(_, row)| row.revision > known) {
             match &row.member {
-                Some(member) => delta.members.push(member.clone()),
+                Some(member) if row.whole > known => delta.members.push(member.clone()),
+                Some(member) => delta.changes.push(row.change(member, known)),
                 None if snapshot => {}
                 None => delta.gone.push(name.clone()),
             }
@@ -159,31 +208,68 @@
         delta
     }
 
-    /// Brings this copy up to date.
-    pub fn learn(&mut self, delta: &Delta) {
+    /// Brings this copy up to date; says whether it took the delta.
+    ///
+    /// A delta that would leave a gap, or lead back, is ignored.
+    pub fn learn(&mut self, delta: &Delta) -> bool {
+        if !self.follows(delta) {
+            return false;
+        }
         if delta.snapshot {
             self.rows.clear();
         }
         for member in &delta.members {
             let row = Row {
                 revision: delta.mark.revision,
+                whole: delta.mark.revision,
                 member: Some(member.clone()),
-                expires: None,
+                ..Row::default()
             };
             self.rows.insert(member.vm.name.clone(), row);
         }
+        for change in &delta.changes {
+            let row = self.rows.get_mut(&change.vm);
+            if let Some(member) = row.and_then(|row| row.member.as_mut()) {
+                change.apply(member);
+            }
+        }
         for name in &delta.gone {
             self.rows.remove(name);
         }
         self.epoch = delta.mark.epoch;
         self.revision = delta.mark.revision;
+        true
+    }
+
+    /// Makes whole members of the changed endpoints, with the help of this copy.
+    ///
+    /// Those who follow a delta then see members only.
+    pub fn expand(&self, delta: &mut Delta) {
+        if !self.follows(delta) {
+            return;
+        }
+        for change in std::mem::take(&mut delta.changes) {
+            if let Some(known) = self.member(&change.vm) {
+                let mut member = known.clone();
+                change.apply(&mut member);
+                delta.members.push(member);
+            }
+        }
+    }
+
+    fn follows(&self, delta: &Delta) -> bool {
+        let forward = self.revision <= delta.mark.revision;
+        if delta.mark.epoch != self.epoch {
+            return delta.snapshot;
+        }
+        forward && (delta.snapshot || delta.base <= self.revision)
     }
 
     fn trim(&mut self) {
         let mut lost: Vec<u64> = self
             .rows
             .values()
-            .filter(|row| row.member.is_none())
+            .filter(|row| row.member.is_none() && row.expires.is_none())
             .map(|row| row.revision)
             .collect();
         if lost.len() <= TOMBSTONES {
@@ -192,7 +278,74 @@
         lost.sort_unstable();
         self.oldest = lost[lost.len() - TOMBSTONES - 1];
         let oldest = self.oldest;
-        self.rows
-            .retain(|_, row| row.member.is_some() || row.revision > oldest);
+        self.rows.retain(|_, row| {
+            row.member.is_some() || row.expires.is_some() || row.revision > oldest
+        });
+    }
+}
+
+impl Row {
+    /// Sets what is listed from now on, and notes which endpoints changed.
+    fn revise(&mut self, revision: u64, listed: Option<Member>) {
+        self.revision = revision;
+        match (&self.member, &listed) {
+            (Some(before), Some(after)) if only_endpoints(before, after) => {
+                let changed = after.endpoints.iter();
+                let changed = changed.filter(|endpoint| !before.endpoints.contains(endpoint));
+                let changed = changed.map(|endpoint| (endpoint.name.clone(), revision));
+                self.endpoints.extend(changed);
+            }
+            _ => {
+                self.whole = revision;
+                self.endpoints.clear();
+            }
+        }
+        self.member = listed;
+    }
+
+    fn change(&self, member: &Member, known: u64) -> Change {
+        let endpoints = member.endpoints.iter();
+        let changed = endpoints.filter(|endpoint| {
+            let revision = self.endpoints.get(&endpoint.name);
+            revision.is_some_and(|&revision| revision > known)
+        });
+        Change {
+            vm: member.vm.name.clone(),
+            endpoints: changed.cloned().collect(),
+        }
     }
 }
+
+impl Change {
+    fn apply(&self, member: &mut Member) {
+        for changed in &self.endpoints {
+            let mut rows = member.endpoints.iter_mut();
+            match rows.find(|endpoint| endpoint.name == changed.name) {
+                Some(endpoint) => endpoint.clone_from(changed),
+                None => member.endpoints.push(changed.clone()),
+            }
+        }
+        // The order of an agent's own list.
+        member
+            .endpoints
+            .sort_by(|one, other| one.name.cmp(&other.name));
+    }
+}
+
+/// Whether `after` has every endpoint of `before` and differs in nothing but endpoints.
+fn only_endpoints(before: &Member, after: &Member) -> bool {
+    let alike = before.vm == after.vm
+        && before.role == after.role
+        && before.data_centre == after.data_centre
+        && before.address == after.address;
+    alike
+        && before.endpoints.iter().all(|endpoint| {
+            let mut names = after.endpoints.iter().map(|endpoint| &endpoint.name);
+            names.any(|name| *name == endpoint.name)
+        })
+}
+
+/// Whether two states of a member are the same to those who route.
+fn same(one: &Member, other: &Member) -> bool {
+    only_endpoints(one, other) && one.endpoints == other.endpoints
+}
--- a/crates/nutmegyoke-core/tests/entry.rs
+++ b/crates/nutmegyoke-core/tests/entry.rs
@@ -111,7 +111,7 @@
                 },
                 snapshot: true,
                 members,
-                gone: Vec::new(),
+                ..Delta::default()
             },
             ..News::default()
         };
