--- /dev/null
+++ b/crates/nutmegyoke-core/tests/agent_order.rs
@@ -0,0 +1,229 @@
+//! An agent under any order of events: each call is answered once, and the slots
+//! and queues keep their bounds.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use nutmegyoke_core::process::agent::queue::CAPACITY;
+use nutmegyoke_core::process::agent::{Command, Event};
+use nutmegyoke_core::process::endpoint::{Holding, Phase};
+use nutmegyoke_core::process::{Agent, Endpoint, Machine};
+use nutmegyoke_core::request::arrival::Destination;
+use nutmegyoke_core::request::{Id, Submission};
+use nutmegyoke_core::version::grant::Repeat;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const SEED: u64 = 20_261_204;
+const NAMES: [&str; 2] = ["one", "two"];
+const SLOTS: u32 = 3;
+
+/// One thing that happens to an agent.
+#[derive(Clone, Debug)]
+enum Step {
+    Announce {
+        endpoint: usize,
+        ready: bool,
+    },
+    Submit {
+        endpoint: usize,
+        customer: u8,
+        priority: u8,
+        first_token: Option<u64>,
+        remaining: u64,
+    },
+    Answer {
+        index: usize,
+    },
+    /// The answer ended, or the caller left.
+    Finish {
+        index: usize,
+    },
+    Withdraw {
+        endpoint: usize,
+        withdrawn: bool,
+    },
+    Pass {
+        milliseconds: u64,
+    },
+    Drain,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let endpoint = 0..NAMES.len();
+    let submit = (
+        endpoint.clone(),
+        0..4_u8,
+        0..10_u8,
+        prop::option::of(0..5_000_u64),
+        0..30_000_u64,
+    );
+    prop_oneof![
+        2 => (endpoint.clone(), prop::bool::weighted(0.9))
+            .prop_map(|(endpoint, ready)| Step::Announce { endpoint, ready }),
+        12 => submit.prop_map(|(endpoint, customer, priority, first_token, remaining)| {
+            Step::Submit { endpoint, customer, priority, first_token, remaining }
+        }),
+        4 => any::<usize>().prop_map(|index| Step::Answer { index }),
+        6 => any::<usize>().prop_map(|index| Step::Finish { index }),
+        1 => (endpoint, any::<bool>())
+            .prop_map(|(endpoint, withdrawn)| Step::Withdraw { endpoint, withdrawn }),
+        3 => (0..3_000_u64).prop_map(|milliseconds| Step::Pass { milliseconds }),
+    ]
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let drains = prop::bool::weighted(0.3);
+    (prop::collection::vec(step(), 1..300), drains).prop_map(|(mut steps, drains)| {
+        if drains {
+            let middle = steps.len() / 2;
+            steps.insert(middle, Step::Drain);
+        }
+        steps
+    })
+}
+
+/// What is known of the calls, from the commands alone.
+#[derive(Default)]
+struct Book {
+    waiting: BTreeSet<u64>,
+    running: BTreeMap<u64, usize>,
+    endpoints: BTreeMap<u64, usize>,
+}
+
+impl Book {
+    fn take(&mut self, commands: Vec<Command>) -> Result<(), TestCaseError> {
+        for command in commands {
+            match command {
+                Command::Start { call, .. } => {
+                    prop_assert!(self.waiting.remove(&call), "{} started", call);
+                    self.running.insert(call, self.endpoints[&call]);
+                }
+                Command::Refuse { call, .. } => {
+                    prop_assert!(self.waiting.remove(&call), "{} refused", call);
+                }
+                #[allow(unreachable_patterns, reason = "commands for engines' memory")]
+                _ => {}
+            }
+        }
+        for endpoint in 0..NAMES.len() {
+            let running = self.running.values().filter(|&&at| at == endpoint);
+            prop_assert!(running.count() <= SLOTS as usize);
+        }
+        prop_assert!(self.waiting.len() <= NAMES.len() * CAPACITY);
+        Ok(())
+    }
+
+    /// One of the calls that are not over.
+    fn pick(&self, index: usize) -> Option<u64> {
+        let calls: Vec<u64> = self
+            .waiting
+            .iter()
+            .chain(self.running.keys())
+            .copied()
+            .collect();
+        (!calls.is_empty()).then(|| calls[index % calls.len()])
+    }
+}
+
+fn announced(name: &str, ready: bool) -> Endpoint {
+    Endpoint {
+        name: name.to_owned(),
+        holding: Holding::Service {
+            service: "desk".into(),
+        },
+        slots: SLOTS,
+        phase: if ready { Phase::Ready } else { Phase::Draining },
+    }
+}
+
+fn submission(number: u64, endpoint: usize, customer: u8, priority: u8) -> Submission {
+    Submission {
+        id: Id { entry: 1, number },
+        attempt: 0,
+        customer: customer.to_string().as_str().into(),
+        priority,
+        endpoint: NAMES[endpoint].to_owned(),
+        destination: Destination::Service {
+            service: "desk".into(),
+        },
+        repeat: Repeat::Once,
+        remaining: Duration::ZERO,
+        first_token: None,
+        tokens: 0,
+        configuration: 0,
+        incarnation: 1,
+        keyed: false,
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn each_call_is_answered_once(steps in steps()) {
+        let mut now = Instant::now();
+        let mut agent = Agent::open(1);
+        let mut book = Book::default();
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+        for (number, step) in (0..).zip(steps) {
+            let mut out = Vec::new();
+            match step {
+                Step::Announce { endpoint, ready } => {
+                    let endpoint = &announced(NAMES[endpoint], ready);
+                    agent.handle(now, Event::Announced { endpoint, address }, &mut out);
+                }
+                Step::Submit { endpoint, customer, priority, first_token, remaining } => {
+                    let submission = &Submission {
+                        first_token: first_token.map(Duration::from_millis),
+                        remaining: Duration::from_millis(remaining),
+                        ..submission(number, endpoint, customer, priority)
+                    };
+                    book.waiting.insert(number);
+                    book.endpoints.insert(number, endpoint);
+                    let event = Event::Submitted { call: number, submission, bytes: 9 };
+                    agent.handle(now, event, &mut out);
+                }
+                Step::Answer { index } => {
+                    if let Some(call) = book.pick(index) {
+                        agent.handle(now, Event::Answered { call }, &mut out);
+                    }
+                }
+                Step::Finish { index } => {
+                    if let Some(call) = book.pick(index) {
+                        book.waiting.remove(&call);
+                        book.running.remove(&call);
+                        agent.handle(now, Event::Finished { call }, &mut out);
+                    }
+                }
+                Step::Withdraw { endpoint, withdrawn } => {
+                    let endpoint = NAMES[endpoint];
+                    agent.handle(now, Event::Withdrawn { endpoint, withdrawn }, &mut out);
+                }
+                Step::Pass { milliseconds } => {
+                    now += Duration::from_millis(milliseconds);
+                    if agent.deadline().is_some_and(|at| at <= now) {
+                        agent.handle(now, Agent::tick(), &mut out);
+                    }
+                    prop_assert!(agent.deadline().is_none_or(|at| at > now));
+                }
+                Step::Drain => agent.handle(now, Event::Drained, &mut out),
+            }
+            book.take(out)?;
+            prop_assert_eq!(agent.in_flight(), book.waiting.len() + book.running.len());
+            prop_assert_eq!(agent.queued(), book.waiting.len());
+        }
+        // In the end everything that waits is told so, and what runs goes on.
+        let mut out = Vec::new();
+        agent.handle(now, Event::Drained, &mut out);
+        book.take(out)?;
+        prop_assert!(book.waiting.is_empty());
+        prop_assert_eq!(agent.in_flight(), book.running.len());
+    }
+}
