--- a/crates/nutmegyoke-core/benches/load/bed.rs
+++ b/crates/nutmegyoke-core/benches/load/bed.rs
@@ -441,6 +441,7 @@
             members: members.collect(),
             gone: Vec::new(),
         },
+        ..News::default()
     }
 }
 
--- a/crates/nutmegyoke-core/tests/entry.rs
+++ b/crates/nutmegyoke-core/tests/entry.rs
@@ -113,6 +113,7 @@
                 members,
                 gone: Vec::new(),
             },
+            ..News::default()
         };
         bench.feed(Event::Taught { news: &news });
         bench
@@ -146,6 +147,7 @@
                 mark: self.entry.directory().mark(),
                 ..Delta::default()
             },
+            ..News::default()
         };
         self.feed(Event::Taught { news: &news })
     }
