Account for accelerator memory in the agent: ledger and serial orders

Cause: nothing decided what an engine's memory may take; a lost, late or repeated order could have overcommitted it.

Change: process::order and process::report hold the words; agent::Ledger reserves before an order and releases only on a confirmed unload or an inventory that no order in flight can contradict; agent::Memory carries out one order an engine at a time, after an inventory where something is unknown, and holds an unload until the last request that uses the weights has ended. Two numbers fence: (term, sequence) of the leader, checked by the agent, and a stamp (agent run, count) on everything sent to the engine.

--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -4,6 +4,8 @@
 //! for sure that a request it refused did not run.
 
 pub mod event;
+pub mod ledger;
+pub mod memory;
 pub mod seen;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -12,6 +14,8 @@
 use std::time::Instant;
 
 pub use event::{Command, Event};
+pub use ledger::Ledger;
+pub use memory::Memory;
 use seen::Seen;
 
 use super::endpoint::Phase;
--- a/crates/nutmegyoke-core/src/process/mod.rs
+++ b/crates/nutmegyoke-core/src/process/mod.rs
@@ -14,6 +14,8 @@
 pub mod machine;
 pub mod member;
 pub mod news;
+pub mod order;
+pub mod report;
 pub mod vm;
 
 pub use agent::Agent;
@@ -25,4 +27,6 @@
 pub use entry::Entry;
 pub use machine::{Machine, Sink};
 pub use member::Member;
+pub use order::Order;
+pub use report::Report;
 pub use vm::Vm;
