Plan placements: reachability first, then second copies, then lasting load

Cause: nothing turned the lists into orders.

Change: control::planner plans one round a second from the agents' reports and the orders on their way: items that nobody can reach, most needed first; second copies on another VM and best in another data centre; a further copy where overload has lasted for the policy's hold and the budget of moves allows it. Copies go only while another is confirmed elsewhere; an adapter that is loading beside a model keeps the model. Presets attainment-first and moves-first. Store rate, loads at once and adapters in transit are one account of the leader, which a new leader opens empty and closed until every agent has refused older terms.

--- a/crates/nutmegyoke-core/src/process/agent/memory.rs
+++ b/crates/nutmegyoke-core/src/process/agent/memory.rs
@@ -250,7 +250,13 @@
             .waiting
             .back()
             .map_or(self.ledger.fence(), |last| last.fence);
-        if order.fence <= newest || self.waiting.len() >= WAITING {
+        if order.fence <= newest {
+            return;
+        }
+        // Control repeats an order until a report has taken it in.
+        self.waiting
+            .retain(|waiting| waiting.action != order.action);
+        if self.waiting.len() >= WAITING {
             return;
         }
         self.waiting.push_back(order.clone());
--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -1,12 +1,14 @@
 //! The decisions of a control process: configuration and directory.
 
 pub mod event;
+pub mod planner;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Instant;
 
 pub use event::{Acceptance, Command, Event};
+pub use planner::Planner;
 
 use super::news::{Known, News};
 use super::{Directory, Machine, Member, Sink};
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/control/planner/balance.rs
@@ -0,0 +1,140 @@
+//! Second copies into free memory, and further copies where load lasts.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use super::policy::Settings;
+use super::reach::{CLAIM, candidates};
+use super::round::{Claim, Round};
+
+/// Loads second copies of models into free memory, on another VM and best in
+/// another data centre, the most needed first; then the adapters beside them.
+pub fn spares(round: &mut Round<'_>) {
+    let fleet = &round.fleet;
+    let single = |item: &usize| {
+        let copies = fleet.reachable(*item).count();
+        let row = &fleet.items[*item];
+        row.needed && copies == 1 && fleet.coming(*item).next().is_none()
+    };
+    let mut singles: Vec<usize> = (0..fleet.items.len()).filter(single).collect();
+    singles.sort_by(|&left, &right| {
+        let (left, right) = (&fleet.items[left], &fleet.items[right]);
+        let models = left.base.is_some().cmp(&right.base.is_some());
+        models.then(right.rate.total_cmp(&left.rate))
+    });
+    for item in singles {
+        if let Some(engine) = second_home(round, item)
+            && !round.load(item, engine, false)
+        {
+            return;
+        }
+    }
+}
+
+fn second_home(round: &Round<'_>, item: usize) -> Option<usize> {
+    let fleet = &round.fleet;
+    let row = &fleet.items[item];
+    let first = &fleet.engines[fleet.reachable(item).next()?];
+    let homes = match row.base {
+        Some(base) => fleet.reachable(base).collect(),
+        None => candidates(round, item),
+    };
+    let suits = |engine: &usize| {
+        let engine = &fleet.engines[*engine];
+        engine.ready && engine.free >= row.bytes && engine.vm != first.vm
+    };
+    let absent = |engine: &usize| fleet.state(item, *engine).is_none();
+    homes
+        .into_iter()
+        .filter(suits)
+        .filter(absent)
+        .min_by(|&left, &right| {
+            let (left, right) = (&fleet.engines[left], &fleet.engines[right]);
+            let near = |home: &super::fleet::Engine| home.data_centre == first.data_centre;
+            let apart = near(left).cmp(&near(right));
+            let loads = left.load.total_cmp(&right.load);
+            apart.then(loads).then(right.free.cmp(&left.free))
+        })
+}
+
+/// The models on engines that are loaded beyond the policy's bound.
+#[must_use]
+pub fn hot(round: &Round<'_>, settings: &Settings) -> BTreeSet<usize> {
+    let bound = settings.policy.high * settings.engine_rate;
+    let fleet = &round.fleet;
+    let overloaded = fleet.engines.iter().filter(|engine| engine.load > bound);
+    let heaviest = overloaded.filter_map(|engine| {
+        let models = engine.copies.iter().map(|copy| copy.item);
+        models.max_by(|&left, &right| {
+            let share = |item| fleet.share(item, fleet.reachable(item).count());
+            share(left).total_cmp(&share(right))
+        })
+    });
+    heaviest.collect()
+}
+
+/// Adds a copy of a model whose engines have been overloaded for long enough.
+///
+/// Returns whether it spent a move.
+pub fn relieve(round: &mut Round<'_>, now: Instant, item: usize, settings: &Settings) -> bool {
+    let pending = round.fleet.coming(item).next().is_some() || round.claimed(item);
+    if pending || round.fleet.items[item].base.is_some() {
+        return false;
+    }
+    let copies = round.fleet.reachable(item).count();
+    let share = round.fleet.share(item, copies + 1);
+    if share < settings.policy.gain * settings.engine_rate {
+        return false;
+    }
+    let bytes = round.fleet.items[item].bytes;
+    let bound = settings.policy.low * settings.engine_rate;
+    let mut homes = candidates(round, item);
+    homes.retain(|&engine| {
+        let load = round.fleet.engines[engine].load;
+        load + share <= bound || load <= bound / 2.0
+    });
+    homes.sort_by(|&left, &right| {
+        let load = |engine: usize| round.fleet.engines[engine].load;
+        load(left).total_cmp(&load(right))
+    });
+    for engine in homes {
+        if round.fleet.engines[engine].free >= bytes {
+            let loaded = round.load(item, engine, true);
+            round.fleet.engines[engine].load += share;
+            return loaded;
+        }
+        let Some(victims) = round.victims(engine, bytes, item) else {
+            continue;
+        };
+        if !victims.iter().all(|&victim| idle(round, victim, settings)) {
+            continue;
+        }
+        for victim in victims {
+            round.unload(victim, engine, true);
+        }
+        round.fleet.engines[engine].load += share;
+        let until = now + CLAIM;
+        round.claim(Claim {
+            item,
+            engine,
+            elective: true,
+            until,
+        });
+        return true;
+    }
+    false
+}
+
+/// Whether an item's other copies can take its requests without being overloaded.
+fn idle(round: &Round<'_>, item: usize, settings: &Settings) -> bool {
+    let fleet = &round.fleet;
+    let copies = fleet.reachable(item).count();
+    if fleet.items[item].base.is_some() || copies < 2 {
+        return true;
+    }
+    let more = fleet.share(item, copies - 1) - fleet.share(item, copies);
+    let bound = settings.policy.low * settings.engine_rate;
+    fleet
+        .reachable(item)
+        .all(|engine| fleet.engines[engine].load + more <= bound || more < 0.05)
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/control/planner/mod.rs
@@ -0,0 +1,442 @@
+//! Decides which engine holds which models and adapters.
+//!
+//! Each round starts from what the agents report, not from an ideal placement:
+//! first the items that nobody can reach ([`reach`]), then second copies, then
+//! copies against lasting overload ([`balance`]). A copy is unloaded only
+//! while another is confirmed elsewhere. Loads are paid from the store's
+//! [`account`].
+
+pub mod account;
+pub mod balance;
+pub mod demand;
+pub mod fleet;
+pub mod need;
+pub mod policy;
+pub mod reach;
+pub mod round;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+pub use account::Account;
+use demand::Estimate;
+use fleet::{Copy, Engine, Fleet};
+pub use need::Need;
+pub use policy::{Policy, Preset, Settings, Store};
+use round::{Claim, Move, Round};
+
+use crate::process::DataCentre;
+use crate::process::order::{Action, Fence, Kind, Order, Weights};
+use crate::process::report::{Report, State};
+
+/// The time between two rounds.
+pub const PERIOD: Duration = Duration::from_secs(1);
+
+/// How long a leader that follows another listens before it plans.
+pub const GRACE: Duration = Duration::from_secs(3);
+
+/// The planner of one control leader.
+#[derive(Debug)]
+pub struct Planner {
+    settings: Settings,
+    fence: Fence,
+    account: Account,
+    /// What the agents report, by VM.
+    agents: BTreeMap<String, Agent>,
+    /// Orders that no report has taken in yet.
+    pending: Vec<Pending>,
+    claims: Vec<Held>,
+    estimate: Estimate,
+    /// Since when a model's engines have been overloaded.
+    hot: HashMap<Weights, Instant>,
+    budget: f64,
+    /// When the first round may be.
+    begins: Instant,
+    planned: Option<Instant>,
+    moves: Moves,
+    shortfall: u64,
+}
+
+#[derive(Debug)]
+struct Agent {
+    data_centre: DataCentre,
+    reports: Vec<Report>,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    vm: String,
+    order: Order,
+    sent: bool,
+}
+
+/// A claim that outlives its round.
+#[derive(Clone, Debug)]
+struct Held {
+    weights: Weights,
+    vm: String,
+    endpoint: String,
+    elective: bool,
+    until: Instant,
+}
+
+/// Moves ordered since the planner was opened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Moves {
+    /// Loads for reachability.
+    pub loads: u64,
+    /// Loads for load.
+    pub elective: u64,
+    /// Unloads.
+    pub unloads: u64,
+}
+
+impl Planner {
+    /// Opens the planner of the leader of `term`.
+    #[must_use]
+    pub fn open(now: Instant, term: u64, settings: Settings) -> Self {
+        Self {
+            settings,
+            fence: Fence { term, sequence: 0 },
+            account: Account::open(now, settings.store),
+            agents: BTreeMap::new(),
+            pending: Vec::new(),
+            claims: Vec::new(),
+            estimate: Estimate::default(),
+            hot: HashMap::new(),
+            budget: 0.0,
+            // The first leader of all finds nothing to listen to.
+            begins: if term > 1 { now + GRACE } else { now },
+            planned: None,
+            moves: Moves::default(),
+            shortfall: 0,
+        }
+    }
+
+    /// The term of the leader.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.fence.term
+    }
+
+    /// Moves ordered so far.
+    #[must_use]
+    pub fn moves(&self) -> Moves {
+        self.moves
+    }
+
+    /// The bytes that items without a place lacked in the last round.
+    #[must_use]
+    pub fn shortfall(&self) -> u64 {
+        self.shortfall
+    }
+
+    /// Takes in what an agent reports of its engines.
+    pub fn report(&mut self, vm: &str, data_centre: &DataCentre, reports: &[Report]) {
+        for report in reports {
+            self.estimate.count(vm, report);
+            self.pending.retain(|pending| {
+                let same = pending.vm == vm && pending.order.endpoint == report.endpoint;
+                !(same && pending.sent && pending.order.fence <= report.fence)
+            });
+        }
+        let agent = Agent {
+            data_centre: data_centre.clone(),
+            reports: reports.to_vec(),
+        };
+        self.agents.insert(vm.to_owned(), agent);
+    }
+
+    /// Forgets a VM that left; what it held has to be placed anew.
+    pub fn forget(&mut self, vm: &str) {
+        self.agents.remove(vm);
+        self.estimate.forget(vm);
+        self.pending.retain(|pending| pending.vm != vm);
+        self.claims.retain(|claim| claim.vm != vm);
+    }
+
+    /// The VMs whose agents have reported.
+    pub fn vms(&self) -> impl Iterator<Item = &str> {
+        self.agents.keys().map(String::as_str)
+    }
+
+    /// The orders for an agent, repeated until its report has taken them in.
+    ///
+    /// The fence is newer than every order given before; the orders are newer
+    /// still, because a repeated order is given anew.
+    pub fn orders(&mut self, vm: &str) -> (Fence, Vec<Order>) {
+        let seal = self.next();
+        let mut fence = self.fence;
+        let mut orders = Vec::new();
+        for pending in self.pending.iter_mut().filter(|pending| pending.vm == vm) {
+            fence.sequence += 1;
+            pending.order.fence = fence;
+            pending.sent = true;
+            orders.push(pending.order.clone());
+        }
+        self.fence = fence;
+        (seal, orders)
+    }
+
+    fn next(&mut self) -> Fence {
+        self.fence.sequence += 1;
+        self.fence
+    }
+
+    /// When the next round is due.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        self.planned.map_or(self.begins, |planned| planned + PERIOD)
+    }
+
+    /// Plans one round.
+    pub fn plan(&mut self, now: Instant, needs: &[Need]) {
+        if now < self.begins {
+            return;
+        }
+        self.estimate.update(now);
+        let mut fleet = self.fleet(needs);
+        let mut account = self.account;
+        let (models, adapters) = Self::leases(&fleet);
+        account.count(now, models, adapters, self.every_agent_known());
+        let mut round = Round {
+            fleet: &mut fleet,
+            account: &mut account,
+            moves: Vec::new(),
+            claims: Vec::new(),
+            shortfall: 0,
+        };
+        self.resume(&mut round, now);
+        reach::run(&mut round, now);
+        let steady = round.moves.is_empty() && round.shortfall == 0;
+        balance::spares(&mut round);
+        if steady {
+            self.relieve(&mut round, now);
+        }
+        let (moves, claims) = (round.moves, round.claims);
+        self.shortfall = round.shortfall;
+        self.account = account;
+        self.planned = Some(now);
+        self.keep(&fleet, &claims);
+        for decided in moves {
+            self.order(&fleet, decided);
+        }
+    }
+
+    /// Builds the fleet from the reports and the orders on their way.
+    ///
+    /// An unload that has become unsafe meanwhile is dropped.
+    fn fleet(&mut self, needs: &[Need]) -> Fleet {
+        let mut fleet = Fleet::open(needs, |name| self.estimate.rate(name));
+        let mut centres: Vec<&DataCentre> = Vec::new();
+        for (vm, agent) in &self.agents {
+            let known = centres
+                .iter()
+                .position(|centre| **centre == agent.data_centre);
+            let data_centre = known.unwrap_or(centres.len());
+            if known.is_none() {
+                centres.push(&agent.data_centre);
+            }
+            for report in &agent.reports {
+                add_engine(&mut fleet, vm, data_centre, report);
+            }
+        }
+        let index = positions(&fleet);
+        let engines: Vec<Option<usize>> = self
+            .pending
+            .iter()
+            .map(|row| {
+                let key = (row.vm.as_str(), row.order.endpoint.as_str());
+                index.get(&key).copied()
+            })
+            .collect();
+        drop(index);
+        for (pending, engine) in self.pending.iter().zip(&engines) {
+            if let (Some(engine), Action::Load { weights, bytes }) =
+                (*engine, &pending.order.action)
+            {
+                load(&mut fleet, engine, weights, *bytes);
+            }
+        }
+        let mut engines = engines.into_iter();
+        self.pending.retain(|pending| {
+            let engine = engines.next().flatten();
+            match (engine, &pending.order.action) {
+                (Some(engine), Action::Unload { weights }) => unload(&mut fleet, engine, weights),
+                (engine, _) => engine.is_some(),
+            }
+        });
+        fleet.spread();
+        fleet
+    }
+
+    /// Loads that may be under way, by kind: reported or ordered.
+    fn leases(fleet: &Fleet) -> (u32, u32) {
+        let mut counts = (0, 0);
+        for engine in &fleet.engines {
+            let loading = engine.copies.iter();
+            let taken = |copy: &&Copy| matches!(copy.state, State::Loading | State::Unknown);
+            for copy in loading.filter(taken) {
+                match fleet.items[copy.item].weights.kind {
+                    Kind::Model => counts.0 += 1,
+                    Kind::Adapter => counts.1 += 1,
+                }
+            }
+        }
+        counts
+    }
+
+    /// Whether every agent refuses the orders of earlier terms.
+    fn every_agent_known(&self) -> bool {
+        let mut reports = self.agents.values().flat_map(|agent| &agent.reports);
+        reports.all(|report| report.fence.term >= self.fence.term)
+    }
+
+    /// Turns the claims of earlier rounds into loads where the memory is free by now.
+    fn resume(&mut self, round: &mut Round<'_>, now: Instant) {
+        let mut claims: Vec<Claim> = Vec::new();
+        {
+            let index = positions(round.fleet);
+            for held in self.claims.drain(..) {
+                let engine = index.get(&(held.vm.as_str(), held.endpoint.as_str()));
+                let item = round.fleet.index.get(&held.weights);
+                let (Some(&engine), Some(&item)) = (engine, item) else {
+                    continue;
+                };
+                let present = round.fleet.state(item, engine).is_some();
+                if held.until > now && !present && round.fleet.engines[engine].ready {
+                    claims.push(Claim {
+                        item,
+                        engine,
+                        elective: held.elective,
+                        until: held.until,
+                    });
+                }
+            }
+        }
+        for claim in claims {
+            let bytes = round.fleet.items[claim.item].bytes;
+            let free = round.fleet.engines[claim.engine].free;
+            if free < bytes || !round.load(claim.item, claim.engine, claim.elective) {
+                round.claim(claim);
+            }
+        }
+    }
+
+    /// Moves copies against overload that has lasted, within the budget.
+    fn relieve(&mut self, round: &mut Round<'_>, now: Instant) {
+        let policy = self.settings.policy;
+        let engines = u32::try_from(round.fleet.engines.len()).unwrap_or(u32::MAX);
+        let hourly = policy.moves_per_engine_hour * f64::from(engines);
+        let passed = self.planned.map_or(Duration::ZERO, |planned| now - planned);
+        let earned = hourly * passed.as_secs_f64() / 3600.0;
+        self.budget = (self.budget + earned).min((hourly / 6.0).max(1.0));
+        let hot = balance::hot(round, &self.settings);
+        let weights = |item: &usize| round.fleet.items[*item].weights.clone();
+        let current: HashMap<Weights, usize> =
+            hot.iter().map(|item| (weights(item), *item)).collect();
+        self.hot.retain(|weights, _| current.contains_key(weights));
+        for (weights, item) in current {
+            let since = *self.hot.entry(weights).or_insert(now);
+            let lasted = now.saturating_duration_since(since) >= policy.hold;
+            if lasted && self.budget >= 1.0 && balance::relieve(round, now, item, &self.settings) {
+                self.budget -= 1.0;
+            }
+        }
+    }
+
+    fn keep(&mut self, fleet: &Fleet, claims: &[Claim]) {
+        self.claims = claims
+            .iter()
+            .map(|claim| {
+                let engine = &fleet.engines[claim.engine];
+                Held {
+                    weights: fleet.items[claim.item].weights.clone(),
+                    vm: engine.vm.clone(),
+                    endpoint: engine.endpoint.clone(),
+                    elective: claim.elective,
+                    until: claim.until,
+                }
+            })
+            .collect();
+    }
+
+    fn order(&mut self, fleet: &Fleet, decided: Move) {
+        let engine = &fleet.engines[decided.engine];
+        let item = &fleet.items[decided.item];
+        let weights = item.weights.clone();
+        let action = if decided.load {
+            let bytes = item.bytes;
+            Action::Load { weights, bytes }
+        } else {
+            Action::Unload { weights }
+        };
+        match (decided.load, decided.elective) {
+            (true, true) => self.moves.elective += 1,
+            (true, false) => self.moves.loads += 1,
+            (false, _) => self.moves.unloads += 1,
+        }
+        let order = Order {
+            endpoint: engine.endpoint.clone(),
+            fence: Fence::default(),
+            action,
+        };
+        self.pending.push(Pending {
+            vm: engine.vm.clone(),
+            order,
+            sent: false,
+        });
+    }
+}
+
+fn add_engine(fleet: &mut Fleet, vm: &str, data_centre: usize, report: &Report) {
+    let position = fleet.engines.len();
+    fleet.engines.push(Engine {
+        vm: vm.to_owned(),
+        endpoint: report.endpoint.clone(),
+        data_centre,
+        free: report.bytes,
+        leaving: 0,
+        ready: report.settled,
+        load: 0.0,
+        copies: Vec::new(),
+    });
+    for row in &report.reservations {
+        let item = fleet.item(&row.weights, row.bytes);
+        let copy = Copy {
+            item,
+            bytes: row.bytes,
+            state: row.state,
+        };
+        fleet.hold(position, copy);
+    }
+}
+
+/// Takes a load on its way into account.
+fn load(fleet: &mut Fleet, engine: usize, weights: &Weights, bytes: u64) {
+    let item = fleet.item(weights, bytes);
+    if fleet.state(item, engine).is_none() {
+        let state = State::Loading;
+        fleet.hold(engine, Copy { item, bytes, state });
+    }
+}
+
+/// Takes an unload on its way into account; returns whether it is still safe.
+fn unload(fleet: &mut Fleet, engine: usize, weights: &Weights) -> bool {
+    let Some(&item) = fleet.index.get(weights) else {
+        return false;
+    };
+    let safe = fleet.spare(item, engine);
+    if safe {
+        fleet.leave(item, engine);
+    }
+    safe
+}
+
+/// The engines by VM and name.
+fn positions(fleet: &Fleet) -> HashMap<(&str, &str), usize> {
+    let engines = fleet.engines.iter().enumerate();
+    engines
+        .map(|(index, engine)| ((engine.vm.as_str(), engine.endpoint.as_str()), index))
+        .collect()
+}
