Carry the leader's orders to engines and start the demo's engines empty

Cause: ledger and planner decided, nothing moved.

Change: schema/order.capnp with the interface Scheduler that Control extends; host memory, engine (trait and HTTP), reporter and scheduling; the stand-in engine takes orders and can lose, leave unconfirmed, delay and repeat them; announcements may carry the engine's memory; settings section [planner]. The demo's engines start empty, and agents refuse what is not resident.

Conclusion: the path from lists to engines is whole.

--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/agent/memory/mod.rs
@@ -0,0 +1,229 @@
+//! Carries out control's orders on the engines of a VM, one ledger an engine.
+//!
+//! An order waits until an inventory has settled what it builds on, then for
+//! its reservation, then, if it unloads, for the last request that uses the
+//! weights. A machine of its own beside [`super::Agent`]: requests and orders
+//! share only what an engine holds and what its requests still use.
+
+mod engine;
+pub mod event;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Instant;
+
+use engine::{Activity, Engine};
+pub use event::{Command, Event};
+
+use crate::process::endpoint::{Holding, Target};
+use crate::process::order::{Fence, Kind, Order, Outcome, Stamp};
+use crate::process::report::{Capacity, Inventory, Report};
+use crate::process::{Machine, Sink};
+
+/// The engines of a VM whose memory the agent governs.
+#[derive(Debug, Default)]
+pub struct Memory {
+    engines: BTreeMap<String, Engine>,
+    calls: HashMap<u64, Use>,
+}
+
+/// What a request in flight keeps from being unloaded.
+#[derive(Debug)]
+struct Use {
+    endpoint: String,
+    names: Vec<String>,
+}
+
+impl Memory {
+    /// Takes the properties of an engine in, as its announcement gives them.
+    ///
+    /// `run` is the incarnation of the agent.
+    pub fn attach(&mut self, now: Instant, endpoint: &str, capacity: &Capacity, run: u64) {
+        let engine = self
+            .engines
+            .entry(endpoint.to_owned())
+            .or_insert_with(|| Engine::open(now, capacity, run));
+        if engine.ledger.capacity() != capacity {
+            engine.ledger.restart(capacity.clone());
+            engine.next = now;
+        }
+    }
+
+    /// Whether the agent governs the memory of `endpoint`.
+    #[must_use]
+    pub fn governs(&self, endpoint: &str) -> bool {
+        self.engines.contains_key(endpoint)
+    }
+
+    /// What requests may use on `endpoint`, if the agent governs its memory.
+    #[must_use]
+    pub fn holding(&self, endpoint: &str) -> Option<Holding> {
+        let engine = self.engines.get(endpoint)?;
+        let named = |kind| {
+            let resident = engine.ledger.resident();
+            resident.filter(move |weights| weights.kind == kind)
+        };
+        Some(Holding::Engine {
+            models: named(Kind::Model)
+                .map(|row| row.name.as_str().into())
+                .collect(),
+            adapters: named(Kind::Adapter)
+                .map(|row| row.name.as_str().into())
+                .collect(),
+        })
+    }
+
+    /// Counts a request and keeps its weights until it ends.
+    pub fn begin(&mut self, call: u64, endpoint: &str, target: Target<'_>) {
+        let Target::Model { model, adapter } = target else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(endpoint) else {
+            return;
+        };
+        let names: Vec<String> = std::iter::once(model)
+            .chain(adapter)
+            .map(str::to_owned)
+            .collect();
+        for name in &names {
+            *engine.uses.entry(name.clone()).or_default() += 1;
+            *engine.demand.entry(name.clone()).or_default() += 1;
+        }
+        let endpoint = endpoint.to_owned();
+        self.calls.insert(call, Use { endpoint, names });
+    }
+
+    /// Notes the end of a request; unloads that waited for it may follow.
+    pub fn end(&mut self, now: Instant, call: u64, out: &mut Vec<Command>) {
+        let Some(ended) = self.calls.remove(&call) else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(&ended.endpoint) else {
+            return;
+        };
+        for name in &ended.names {
+            if let Some(count) = engine.uses.get_mut(name) {
+                *count = count.saturating_sub(1);
+            }
+        }
+        engine.uses.retain(|_, &mut count| count > 0);
+        engine.release(now, out);
+    }
+
+    /// Takes the leader's orders in, in the order of their fences.
+    ///
+    /// `seal` is newer than every order that the leader gave before these.
+    pub fn order(&mut self, now: Instant, seal: Fence, orders: &[Order], out: &mut Vec<Command>) {
+        for engine in self.engines.values_mut() {
+            engine.observe(seal);
+        }
+        for order in orders {
+            if let Some(engine) = self.engines.get_mut(&order.endpoint) {
+                engine.enqueue(now, order, out);
+            }
+        }
+    }
+
+    /// Takes in how an order ended.
+    pub fn conclude(
+        &mut self,
+        now: Instant,
+        order: &Order,
+        stamp: Stamp,
+        outcome: Outcome,
+        out: &mut Vec<Command>,
+    ) {
+        if let Some(engine) = self.engines.get_mut(&order.endpoint) {
+            engine.ledger.conclude(now, order, stamp, outcome);
+            if matches!(engine.activity, Activity::Carrying) {
+                engine.activity = Activity::Idle;
+            }
+            engine.proceed(now, out);
+        }
+    }
+
+    /// Takes in what an engine holds; `None` if it did not say.
+    pub fn inspect(
+        &mut self,
+        now: Instant,
+        endpoint: &str,
+        inventory: Option<&Inventory>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(engine) = self.engines.get_mut(endpoint) else {
+            return;
+        };
+        if engine.inspected(now, inventory) {
+            engine.decide(now, out);
+            engine.proceed(now, out);
+        }
+    }
+
+    /// Asks for the inventories that are due.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Command>) {
+        for (endpoint, engine) in &mut self.engines {
+            if engine.idle() && engine.next <= now {
+                engine.ask(now, endpoint, out);
+            }
+        }
+    }
+
+    /// What control learns of every engine.
+    #[must_use]
+    pub fn reports(&self) -> Vec<Report> {
+        let engines = self.engines.iter();
+        engines
+            .map(|(endpoint, engine)| engine.report(endpoint))
+            .collect()
+    }
+}
+
+impl Machine for Memory {
+    type Event<'a> = Event<'a>;
+    type Command = Command;
+
+    fn handle<S>(&mut self, now: Instant, event: Event<'_>, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let mut commands = Vec::new();
+        match event {
+            Event::Attached {
+                endpoint,
+                capacity,
+                run,
+            } => {
+                self.attach(now, endpoint, capacity, run);
+                self.tick(now, &mut commands);
+            }
+            Event::Began {
+                call,
+                endpoint,
+                target,
+            } => self.begin(call, endpoint, target),
+            Event::Ended { call } => self.end(now, call, &mut commands),
+            Event::Ordered { seal, orders } => self.order(now, seal, orders, &mut commands),
+            Event::Carried {
+                order,
+                stamp,
+                outcome,
+            } => self.conclude(now, order, stamp, outcome, &mut commands),
+            Event::Inspected {
+                endpoint,
+                inventory,
+            } => self.inspect(now, endpoint, inventory, &mut commands),
+            Event::Ticked => self.tick(now, &mut commands),
+        }
+        for command in commands {
+            out.push(command);
+        }
+    }
+
+    fn tick() -> Event<'static> {
+        Event::Ticked
+    }
+
+    fn deadline(&self) -> Option<Instant> {
+        let idle = self.engines.values().filter(|engine| engine.idle());
+        idle.map(|engine| engine.next).min()
+    }
+}
--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 pub use event::{Acceptance, Command, Event};
-pub use planner::Planner;
+pub use planner::{Planner, Scheduler};
 
 use super::news::{Known, News};
 use super::{Directory, Machine, Member, Sink};
--- a/crates/nutmegyoke-core/src/process/control/planner/demand.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/demand.rs
@@ -9,7 +9,7 @@
 const DECAY: Duration = Duration::from_secs(15);
 
 /// Estimates rates from the counters that agents report.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Estimate {
     /// The last counters, by VM and endpoint.
     counters: HashMap<(String, String), HashMap<String, u64>>,
--- a/crates/nutmegyoke-core/src/process/control/planner/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/mod.rs
@@ -12,8 +12,10 @@
 pub mod fleet;
 pub mod need;
 pub mod policy;
+pub mod preview;
 pub mod reach;
 pub mod round;
+pub mod scheduler;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -23,20 +25,25 @@
 use fleet::{Copy, Engine, Fleet};
 pub use need::Need;
 pub use policy::{Policy, Preset, Settings, Store};
+pub use preview::Preview;
 use round::{Claim, Move, Round};
+pub use scheduler::Scheduler;
 
 use crate::process::DataCentre;
 use crate::process::order::{Action, Fence, Kind, Order, Weights};
-use crate::process::report::{Report, State};
+use crate::process::report::{Report, Reservation, State};
 
 /// The time between two rounds.
 pub const PERIOD: Duration = Duration::from_secs(1);
 
+/// The time between two rounds while something is under way.
+const BUSY_PERIOD: Duration = Duration::from_millis(250);
+
 /// How long a leader that follows another listens before it plans.
 pub const GRACE: Duration = Duration::from_secs(3);
 
 /// The planner of one control leader.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Planner {
     settings: Settings,
     fence: Fence,
@@ -53,11 +60,13 @@
     /// When the first round may be.
     begins: Instant,
     planned: Option<Instant>,
+    /// Whether orders are out or engines not settled.
+    busy: bool,
     moves: Moves,
     shortfall: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Agent {
     data_centre: DataCentre,
     reports: Vec<Report>,
@@ -108,11 +117,18 @@
             // The first leader of all finds nothing to listen to.
             begins: if term > 1 { now + GRACE } else { now },
             planned: None,
+            busy: true,
             moves: Moves::default(),
             shortfall: 0,
         }
     }
 
+    /// Opens the account anew with every place free, for a preview.
+    fn reopen(&mut self, now: Instant) {
+        self.account = Account::open(now, self.settings.store);
+        self.begins = now;
+    }
+
     /// The term of the leader.
     #[must_use]
     pub fn term(&self) -> u64 {
@@ -132,7 +148,9 @@
     }
 
     /// Takes in what an agent reports of its engines.
-    pub fn report(&mut self, vm: &str, data_centre: &DataCentre, reports: &[Report]) {
+    ///
+    /// Returns whether it has to report whole, because what it left out is not known.
+    pub fn report(&mut self, vm: &str, data_centre: &DataCentre, reports: &[Report]) -> bool {
         for report in reports {
             self.estimate.count(vm, report);
             self.pending.retain(|pending| {
@@ -140,11 +158,27 @@
                 !(same && pending.sent && pending.order.fence <= report.fence)
             });
         }
+        let last = self.agents.remove(vm);
+        let mut known: HashMap<String, Vec<Reservation>> = HashMap::new();
+        for report in last.into_iter().flat_map(|agent| agent.reports) {
+            known.extend(report.reservations.map(|rows| (report.endpoint, rows)));
+        }
+        let mut reports = reports.to_vec();
+        for report in &mut reports {
+            if report.reservations.is_none() {
+                report.reservations = known.remove(&report.endpoint);
+            }
+        }
+        let given = reports.len();
+        reports.retain(|report| report.reservations.is_some());
+        let whole = reports.len() == given;
+        let data_centre = data_centre.clone();
         let agent = Agent {
-            data_centre: data_centre.clone(),
-            reports: reports.to_vec(),
+            data_centre,
+            reports,
         };
         self.agents.insert(vm.to_owned(), agent);
+        !whole
     }
 
     /// Forgets a VM that left; what it held has to be placed anew.
@@ -186,7 +220,8 @@
     /// When the next round is due.
     #[must_use]
     pub fn deadline(&self) -> Instant {
-        self.planned.map_or(self.begins, |planned| planned + PERIOD)
+        let period = if self.busy { BUSY_PERIOD } else { PERIOD };
+        self.planned.map_or(self.begins, |planned| planned + period)
     }
 
     /// Plans one round.
@@ -217,6 +252,8 @@
         self.shortfall = round.shortfall;
         self.account = account;
         self.planned = Some(now);
+        let unsettled = fleet.engines.iter().any(|engine| !engine.ready);
+        self.busy = unsettled || !moves.is_empty() || !self.pending.is_empty();
         self.keep(&fleet, &claims);
         for decided in moves {
             self.order(&fleet, decided);
@@ -401,7 +438,7 @@
         load: 0.0,
         copies: Vec::new(),
     });
-    for row in &report.reservations {
+    for row in report.reservations.iter().flatten() {
         let item = fleet.item(&row.weights, row.bytes);
         let copy = Copy {
             item,
--- a/crates/nutmegyoke-core/src/process/order.rs
+++ b/crates/nutmegyoke-core/src/process/order.rs
@@ -122,14 +122,17 @@
 }
 
 /// What an engine shall do.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "action")]
 pub enum Action {
     /// Load weights that take `bytes` of accelerator memory.
+    #[display("load {weights}, {bytes} bytes")]
     Load { weights: Weights, bytes: u64 },
     /// Unload weights.
+    #[display("unload {weights}")]
     Unload { weights: Weights },
     /// Change the stage.
+    #[display("turn to {stage}")]
     Turn { stage: Stage },
 }
 
--- a/crates/nutmegyoke-core/src/process/report.rs
+++ b/crates/nutmegyoke-core/src/process/report.rs
@@ -1,5 +1,7 @@
 //! What an engine's memory holds, as engine, agent and control tell each other.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
@@ -107,8 +109,42 @@
     pub settled: bool,
     /// The stage that the engine runs.
     pub stage: Stage,
-    /// The reservations.
-    pub reservations: Vec<Reservation>,
-    /// Requests by model or adapter.
+    /// The reservations; `None` stands for those of the report before.
+    pub reservations: Option<Vec<Reservation>>,
+    /// Requests by model or adapter, where they changed.
     pub demand: Vec<Demand>,
 }
+
+/// Leaves out of an agent's reports what its last ones said already.
+#[derive(Clone, Debug, Default)]
+pub struct Feed {
+    last: BTreeMap<String, Report>,
+}
+
+impl Feed {
+    /// Forgets what was reported: the next reports are whole.
+    pub fn reset(&mut self) {
+        self.last.clear();
+    }
+
+    /// Shortens whole reports by what the last ones said.
+    pub fn next(&mut self, reports: Vec<Report>) -> Vec<Report> {
+        let shortened = reports.iter().map(|report| self.shorten(report)).collect();
+        let named = reports.into_iter();
+        self.last = named
+            .map(|report| (report.endpoint.clone(), report))
+            .collect();
+        shortened
+    }
+
+    fn shorten(&self, report: &Report) -> Report {
+        let mut short = report.clone();
+        if let Some(last) = self.last.get(&report.endpoint) {
+            if last.reservations == report.reservations {
+                short.reservations = None;
+            }
+            short.demand.retain(|row| !last.demand.contains(row));
+        }
+        short
+    }
+}
--- a/crates/nutmegyoke-core/tests/memory.rs
+++ b/crates/nutmegyoke-core/tests/memory.rs
@@ -10,7 +10,7 @@
 use nutmegyoke_cases::cases;
 use nutmegyoke_core::process::agent::Memory;
 use nutmegyoke_core::process::agent::ledger::ORDER_LIFE;
-use nutmegyoke_core::process::agent::memory::Step;
+use nutmegyoke_core::process::agent::memory::Command as Step;
 use nutmegyoke_core::process::order::{Action, Fence, Order, Outcome, Stage, Stamp, Weights};
 use nutmegyoke_core::process::report::{Capacity, Content, Fencing, Inventory};
 use proptest::prelude::*;
--- a/crates/nutmegyoke-core/tests/planner.rs
+++ b/crates/nutmegyoke-core/tests/planner.rs
@@ -7,7 +7,7 @@
 
 use nutmegyoke_cases::cases;
 use nutmegyoke_core::process::agent::Memory;
-use nutmegyoke_core::process::agent::memory::Step;
+use nutmegyoke_core::process::agent::memory::Command as Step;
 use nutmegyoke_core::process::control::Planner;
 use nutmegyoke_core::process::control::planner::{Need, Settings};
 use nutmegyoke_core::process::order::{Action, Order, Outcome, Stage, Stamp, Weights};
--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -3,7 +3,7 @@
 use std::cell::{OnceCell, RefCell};
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use compio::net::TcpStream;
 use http_body_util::{BodyExt, Limited};
@@ -13,7 +13,8 @@
 use nutmegyoke_core::process::agent::{Command, Event as Input};
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::news::{Known, News};
-use nutmegyoke_core::process::{Clock, Member};
+use nutmegyoke_core::process::order::{Fence, Order};
+use nutmegyoke_core::process::{Clock, Endpoint, Member, Report};
 use nutmegyoke_core::request::Submission;
 use nutmegyoke_wire::connection::link_capnp::{agent, answer};
 use nutmegyoke_wire::process::{Announcement, Settings};
@@ -23,8 +24,10 @@
 use super::driver::{Addressed, Mailbox};
 use super::heartbeat::{Heartbeat, Learner};
 use super::kept::Kept;
+use super::memory::Watcher;
 use super::operators::{self, Operators, respond};
-use super::{Driver, Event, Failure, Metrics};
+use super::reporter::Governor;
+use super::{Driver, Event, Failure, Memory, Metrics, Reporter, engine};
 use crate::connection::listener::Serve;
 use crate::connection::{Listener, link};
 use crate::request::Body;
@@ -42,6 +45,8 @@
     known: RefCell<HashSet<String>>,
     kept: RefCell<Kept>,
     heartbeat: OnceCell<Heartbeat>,
+    memory: Rc<Memory<C>>,
+    reporter: OnceCell<Reporter>,
     listeners: OnceCell<[Listener; 2]>,
 }
 
@@ -63,17 +68,25 @@
         settings: &Settings,
         clock: C,
         registry: &Registry,
-    ) -> Result<Rc<Self>, Failure> {
+    ) -> Result<Rc<Self>, Failure>
+    where
+        C: Clone,
+    {
         let member = super::member(settings, &clock, Role::Agent);
-        let machine = decision::Agent::open(member.vm.incarnation);
-        let (driver, _background) = Driver::spawn(machine, clock);
+        let run = member.vm.incarnation;
+        let (driver, _background) = Driver::spawn(decision::Agent::open(run), clock.clone());
         let client = cyper::Client::builder()
             .redirect(cyper::redirect::Policy::none())
             .build();
-        let agent = Rc::new(Self {
+        let client = client.map_err(|source| Failure::Client { source })?;
+        let metrics = Metrics::open(registry, &member)?;
+        let engines = engine::Http::open(client.clone());
+        let agent = Rc::new_cyclic(|this| Self {
             driver,
-            client: client.map_err(|source| Failure::Client { source })?,
-            metrics: Metrics::open(registry, &member)?,
+            client,
+            metrics,
+            memory: Memory::spawn(engines, clock, run, Weak::clone(this)),
+            reporter: OnceCell::new(),
             member: RefCell::new(member),
             known: RefCell::default(),
             kept: RefCell::default(),
@@ -92,6 +105,8 @@
         let _ = agent.listeners.set([listener, operators]);
         let heartbeat = Heartbeat::spawn(Rc::clone(&agent), settings.control.clone());
         let _ = agent.heartbeat.set(heartbeat);
+        let reporter = Reporter::spawn(Rc::clone(&agent), settings.control.clone());
+        let _ = agent.reporter.set(reporter);
         Ok(agent)
     }
 
@@ -118,7 +133,12 @@
     /// Takes an endpoint's announcement in; it renews it every second.
     fn announce(&self, body: &[u8]) -> Result<(), String> {
         let announcement = Announcement::decode(body).map_err(|error| error.to_string())?;
-        let Announcement { address, endpoint } = &announcement;
+        let Announcement {
+            address,
+            endpoint,
+            capacity,
+        } = &announcement;
+        let endpoint = &self.memory.announce(endpoint, *address, capacity.as_ref());
         let before = self.driver.machine().endpoints();
         self.driver.feed(Input::Announced {
             endpoint,
@@ -166,6 +186,8 @@
         let submission = submission::read(params.get_submission()?)?;
         let payload = Payload::read(params.get_payload()?)?;
         let answer = params.get_answer()?;
+        let (call, target) = (self.mailbox.number(), submission.destination.target());
+        self.agent.memory.begin(call, &submission.endpoint, target);
         self.agent.driver.feed(Input::Submitted {
             call: self.mailbox.number(),
             submission: &submission,
@@ -211,6 +233,7 @@
     fn drop(&mut self) {
         let call = self.mailbox.number();
         self.agent.driver.feed(Input::Finished { call });
+        self.agent.memory.end(call);
     }
 }
 
@@ -266,6 +289,33 @@
     }
 }
 
+impl<C: Clock + 'static> Watcher for Agent<C> {
+    fn changed(&self, endpoint: &Endpoint, address: SocketAddr) {
+        self.driver.feed(Input::Announced { endpoint, address });
+        self.hurry();
+    }
+
+    fn progressed(&self) {
+        if let Some(reporter) = self.reporter.get() {
+            reporter.hurry();
+        }
+    }
+}
+
+impl<C: Clock + 'static> Governor for Agent<C> {
+    fn member(&self) -> Member {
+        self.member.borrow().clone()
+    }
+
+    fn reports(&self) -> Vec<Report> {
+        self.memory.reports()
+    }
+
+    fn order(&self, seal: Fence, orders: &[Order]) {
+        self.memory.order(seal, orders, self);
+    }
+}
+
 impl<C: Clock + 'static> Learner for Agent<C> {
     fn member(&self) -> Member {
         let machine = self.driver.machine();
--- a/crates/nutmegyoke-host/src/process/control.rs
+++ b/crates/nutmegyoke-host/src/process/control.rs
@@ -17,6 +17,7 @@
 use nutmegyoke_core::version::Configuration;
 use nutmegyoke_wire::connection::link::text;
 use nutmegyoke_wire::connection::link_capnp::control;
+use nutmegyoke_wire::connection::order_capnp::scheduler;
 use nutmegyoke_wire::process::{Settings, Status, member, news};
 use nutmegyoke_wire::request as wire;
 use nutmegyoke_wire::version::json;
@@ -24,7 +25,7 @@
 
 use super::driver::Addressed;
 use super::operators::{self, Operators, respond};
-use super::{Driver, Event, Failure, Metrics};
+use super::{Driver, Event, Failure, Metrics, Scheduling};
 use crate::connection::listener::Serve;
 use crate::connection::{Listener, link};
 use crate::request::Body;
@@ -32,9 +33,13 @@
 /// The longest configuration, in bytes of JSON.
 const CONFIGURATION_BYTES: usize = 8 * 1024 * 1024;
 
+/// The term of a control process that no other can follow.
+const FIRST_TERM: Option<u64> = Some(1);
+
 /// A running control process.
 pub struct Control<C: Clock + 'static> {
     driver: Rc<Driver<decision::Control, C>>,
+    scheduling: Scheduling<C>,
     metrics: Metrics,
     member: Member,
     listeners: OnceCell<[Listener; 2]>,
@@ -61,12 +66,16 @@
         settings: &Settings,
         clock: C,
         registry: &Registry,
-    ) -> Result<Rc<Self>, Failure> {
+    ) -> Result<Rc<Self>, Failure>
+    where
+        C: Clone,
+    {
         let member = super::member(settings, &clock, Role::Control);
         let machine = decision::Control::open(member.vm.run());
-        let (driver, _background) = Driver::spawn(machine, clock);
+        let (driver, _background) = Driver::spawn(machine, clock.clone());
         let control = Rc::new(Self {
             driver,
+            scheduling: Scheduling::spawn(settings.planner.settings(), clock),
             metrics: Metrics::open(registry, &member)?,
             member,
             listeners: OnceCell::new(),
@@ -86,6 +95,12 @@
         Some(listener.address())
     }
 
+    /// Brings the planner up to date with the machine.
+    fn schedule(&self) {
+        let machine = self.driver.machine();
+        self.scheduling.update(FIRST_TERM, machine.configuration());
+    }
+
     /// Stops accepting connections.
     pub fn close(&self) {
         for listener in self.listeners.get().into_iter().flatten() {
@@ -252,6 +267,17 @@
     }
 }
 
+impl<C: Clock + 'static> scheduler::Server for Offer<C> {
+    async fn report(
+        self: Rc<Self>,
+        params: scheduler::ReportParams,
+        results: scheduler::ReportResults,
+    ) -> capnp::Result<()> {
+        self.control.schedule();
+        self.control.scheduling.report(&params, results).await
+    }
+}
+
 impl<C: Clock + 'static> Serve for Control<C> {
     async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
         let offer: control::Client = capnp_rpc::new_client(Offer { control: self });
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
-use nutmegyoke_core::process::Vm;
 use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::process::{Order, Vm};
 use nutmegyoke_core::request::Reason;
 use spdlog::Level;
 use strum::{EnumDiscriminants, EnumIter};
@@ -51,6 +51,12 @@
     /// An endpoint announced itself for the first time.
     #[display("endpoint {name} at {address} announced itself")]
     Announced { name: &'a str, address: SocketAddr },
+    /// An engine carried an order out.
+    #[display("order {} done on {}: {}", order.fence, order.endpoint, order.action)]
+    OrderDone { order: &'a Order },
+    /// An engine did not confirm an order.
+    #[display("order {} lost on {}: {}: {why}", order.fence, order.endpoint, order.action)]
+    OrderLost { order: &'a Order, why: &'a str },
     /// An endpoint's announcement was refused.
     #[display("announcement refused: {why}")]
     AnnouncementRefused { why: &'a str },
@@ -73,6 +79,8 @@
             Self::ConnectionFailed => 402,
             Self::Announced => 500,
             Self::AnnouncementRefused => 501,
+            Self::OrderDone => 600,
+            Self::OrderLost => 601,
         }
     }
 }
@@ -86,9 +94,10 @@
 
     fn level(&self) -> Level {
         match self {
-            Self::ControlLost { .. } | Self::Rejected { .. } | Self::AnnouncementRefused { .. } => {
-                Level::Warn
-            }
+            Self::ControlLost { .. }
+            | Self::Rejected { .. }
+            | Self::AnnouncementRefused { .. }
+            | Self::OrderLost { .. } => Level::Warn,
             Self::Refused { .. } | Self::ConnectionFailed { .. } => Level::Debug,
             _ => Level::Info,
         }
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -3,13 +3,17 @@
 pub mod agent;
 pub mod control;
 pub mod driver;
+pub mod engine;
 pub mod entry;
 pub mod event;
 pub mod failure;
 pub mod heartbeat;
 pub mod kept;
+pub mod memory;
 pub mod metrics;
 pub mod operators;
+pub mod reporter;
+pub mod scheduling;
 pub mod signal;
 
 pub use agent::Agent;
@@ -18,7 +22,10 @@
 pub use entry::Entry;
 pub use event::Event;
 pub use failure::Failure;
+pub use memory::Memory;
 pub use metrics::Metrics;
+pub use reporter::Reporter;
+pub use scheduling::Scheduling;
 
 use std::net::SocketAddr;
 use std::time::{Duration, UNIX_EPOCH};
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/scheduling.rs
@@ -0,0 +1,98 @@
+//! The planner of a control process, fed from reports and the replicated state.
+
+use std::rc::Rc;
+
+use nutmegyoke_core::process::control::Scheduler;
+use nutmegyoke_core::process::control::planner::scheduler::{Command, Event as Input};
+use nutmegyoke_core::process::control::planner::{Preview, Settings};
+use nutmegyoke_core::process::{Clock, DataCentre};
+use nutmegyoke_core::version::Configuration;
+use nutmegyoke_wire::connection::link::{length, text};
+use nutmegyoke_wire::connection::order_capnp::scheduler;
+use nutmegyoke_wire::process::{order, report};
+
+use super::Driver;
+use super::driver::Addressed;
+
+/// A running planner.
+pub struct Scheduling<C: Clock + 'static> {
+    driver: Rc<Driver<Scheduler, C>>,
+}
+
+impl Addressed for Command {
+    fn addressee(&self) -> Option<u64> {
+        match self {
+            Self::Order { call, .. } | Self::Decline { call } => Some(*call),
+        }
+    }
+}
+
+impl<C: Clock + 'static> Scheduling<C> {
+    /// Spawns the planner; it does not lead yet.
+    pub fn spawn(settings: Settings, clock: C) -> Self {
+        let (driver, _background) = Driver::spawn(Scheduler::open(settings), clock);
+        Self { driver }
+    }
+
+    /// Tells under which term this process leads, if it does, and what is in force.
+    pub fn update(&self, term: Option<u64>, configuration: &Rc<Configuration>) {
+        self.driver.feed(Input::Led { term });
+        let known = self.driver.machine().configuration();
+        if known != configuration.number() {
+            self.driver.feed(Input::Configured { configuration });
+        }
+    }
+
+    /// What a configuration would move; `None` if this process does not lead.
+    #[must_use]
+    pub fn preview(&self, configuration: &Configuration) -> Option<Preview> {
+        let now = self.driver.clock().now();
+        self.driver.machine().preview(now, configuration)
+    }
+
+    /// Looks at the planner's state.
+    #[must_use]
+    pub fn machine(&self) -> std::cell::Ref<'_, Scheduler> {
+        self.driver.machine()
+    }
+
+    /// Takes an agent's report in and answers with the orders for it.
+    ///
+    /// # Errors
+    ///
+    /// The agent's message is malformed.
+    pub async fn report(
+        &self,
+        params: &scheduler::ReportParams,
+        mut results: scheduler::ReportResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let reports = params.get_reports()?.iter().map(report::read);
+        let reports = reports.collect::<capnp::Result<Vec<_>>>()?;
+        let data_centre: DataCentre = text(params.get_data_centre())?.into();
+        let mut mailbox = self.driver.open();
+        self.driver.feed(Input::Reported {
+            call: mailbox.number(),
+            vm: text(params.get_vm())?,
+            data_centre: &data_centre,
+            reports: &reports,
+        });
+        let mut results = results.get();
+        if let Some(Command::Order {
+            seal,
+            orders,
+            whole,
+            ..
+        }) = mailbox.next().await
+        {
+            results.set_leader(true);
+            results.set_whole(whole);
+            order::write_fence(seal, results.reborrow().init_seal());
+            let mut list = results.init_orders(length(orders.len()));
+            for (index, row) in (0..).zip(&orders) {
+                order::write(row, list.reborrow().get(index));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/nutmegyoke-standin/src/desk.rs
+++ b/crates/nutmegyoke-standin/src/desk.rs
@@ -86,6 +86,7 @@
     fn announcement(&self) -> Announcement {
         Announcement {
             address: self.address(),
+            capacity: None,
             endpoint: Endpoint {
                 name: "desk".to_owned(),
                 holding: Holding::Service {
--- a/crates/nutmegyoke-standin/src/engine.rs
+++ b/crates/nutmegyoke-standin/src/engine.rs
@@ -1,4 +1,9 @@
 //! A stand-in for a model engine.
+//!
+//! It either holds fixed models, or takes orders from its agent ([`orders`]).
+
+pub mod memory;
+pub mod orders;
 
 use std::cell::Cell;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -20,7 +25,9 @@
 use nutmegyoke_host::request::Body;
 use nutmegyoke_host::request::body::Writer;
 use nutmegyoke_wire::process::Announcement;
+use nutmegyoke_wire::process::engine as wire;
 use nutmegyoke_wire::request::Completion;
+use orders::Orders;
 use serde_json::json;
 
 use crate::Announcer;
@@ -47,6 +54,8 @@
 #[derive(Debug)]
 pub struct Engine {
     behaviour: Behaviour,
+    /// `None` for an engine with fixed models.
+    orders: Option<Rc<Orders>>,
     address: Cell<SocketAddr>,
     runs: Cell<u64>,
 }
@@ -58,9 +67,26 @@
     ///
     /// No port can be bound.
     pub async fn bind(behaviour: Behaviour) -> Result<Rc<Self>, Failure> {
+        Self::serve(behaviour, None).await
+    }
+
+    /// Binds an engine that holds what `orders` say.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub async fn bind_ordered(
+        behaviour: Behaviour,
+        orders: Rc<Orders>,
+    ) -> Result<Rc<Self>, Failure> {
+        Self::serve(behaviour, Some(orders)).await
+    }
+
+    async fn serve(behaviour: Behaviour, orders: Option<Rc<Orders>>) -> Result<Rc<Self>, Failure> {
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let engine = Rc::new(Self {
             behaviour,
+            orders,
             address: Cell::new(address),
             runs: Cell::new(0),
         });
@@ -83,6 +109,17 @@
         self.runs.get()
     }
 
+    fn holding(&self) -> Holding {
+        if let Some(orders) = &self.orders {
+            return orders.memory.holding();
+        }
+        let models = self.behaviour.models.iter();
+        Holding::Engine {
+            models: models.map(|&name| name.into()).collect(),
+            adapters: Vec::new(),
+        }
+    }
+
     async fn complete(&self, request: Request<Incoming>) -> Response<Body> {
         let Ok(body) = request.into_body().collect().await else {
             return refuse(StatusCode::BAD_REQUEST, "the body broke off");
@@ -91,6 +128,10 @@
         let Ok(completion) = Completion::decode(&body) else {
             return refuse(StatusCode::BAD_REQUEST, "the body is no completion request");
         };
+        let orders = self.orders.as_ref();
+        if orders.is_some_and(|orders| !orders.memory.holds(&completion.model)) {
+            return refuse(StatusCode::NOT_FOUND, "the model is not resident");
+        }
         self.runs.set(self.runs.get() + 1);
         let tokens = completion.max_tokens.unwrap_or(8);
         let token = self.behaviour.token;
@@ -151,17 +192,10 @@
     fn announcement(&self) -> Announcement {
         Announcement {
             address: self.address(),
+            capacity: self.orders.as_ref().map(|orders| orders.memory.capacity()),
             endpoint: Endpoint {
                 name: self.behaviour.name.clone(),
-                holding: Holding::Engine {
-                    models: self
-                        .behaviour
-                        .models
-                        .iter()
-                        .map(|&name| name.into())
-                        .collect(),
-                    adapters: Vec::new(),
-                },
+                holding: self.holding(),
                 slots: self.behaviour.slots,
                 phase: Phase::Ready,
             },
@@ -177,8 +211,13 @@
 
 impl Handler for Engine {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
-        match request.uri().path() {
-            "/v1/chat/completions" | "/v1/completions" => self.complete(request).await,
+        let orders = self.orders.clone();
+        match (request.uri().path(), orders) {
+            (wire::ORDERS, Some(orders)) => orders.order(request).await,
+            (wire::INVENTORY, Some(orders)) => {
+                orders.inventory(request.uri().query().unwrap_or_default())
+            }
+            ("/v1/chat/completions" | "/v1/completions", _) => self.complete(request).await,
             _ => refuse(StatusCode::NOT_FOUND, "no such path"),
         }
     }
--- /dev/null
+++ b/crates/nutmegyoke-standin/src/engine/memory.rs
@@ -0,0 +1,116 @@
+//! The accelerator memory of a stand-in engine that takes orders.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+use nutmegyoke_core::process::endpoint::Holding;
+use nutmegyoke_core::process::order::{Action, Kind, Stage, Stamp, Weights};
+use nutmegyoke_core::process::report::{Capacity, Content, Fencing, Inventory};
+
+/// What an engine holds. It loads whatever it is told to: only the agent's
+/// ledger keeps it from being overcommitted.
+#[derive(Debug)]
+pub struct Memory {
+    capacity: RefCell<Capacity>,
+    newest: Cell<Stamp>,
+    stage: Cell<Stage>,
+    contents: RefCell<BTreeMap<Weights, u64>>,
+    /// The most that it ever held, in bytes.
+    peak: Cell<u64>,
+}
+
+impl Memory {
+    /// Opens an empty memory.
+    #[must_use]
+    pub fn open(capacity: Capacity) -> Self {
+        Self {
+            capacity: RefCell::new(capacity),
+            newest: Cell::default(),
+            stage: Cell::default(),
+            contents: RefCell::default(),
+            peak: Cell::default(),
+        }
+    }
+
+    /// The properties that it announces.
+    #[must_use]
+    pub fn capacity(&self) -> Capacity {
+        self.capacity.borrow().clone()
+    }
+
+    /// The most that it ever held, in bytes.
+    #[must_use]
+    pub fn peak(&self) -> u64 {
+        self.peak.get()
+    }
+
+    /// Whether a model or adapter is resident.
+    #[must_use]
+    pub fn holds(&self, name: &str) -> bool {
+        let contents = self.contents.borrow();
+        contents.keys().any(|weights| weights.name == name)
+    }
+
+    /// What it announces to hold.
+    #[must_use]
+    pub fn holding(&self) -> Holding {
+        let contents = self.contents.borrow();
+        let named = |kind| contents.keys().filter(move |row| row.kind == kind);
+        Holding::Engine {
+            models: named(Kind::Model)
+                .map(|row| row.name.as_str().into())
+                .collect(),
+            adapters: named(Kind::Adapter)
+                .map(|row| row.name.as_str().into())
+                .collect(),
+        }
+    }
+
+    /// Whether it takes an order with this stamp, for this run of it.
+    #[must_use]
+    pub fn accepts(&self, stamp: Stamp, incarnation: u64) -> bool {
+        let capacity = self.capacity.borrow();
+        let current = incarnation == capacity.incarnation && stamp >= self.newest.get();
+        capacity.fencing == Fencing::Ignored || current
+    }
+
+    /// Carries an order out.
+    pub fn perform(&self, stamp: Stamp, action: &Action) {
+        self.newest.set(self.newest.get().max(stamp));
+        match action {
+            Action::Load { weights, bytes } => {
+                self.contents.borrow_mut().insert(weights.clone(), *bytes);
+            }
+            Action::Unload { weights } => {
+                self.contents.borrow_mut().remove(weights);
+            }
+            Action::Turn { stage } => self.stage.set(*stage),
+        }
+        let held = self.contents.borrow().values().sum();
+        self.peak.set(self.peak.get().max(held));
+    }
+
+    /// What it holds; refuses what was stamped before from then on.
+    #[must_use]
+    pub fn inventory(&self, stamp: Stamp) -> Inventory {
+        self.newest.set(self.newest.get().max(stamp));
+        let contents = self.contents.borrow();
+        let contents = contents.iter().map(|(weights, &bytes)| Content {
+            weights: weights.clone(),
+            bytes,
+        });
+        Inventory {
+            incarnation: self.capacity.borrow().incarnation,
+            newest: self.newest.get(),
+            stage: self.stage.get(),
+            contents: contents.collect(),
+        }
+    }
+
+    /// Restarts with other contents.
+    pub fn restart(&self, contents: &[(Weights, u64)]) {
+        self.capacity.borrow_mut().incarnation += 1;
+        self.newest.set(Stamp::default());
+        *self.contents.borrow_mut() = contents.iter().cloned().collect();
+    }
+}
--- a/crates/nutmegyoke-standin/src/script.rs
+++ b/crates/nutmegyoke-standin/src/script.rs
@@ -195,6 +195,7 @@
 impl Announcer for Script {
     fn announcement(&self) -> Announcement {
         Announcement {
+            capacity: None,
             address: self.address.get(),
             endpoint: Endpoint {
                 name: "script".to_owned(),
--- a/crates/nutmegyoke-wire/schema/link.capnp
+++ b/crates/nutmegyoke-wire/schema/link.capnp
@@ -3,6 +3,8 @@
 # src/connection/link_capnp.rs is generated from this file and committed;
 # docs/DEVELOPING.md gives the command.
 
+using Order = import "order.capnp";
+
 struct Id {
   entry @0 :UInt64;
   number @1 :UInt64;
@@ -176,7 +178,7 @@
   }
 }
 
-interface Control {
+interface Control extends(Order.Scheduler) {
   exchange @0 (member :Member, known :Known) -> (news :News);
   claim @1 (name :ClaimName, holder :Id, digest :UInt64) -> (outcome :ClaimOutcome);
   conclude @2 (name :ClaimName, holder :Id, verdict :Verdict, vm :Text) -> ();
--- a/crates/nutmegyoke-wire/src/connection/link_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/link_capnp.rs
@@ -9298,7 +9298,7 @@
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
     }
-    pub trait Server<> : 'static  {
+    pub trait Server<> : crate::order_capnp::scheduler::Server + 'static  {
         fn exchange(self: ::capnp::capability::Rc<Self>, _: ExchangeParams<>, _: ExchangeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::exchange not implemented".to_string()))) }
         fn claim(self: ::capnp::capability::Rc<Self>, _: ClaimParams<>, _: ClaimResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::claim not implemented".to_string()))) }
         fn conclude(self: ::capnp::capability::Rc<Self>, _: ConcludeParams<>, _: ConcludeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::conclude not implemented".to_string()))) }
@@ -9323,6 +9323,7 @@
         fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match interface_id {
                 _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                0xc6edbfbaefeee15f => crate::order_capnp::scheduler::ServerDispatch::<_T>::dispatch_call_internal(self.server, method_id, params, results),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
--- a/crates/nutmegyoke-wire/src/connection/mod.rs
+++ b/crates/nutmegyoke-wire/src/connection/mod.rs
@@ -11,3 +11,13 @@
 )]
 #[rustfmt::skip]
 pub mod link_capnp;
+/// Generated from `schema/order.capnp`.
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    missing_docs,
+    unused_qualifications,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+pub mod order_capnp;
--- a/crates/nutmegyoke-wire/src/lib.rs
+++ b/crates/nutmegyoke-wire/src/lib.rs
@@ -15,3 +15,4 @@
 
 // The generated code names its own module by this path.
 pub use connection::link_capnp;
+pub use connection::order_capnp;
--- a/crates/nutmegyoke-wire/src/process/announcement.rs
+++ b/crates/nutmegyoke-wire/src/process/announcement.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use nutmegyoke_core::process::Endpoint;
+use nutmegyoke_core::process::report::Capacity;
 use serde::{Deserialize, Serialize};
 
 /// What an endpoint tells of itself.
@@ -16,6 +17,10 @@
     pub address: SocketAddr,
     /// What the endpoint is.
     pub endpoint: Endpoint,
+    /// Of an engine that takes orders, its memory: then the agent's ledger says
+    /// what it holds, not the announcement.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<Capacity>,
 }
 
 impl Announcement {
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -2,12 +2,17 @@
 
 pub mod announcement;
 pub mod directory;
+pub mod engine;
 pub mod ini;
 pub mod member;
 pub mod news;
+pub mod order;
+pub mod planner;
+pub mod report;
 pub mod settings;
 pub mod status;
 
 pub use announcement::Announcement;
+pub use planner::Planner;
 pub use settings::Settings;
 pub use status::Status;
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/process/planner.rs
@@ -0,0 +1,80 @@
+//! The section `[planner]` of a control process's settings.
+//!
+//! ```ini
+//! [planner]
+//! preset = attainment-first
+//! loads-per-second = 2
+//! loads-at-once = 7
+//! adapters-in-transit = 55
+//! engine-requests-per-second = 10
+//! ```
+
+use nutmegyoke_core::process::control::planner::{Policy, Preset, Settings, Store};
+
+use super::ini::{Fault, Section};
+
+/// The checked settings of the planner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Planner {
+    /// Attainment against moves.
+    pub preset: Preset,
+    /// Loads of models begun a second.
+    pub loads_per_second: u32,
+    /// Loads of models under way at once.
+    pub loads_at_once: u32,
+    /// Adapters in transit at once.
+    pub adapters: u32,
+    /// Requests a second that one engine serves within expectations.
+    pub engine_rate: u32,
+}
+
+impl Default for Planner {
+    fn default() -> Self {
+        Self {
+            preset: Preset::default(),
+            loads_per_second: 2,
+            loads_at_once: 7,
+            adapters: 55,
+            engine_rate: 10,
+        }
+    }
+}
+
+impl Planner {
+    /// Reads the section; keys that are missing keep their defaults.
+    ///
+    /// # Errors
+    ///
+    /// A value is not valid, or a key is unknown.
+    pub fn read(section: Section<'_>) -> Result<Self, Fault> {
+        let default = Self::default();
+        let number = |key, default| {
+            let value: Option<std::num::NonZeroU32> = section.optional(key, "a number above 0")?;
+            Ok::<_, Fault>(value.map_or(default, std::num::NonZeroU32::get))
+        };
+        let preset = section.optional("preset", "attainment-first or moves-first")?;
+        let planner = Self {
+            preset: preset.unwrap_or(default.preset),
+            loads_per_second: number("loads-per-second", default.loads_per_second)?,
+            loads_at_once: number("loads-at-once", default.loads_at_once)?,
+            adapters: number("adapters-in-transit", default.adapters)?,
+            engine_rate: number("engine-requests-per-second", default.engine_rate)?,
+        };
+        section.finish()?;
+        Ok(planner)
+    }
+
+    /// The settings as the planner takes them.
+    #[must_use]
+    pub fn settings(&self) -> Settings {
+        Settings {
+            policy: Policy::from(self.preset),
+            store: Store {
+                loads_per_second: f64::from(self.loads_per_second),
+                at_once: self.loads_at_once,
+                adapters: self.adapters,
+            },
+            engine_rate: f64::from(self.engine_rate),
+        }
+    }
+}
--- a/crates/nutmegyoke-wire/src/process/settings.rs
+++ b/crates/nutmegyoke-wire/src/process/settings.rs
@@ -17,6 +17,7 @@
 use nutmegyoke_core::process::DataCentre;
 use nutmegyoke_core::process::member::Role;
 
+use super::Planner;
 use super::ini::{Fault, File, Section};
 
 /// The longest request body that an entry takes unless set, in bytes.
@@ -39,6 +40,8 @@
     pub control: Vec<SocketAddr>,
     /// The settings of the role.
     pub own: Own,
+    /// The settings of the planner; defaults but for control.
+    pub planner: Planner,
 }
 
 /// What the process does, with the settings of that role.
@@ -93,6 +96,7 @@
             operators: process.required("operators", ADDRESS)?,
             control,
             own,
+            planner: planner(&file)?,
         };
         process.finish()?;
         check_sections(&file, role)?;
@@ -100,6 +104,11 @@
     }
 }
 
+fn planner(file: &File<'_>) -> Result<Planner, Fault> {
+    let section = file.sections().find(|section| section.name == "planner");
+    section.map_or(Ok(Planner::default()), Planner::read)
+}
+
 fn entry(section: Section<'_>) -> Result<Entry, Fault> {
     let entry = Entry {
         callers: section.required("callers", ADDRESS)?,
@@ -128,6 +137,7 @@
     let own = role.to_string();
     let unknown = file
         .sections()
+        .filter(|section| role != Role::Control || section.name != "planner")
         .find(|section| section.name != "process" && section.name != own);
     match unknown {
         Some(section) => Err(section.unknown(&format!("[process] and [{own}] for this role"))),
--- a/src/bin/nutmegyoked/demo.rs
+++ b/src/bin/nutmegyoked/demo.rs
@@ -6,13 +6,16 @@
 
 use nutmegyoke_core::process::clock::System;
 use nutmegyoke_core::process::endpoint::Target;
+use nutmegyoke_core::process::report::{Capacity, Fencing};
 use nutmegyoke_core::version::Configuration;
 use nutmegyoke_core::version::configuration::Lists;
 use nutmegyoke_host::process::{Agent, Control, Entry, signal};
 use nutmegyoke_standin::engine::Behaviour;
+use nutmegyoke_standin::engine::memory::Memory;
+use nutmegyoke_standin::engine::orders::Orders;
 use nutmegyoke_standin::{Desk, Engine, announcer};
 use nutmegyoke_wire::process::settings::Own;
-use nutmegyoke_wire::process::{Settings, settings};
+use nutmegyoke_wire::process::{Planner, Settings, settings};
 use nutmegyoke_wire::version::ini;
 use prometheus::Registry;
 
@@ -30,6 +33,15 @@
 /// The time to each token of the stand-in engines.
 const TOKEN: Duration = Duration::from_millis(20);
 
+/// The time that a load takes.
+const LOAD: Duration = Duration::from_millis(100);
+
+/// The accelerator memory of each stand-in engine.
+const ENGINE_BYTES: u64 = 40_000_000_000;
+
+/// The part that it keeps for KV cache.
+const FLOOR_BYTES: u64 = 10_000_000_000;
+
 /// How often the demo looks whether it is ready.
 const READY_PERIOD: Duration = Duration::from_millis(20);
 
@@ -98,12 +110,19 @@
 }
 
 async fn engine(name: &str, agent: &Agent<System>) -> Result<Rc<Engine>, Failure> {
-    let engine = Engine::bind(Behaviour {
+    let behaviour = Behaviour {
         name: name.to_owned(),
-        models: vec!["price-ml", "grade-report"],
+        models: Vec::new(),
         slots: 8,
         token: TOKEN,
+    };
+    let memory = Memory::open(Capacity {
+        bytes: ENGINE_BYTES,
+        floor: FLOOR_BYTES,
+        fencing: Fencing::Checked,
+        incarnation: 1,
     });
+    let engine = Engine::bind_ordered(behaviour, Orders::open(memory, LOAD));
     let engine = engine.await?;
     if let Some(agent) = agent.operators() {
         announcer::spawn(&engine, agent);
@@ -119,6 +138,7 @@
         operators,
         control: control.to_vec(),
         own,
+        planner: Planner::default(),
     }
 }
 
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -87,7 +87,12 @@
         slots: 1,
         phase: Phase::Ready,
     };
-    let text = Announcement { address, endpoint }.encode();
+    let text = Announcement {
+        address,
+        endpoint,
+        capacity: None,
+    }
+    .encode();
     let client = cyper::Client::new().unwrap();
     let request = client.post(format!("http://{}/v1/endpoints", agent.operators));
     let response = request.unwrap().body(text).send().await.unwrap();
