--- a/crates/nutmegyoke-host/src/process/agent.rs
+++ b/crates/nutmegyoke-host/src/process/agent.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use compio::net::TcpStream;
 use http_body_util::{BodyExt, Limited};
@@ -16,6 +17,7 @@
 use nutmegyoke_core::process::order::{Fence, Order};
 use nutmegyoke_core::process::{Clock, Endpoint, Member, Report};
 use nutmegyoke_core::request::Submission;
+use nutmegyoke_wire::connection::link::{milliseconds, text};
 use nutmegyoke_wire::connection::link_capnp::{agent, answer};
 use nutmegyoke_wire::process::{Announcement, Settings};
 use nutmegyoke_wire::request::{Payload, id, submission, verdict};
@@ -36,6 +38,13 @@
 /// The longest announcement of an endpoint, in bytes.
 const ANNOUNCEMENT_BYTES: usize = 256 * 1024;
 
+/// How long it takes until each entry has heard of a change: its own heartbeat
+/// and the agent's.
+const ANNOUNCED: Duration = Duration::from_millis(2500);
+
+/// How long the last verdicts take to the entries' connections.
+const FLUSHED: Duration = Duration::from_millis(200);
+
 /// A running agent.
 pub struct Agent<C: Clock + 'static> {
     driver: Rc<Driver<decision::Agent, C>>,
@@ -121,7 +130,29 @@
     pub async fn drain(&self) {
         self.driver.feed(Input::Drained);
         self.hurry();
-        super::drained(|| self.driver.machine().in_flight()).await;
+        super::drained(|| self.in_flight()).await;
+    }
+
+    /// As [`Agent::drain`], and waits until every entry knows that this agent
+    /// leaves and has the verdicts of its requests.
+    ///
+    /// An entry that submitted to a process which is gone could not tell whether
+    /// the request ran.
+    pub async fn leave(&self) {
+        let announced = compio::time::sleep(ANNOUNCED);
+        futures_util::join!(self.drain(), announced);
+        loop {
+            compio::time::sleep(FLUSHED).await;
+            if self.in_flight() == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Requests queued or running.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.driver.machine().in_flight()
     }
 
     fn hurry(&self) {
@@ -130,6 +161,29 @@
         }
     }
 
+    /// Withdraws an endpoint by an operator's order, or puts it back; all when
+    /// `name` is empty. Returns whether there is such an endpoint.
+    fn withdraw(&self, name: &str, withdrawn: bool) -> bool {
+        let endpoints = self.driver.machine().endpoints();
+        let chosen: Vec<_> = endpoints
+            .iter()
+            .filter(|endpoint| name.is_empty() || endpoint.name == name)
+            .collect();
+        for endpoint in &chosen {
+            self.driver.feed(Input::Withdrawn {
+                endpoint: &endpoint.name,
+                withdrawn,
+            });
+            Event::Withdrawn {
+                name: &endpoint.name,
+                withdrawn,
+            }
+            .log();
+        }
+        self.hurry();
+        !chosen.is_empty()
+    }
+
     /// Takes an endpoint's announcement in; it renews it every second.
     fn announce(&self, body: &[u8]) -> Result<(), String> {
         let announcement = Announcement::decode(body).map_err(|error| error.to_string())?;
@@ -191,17 +245,21 @@
         self.agent.driver.feed(Input::Submitted {
             call: self.mailbox.number(),
             submission: &submission,
+            bytes: payload.body.len(),
         });
         match self.mailbox.next().await {
             Some(Command::Start { address, .. }) => {
                 Ok(self.call(address, &submission, &payload, &answer).await)
             }
-            Some(Command::Refuse { reason, .. }) => {
+            Some(Command::Refuse { reason, after, .. }) => {
                 self.agent.metrics.refused(reason);
+                let request = Some(submission.id);
+                Event::Refused { request, reason }.log();
                 Ok(Outcome {
                     verdict: Command::verdict(reason),
                     chunks: 0,
                     record: None,
+                    after,
                 })
             }
             None => Err(capnp::Error::failed("the agent is gone".to_owned())),
@@ -220,7 +278,10 @@
     ) -> Outcome {
         let agent = &self.agent;
         let keep = submission.keyed;
-        let mut outcome = call::run(&agent.client, address, payload, answer, keep).await;
+        let call = self.mailbox.number();
+        let answered = || agent.driver.feed(Input::Answered { call });
+        let run = call::run(&agent.client, address, payload, answer, keep, answered);
+        let mut outcome = run.await;
         if let Some(record) = outcome.record.take() {
             let now = agent.driver.clock().now();
             agent.kept.borrow_mut().insert(now, submission.id, record);
@@ -256,6 +317,7 @@
         let outcome = ticket.run(&params).await?;
         let mut results = results.get();
         results.set_chunks(outcome.chunks);
+        results.set_retry_after_ms(milliseconds(outcome.after));
         verdict::write(outcome.verdict, results.init_verdict());
         Ok(())
     }
@@ -277,6 +339,19 @@
         }
         Ok(())
     }
+
+    async fn withdraw(
+        self: Rc<Self>,
+        params: agent::WithdrawParams,
+        mut results: agent::WithdrawResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let known = self
+            .agent
+            .withdraw(text(params.get_endpoint())?, params.get_withdrawn());
+        results.get().set_known(known);
+        Ok(())
+    }
 }
 
 impl<C: Clock + 'static> Serve for Agent<C> {
@@ -340,6 +415,8 @@
 
 impl<C: Clock + 'static> operators::Role for Agent<C> {
     fn metrics(&self) -> &Metrics {
+        let machine = self.driver.machine();
+        self.metrics.load.set(machine.in_flight(), machine.queued());
         &self.metrics
     }
 
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -23,10 +23,10 @@
 use super::driver::Addressed;
 use super::heartbeat::{Heartbeat, Learner};
 use super::operators::{self, Operators};
-use super::{Driver, Event, Failure, Metrics};
+use super::{Driver, Failure, Metrics};
 use crate::connection::http::{self, Handler};
 use crate::connection::listener::Serve;
-use crate::connection::{Listener, Pool};
+use crate::connection::{Latch, Listener, Pool};
 use crate::request::{Body, Registrar, caller};
 
 /// A running entry.
@@ -39,6 +39,7 @@
     member: Member,
     heartbeat: OnceCell<Heartbeat>,
     listeners: OnceCell<[Listener; 2]>,
+    closing: Latch,
 }
 
 impl Addressed for Command {
@@ -81,6 +82,7 @@
             member,
             heartbeat: OnceCell::new(),
             listeners: OnceCell::new(),
+            closing: Latch::default(),
         });
         let callers = Listener::bind(own.callers, "callers", Rc::clone(&entry)).await?;
         let operators = Operators::open(&entry);
@@ -139,13 +141,25 @@
         }
     }
 
-    /// Takes nothing new and waits until nothing is in flight.
+    /// Requests in flight, ends of claimed ones still to be told, and
+    /// connections whose last answer is not sent yet.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        let callers = self.listeners.get().map(|[callers, _]| callers);
+        let connections = callers.map_or(0, Listener::connections);
+        let requests = self.driver.machine().in_flight().max(connections);
+        requests + self.registrar.pending()
+    }
+
+    /// Takes nothing new, closes connections after the answer in progress and
+    /// waits until nothing is in flight.
     pub async fn drain(&self) {
         self.driver.feed(Input::Drained);
         if let Some([callers, _]) = self.listeners.get() {
             callers.close();
         }
-        super::drained(|| self.driver.machine().in_flight() + self.registrar.pending()).await;
+        self.closing.open();
+        super::drained(|| self.in_flight()).await;
     }
 }
 
@@ -191,6 +205,10 @@
     fn closing(&self) -> bool {
         !self.driver.machine().ready()
     }
+
+    fn closed(&self) -> impl Future<Output = ()> {
+        self.closing.opened()
+    }
 }
 
 impl<C: Clock + 'static> Learner for Entry<C> {
@@ -216,6 +234,7 @@
 
 impl<C: Clock + 'static> operators::Role for Entry<C> {
     fn metrics(&self) -> &Metrics {
+        self.metrics.load.set(self.driver.machine().in_flight(), 0);
         &self.metrics
     }
 
@@ -227,9 +246,3 @@
         None
     }
 }
-
-impl<C: Clock + 'static> Drop for Entry<C> {
-    fn drop(&mut self) {
-        Event::Stopped.log();
-    }
-}
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the process: roles, their driver, logs and metrics.
 
 pub mod agent;
+pub mod attainment;
 pub mod control;
 pub mod driver;
 pub mod engine;
@@ -9,12 +10,15 @@
 pub mod failure;
 pub mod heartbeat;
 pub mod kept;
+pub mod load;
 pub mod memory;
 pub mod metrics;
 pub mod operators;
 pub mod reporter;
 pub mod scheduling;
+pub mod shutdown;
 pub mod signal;
+pub mod withdrawal;
 
 pub use agent::Agent;
 pub use control::Control;
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -11,8 +11,10 @@
 pub mod report;
 pub mod settings;
 pub mod status;
+pub mod withdrawal;
 
 pub use announcement::Announcement;
 pub use planner::Planner;
 pub use settings::Settings;
 pub use status::Status;
+pub use withdrawal::Withdrawal;
--- /dev/null
+++ b/tests/reasons.rs
@@ -0,0 +1,19 @@
+//! One name for each reason, in JSON errors as in metrics and logs.
+
+use std::str::FromStr;
+
+use nutmegyoke_core::request::{Reason, Verdict};
+use nutmegyoke_wire::request::Failure;
+use strum::IntoEnumIterator;
+
+#[test]
+fn names_are_the_same_everywhere() {
+    for reason in Reason::iter() {
+        assert_eq!(Reason::from_str(reason.name()), Ok(reason));
+        let serialised = serde_json::to_value(reason).unwrap();
+        assert_eq!(serialised, reason.name());
+        let failure = Failure::new(Verdict::NotRun { reason }, "");
+        let error: serde_json::Value = serde_json::from_slice(&failure.encode()).unwrap();
+        assert_eq!(error["error"]["code"], reason.name());
+    }
+}
