--- a/crates/nutmegyoke-core/src/process/control/planner/preview.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/preview.rs
@@ -20,13 +20,17 @@
     pub moves: Vec<Change>,
     /// The bytes of the items that find no place; 0 if the lists fit.
     pub shortfall: u64,
+    /// The bytes of one copy of every needed item.
+    pub needed: u64,
+    /// The bytes that the engines have for weights.
+    pub available: u64,
     /// The items that find no place.
     pub homeless: Vec<Weights>,
 }
 
 /// One move.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Change {
     /// The VM.
     pub vm: String,
@@ -73,10 +77,18 @@
     preview.homeless = lost.map(|item| needs[item].weights.clone()).collect();
     let lost = (0..needs.len()).filter(homeless);
     preview.shortfall = lost.map(|item| needs[item].bytes).sum();
+    preview.needed = needs.iter().map(|need| need.bytes).sum();
+    preview.available = planner.capacity();
     preview
 }
 
 impl Planner {
+    /// The bytes that the engines have for weights.
+    fn capacity(&self) -> u64 {
+        let reports = self.agents.values().flat_map(|agent| &agent.reports);
+        reports.map(|report| report.bytes).sum()
+    }
+
     /// Lets an order take effect in the reports.
     fn perform(&mut self, vm: &str, endpoint: &str, action: &Action) {
         let Some(agent) = self.agents.get_mut(vm) else {
--- a/crates/nutmegyoke-host/src/process/control.rs
+++ b/crates/nutmegyoke-host/src/process/control.rs
@@ -332,6 +332,10 @@
                 };
                 Some(withdrawal::take(request, &self.agents, member).await)
             }
+            (&Method::POST, "/v1/plan") => {
+                self.schedule();
+                Some(self.scheduling.take(request).await)
+            }
             (&Method::GET, "/v1/status") => Some(self.status()),
             _ => None,
         }
--- a/crates/nutmegyoke-host/src/process/scheduling.rs
+++ b/crates/nutmegyoke-host/src/process/scheduling.rs
@@ -2,6 +2,9 @@
 
 use std::rc::Rc;
 
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
 use nutmegyoke_core::process::control::Scheduler;
 use nutmegyoke_core::process::control::planner::scheduler::{Command, Event as Input};
 use nutmegyoke_core::process::control::planner::{Preview, Settings};
@@ -9,10 +12,19 @@
 use nutmegyoke_core::version::Configuration;
 use nutmegyoke_wire::connection::link::{length, text};
 use nutmegyoke_wire::connection::order_capnp::scheduler;
-use nutmegyoke_wire::process::{order, report};
+use nutmegyoke_wire::process::{order, preview, report};
+use nutmegyoke_wire::version::json;
 
 use super::Driver;
 use super::driver::Addressed;
+use super::operators::respond;
+use crate::request::Body;
+
+/// The longest lists, in bytes of JSON.
+const LISTS_BYTES: usize = 8 * 1024 * 1024;
+
+/// What a process says that can't plan.
+const FOLLOWER: &str = "this control process does not lead: ask another one";
 
 /// A running planner.
 pub struct Scheduling<C: Clock + 'static> {
@@ -50,6 +62,29 @@
         self.driver.machine().preview(now, configuration)
     }
 
+    /// Answers an operator who asks what lists would move.
+    pub async fn take(&self, request: Request<Incoming>) -> Response<Body> {
+        let body = Limited::new(request.into_body(), LISTS_BYTES);
+        let lists = match body.collect().await {
+            Ok(body) => json::decode(&body.to_bytes()).map_err(|error| error.to_string()),
+            Err(error) => Err(error.to_string()),
+        };
+        let opened =
+            lists.and_then(|lists| Configuration::open(lists).map_err(|fault| fault.to_string()));
+        let configuration = match opened {
+            Ok(configuration) => configuration,
+            Err(why) => return respond(StatusCode::BAD_REQUEST, "text/plain", why.into_bytes()),
+        };
+        match self.preview(&configuration) {
+            Some(found) => respond(StatusCode::OK, "application/json", preview::encode(&found)),
+            None => respond(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "text/plain",
+                FOLLOWER.into(),
+            ),
+        }
+    }
+
     /// Looks at the planner's state.
     #[must_use]
     pub fn machine(&self) -> std::cell::Ref<'_, Scheduler> {
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod news;
 pub mod order;
 pub mod planner;
+pub mod preview;
 pub mod report;
 pub mod settings;
 pub mod status;
--- a/src/bin/nutmegyoke/commands/mod.rs
+++ b/src/bin/nutmegyoke/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod drain;
+mod plan;
 mod status;
 
 use clap::Subcommand;
@@ -15,6 +16,7 @@
     Check(check::Check),
     Apply(apply::Apply),
     Drain(drain::Drain),
+    Plan(plan::Plan),
     Status(status::Status),
 }
 
@@ -25,6 +27,7 @@
             Self::Check(command) => command.run(),
             Self::Apply(command) => command.run(),
             Self::Drain(command) => command.run(),
+            Self::Plan(command) => command.run(),
             Self::Status(command) => command.run(),
         }
     }
--- /dev/null
+++ b/src/bin/nutmegyoke/commands/plan.rs
@@ -0,0 +1,80 @@
+//! `nutmegyoke plan`: shows what a new configuration would move.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Args;
+use nutmegyoke_core::process::control::planner::Preview;
+use nutmegyoke_host::version::lists;
+use nutmegyoke_wire::process::preview;
+use nutmegyoke_wire::version::json;
+
+use crate::operators::{self, Failure};
+
+/// Show what the two lists would move, and whether they fit; changes nothing.
+#[derive(Debug, Args)]
+pub struct Plan {
+    /// The operators' address of the control process that leads.
+    #[arg(long, value_name = "ADDR")]
+    control: SocketAddr,
+
+    /// The plans list.
+    #[arg(long, value_name = "FILE")]
+    plans: PathBuf,
+
+    /// The grants list.
+    #[arg(long, value_name = "FILE")]
+    grants: PathBuf,
+
+    /// Print the moves as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+impl Plan {
+    pub fn run(&self) -> Result<(), Failure> {
+        let lists = lists::read(0, &self.plans, &self.grants)?;
+        let answer = operators::post(self.control, "/v1/plan", json::encode(&lists))?;
+        if answer.status != 200 {
+            let why = String::from_utf8_lossy(&answer.body).into_owned();
+            return Err(Failure::Refused { why });
+        }
+        let preview = preview::decode(&answer.body).map_err(|source| Failure::Answer {
+            address: self.control,
+            source,
+        })?;
+        if self.json {
+            println!("{}", String::from_utf8_lossy(&answer.body));
+        } else {
+            print(&preview);
+        }
+        fits(&preview)
+    }
+}
+
+fn print(preview: &Preview) {
+    for change in &preview.moves {
+        println!("{}/{}: {}", change.vm, change.endpoint, change.action);
+    }
+    println!(
+        "{} moves; {} bytes needed, {} bytes on the engines",
+        preview.moves.len(),
+        preview.needed,
+        preview.available
+    );
+}
+
+fn fits(preview: &Preview) -> Result<(), Failure> {
+    if preview.homeless.is_empty() {
+        return Ok(());
+    }
+    let names = preview.homeless.iter().map(ToString::to_string);
+    let names: Vec<String> = names.collect();
+    let why = format!(
+        "the lists do not fit: {} bytes short, no place for {}; \
+         take items off the lists or add engines",
+        preview.shortfall,
+        names.join(", ")
+    );
+    Err(Failure::Refused { why })
+}
