--- a/crates/nutmegyoke-core/src/process/control/planner/balance.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/balance.rs
@@ -73,16 +73,20 @@
     heaviest.collect()
 }
 
-/// Adds a copy of a model whose engines have been overloaded for long enough.
+/// Adds one copy of a model whose engines have been overloaded for long enough.
 ///
-/// Returns whether it spent a move.
+/// Returns whether it spent a move; further copies may be wanted then.
 pub fn relieve(round: &mut Round<'_>, now: Instant, item: usize, settings: &Settings) -> bool {
-    let pending = round.fleet.coming(item).next().is_some() || round.claimed(item);
-    if pending || round.fleet.items[item].base.is_some() {
+    if round.fleet.items[item].base.is_some() {
         return false;
     }
     let copies = round.fleet.reachable(item).count();
-    let share = round.fleet.share(item, copies + 1);
+    let wanted = wanted(round, item, settings).max(copies + 1);
+    let claims = round.claims.iter().filter(|claim| claim.item == item);
+    if copies + round.fleet.coming(item).count() + claims.count() >= wanted {
+        return false;
+    }
+    let share = round.fleet.share(item, wanted);
     if share < settings.policy.gain * settings.engine_rate {
         return false;
     }
@@ -125,6 +129,17 @@
     false
 }
 
+/// The copies that keep an item's requests within the policy's lower bound.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a count of copies is small and positive"
+)]
+fn wanted(round: &Round<'_>, item: usize, settings: &Settings) -> usize {
+    let bound = settings.policy.low * settings.engine_rate;
+    (round.fleet.items[item].rate / bound).ceil() as usize
+}
+
 /// Whether an item's other copies can take its requests without being overloaded.
 fn idle(round: &Round<'_>, item: usize, settings: &Settings) -> bool {
     let fleet = &round.fleet;
--- a/crates/nutmegyoke-core/src/process/control/planner/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/mod.rs
@@ -39,6 +39,9 @@
 /// The time between two rounds while something is under way.
 const BUSY_PERIOD: Duration = Duration::from_millis(250);
 
+/// Moves for load that a round decides at most.
+const ELECTIVE: u32 = 64;
+
 /// How long a leader that follows another listens before it plans.
 pub const GRACE: Duration = Duration::from_secs(3);
 
@@ -129,6 +132,11 @@
         self.begins = now;
     }
 
+    /// Changes the weights from the next round on.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.settings.policy = policy;
+    }
+
     /// The term of the leader.
     #[must_use]
     pub fn term(&self) -> u64 {
@@ -352,6 +360,9 @@
             }
         }
         for claim in claims {
+            if round.fleet.state(claim.item, claim.engine).is_some() {
+                continue;
+            }
             let bytes = round.fleet.items[claim.item].bytes;
             let free = round.fleet.engines[claim.engine].free;
             if free < bytes || !round.load(claim.item, claim.engine, claim.elective) {
@@ -370,14 +381,20 @@
         self.budget = (self.budget + earned).min((hourly / 6.0).max(1.0));
         let hot = balance::hot(round, &self.settings);
         let weights = |item: &usize| round.fleet.items[*item].weights.clone();
-        let current: HashMap<Weights, usize> =
+        let current: BTreeMap<Weights, usize> =
             hot.iter().map(|item| (weights(item), *item)).collect();
         self.hot.retain(|weights, _| current.contains_key(weights));
+        let mut left = ELECTIVE;
         for (weights, item) in current {
             let since = *self.hot.entry(weights).or_insert(now);
             let lasted = now.saturating_duration_since(since) >= policy.hold;
-            if lasted && self.budget >= 1.0 && balance::relieve(round, now, item, &self.settings) {
+            while lasted
+                && left > 0
+                && self.budget >= 1.0
+                && balance::relieve(round, now, item, &self.settings)
+            {
                 self.budget -= 1.0;
+                left -= 1;
             }
         }
     }
--- a/crates/nutmegyoke-core/src/process/control/planner/reach.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/reach.rs
@@ -101,8 +101,11 @@
 #[must_use]
 pub fn candidates(round: &Round<'_>, item: usize) -> Vec<usize> {
     let fleet = &round.fleet;
+    let claims = round.claims.iter().filter(|claim| claim.item == item);
+    let claimed: Vec<usize> = claims.map(|claim| claim.engine).collect();
     (0..fleet.engines.len())
         .filter(|&engine| fleet.engines[engine].ready && fleet.state(item, engine).is_none())
+        .filter(|engine| !claimed.contains(engine))
         .collect()
 }
 
--- a/crates/nutmegyoke-core/tests/planner.rs
+++ b/crates/nutmegyoke-core/tests/planner.rs
@@ -9,7 +9,8 @@
 use nutmegyoke_core::process::agent::Memory;
 use nutmegyoke_core::process::agent::memory::Command as Step;
 use nutmegyoke_core::process::control::Planner;
-use nutmegyoke_core::process::control::planner::{Need, Settings};
+use nutmegyoke_core::process::control::planner::{Need, Preset, Settings};
+use nutmegyoke_core::process::endpoint::Target;
 use nutmegyoke_core::process::order::{Action, Order, Outcome, Stage, Stamp, Weights};
 use nutmegyoke_core::process::report::{Capacity, Content, Fencing, Inventory};
 use proptest::prelude::*;
@@ -283,7 +284,7 @@
     fn second(&mut self) {
         self.now += Duration::from_secs(1);
         let now = self.now;
-        for vm in 0..VMS {
+        for vm in 0..self.sites.len() {
             if !self.sites[vm].up {
                 continue;
             }
@@ -421,3 +422,80 @@
     }
     assert_eq!(world.planner.moves(), moves);
 }
+
+impl World {
+    /// Lets `requests` for model `a` begin and end on the first engine that serves it.
+    fn request(&mut self, requests: u64) {
+        let now = self.now;
+        let model = Weights::model("a", 0);
+        if let Some(site) = self.sites.iter_mut().find(|site| site.serves(&model)) {
+            let target = Target::Model {
+                model: "a",
+                adapter: None,
+            };
+            for call in 0..requests {
+                site.memory.begin(call, "engine", target);
+                site.memory.end(now, call, &mut Vec::new());
+            }
+        }
+    }
+
+    fn copies(&self, name: &str) -> usize {
+        let model = Weights::model(name, 0);
+        self.sites.iter().filter(|site| site.serves(&model)).count()
+    }
+}
+
+/// Whether `seconds` of 60 requests a second for one model move anything.
+fn overload(preset: Preset, seconds: usize, moves: bool) {
+    let mut world = World::open();
+    world.planner.set_policy(preset.into());
+    for _ in 0..CALM {
+        world.run(Happening::Second);
+    }
+    let before = world.planner.moves();
+    for _ in 0..seconds {
+        world.request(60);
+        world.run(Happening::Second);
+    }
+    for _ in 0..CALM {
+        world.run(Happening::Second);
+    }
+    assert_eq!(world.planner.moves() != before, moves);
+    assert_eq!(world.copies("a") > 2, moves);
+    assert_eq!(world.lost(), BTreeSet::new());
+}
+
+cases!(overload {
+    burst_of_a_minute: (Preset::AttainmentFirst, 60, false),
+    six_minutes: (Preset::AttainmentFirst, 360, true),
+    six_minutes_moves_first: (Preset::MovesFirst, 360, false),
+    half_an_hour_moves_first: (Preset::MovesFirst, 1800, true),
+});
+
+/// Three models that fit only after one has been moved: two engines of 100
+/// bytes hold 50 each, and 60 are wanted.
+#[test]
+fn sole_copy_is_moved_to_make_room() {
+    let mut world = World::open();
+    world.sites.truncate(2);
+    world.needs.clear();
+    for (vm, name) in ["p", "q"].into_iter().enumerate() {
+        let weights = Weights::model(name, 0);
+        world.sites[vm].contents.insert(weights.clone(), 50);
+        world.needs.push(Need {
+            weights,
+            bytes: 50,
+            base: None,
+        });
+    }
+    world.needs.push(Need {
+        weights: Weights::model("r", 0),
+        bytes: 60,
+        base: None,
+    });
+    for _ in 0..20 {
+        world.run(Happening::Second);
+    }
+    assert_eq!(world.lost(), BTreeSet::new());
+}
