--- a/crates/nutmegyoke-core/src/process/control/planner/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/mod.rs
@@ -132,6 +132,19 @@
         self.begins = now;
     }
 
+    /// The newest fence given.
+    #[must_use]
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Goes on from a fence that was given under the same term.
+    fn go_on(&mut self, fence: Fence) {
+        if fence.term == self.fence.term {
+            self.fence = fence;
+        }
+    }
+
     /// Changes the weights from the next round on.
     pub fn set_policy(&mut self, policy: Policy) {
         self.settings.policy = policy;
--- a/crates/nutmegyoke-core/src/process/control/planner/scheduler.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/scheduler.rs
@@ -18,6 +18,8 @@
     needs: Vec<Need>,
     configuration: u64,
     planner: Option<Planner>,
+    /// The newest fence given; a term that is led again goes on from it.
+    fence: Fence,
     /// When each VM's reports lapse.
     leases: BTreeMap<String, Instant>,
 }
@@ -66,6 +68,7 @@
             needs: Vec::new(),
             configuration: 0,
             planner: None,
+            fence: Fence::default(),
             leases: BTreeMap::new(),
         }
     }
@@ -101,7 +104,14 @@
             return;
         }
         self.leases.clear();
-        self.planner = term.map(|term| Planner::open(now, term, self.settings));
+        if let Some(planner) = &self.planner {
+            self.fence = planner.fence();
+        }
+        self.planner = term.map(|term| {
+            let mut planner = Planner::open(now, term, self.settings);
+            planner.go_on(self.fence);
+            planner
+        });
     }
 
     fn report<S>(
--- a/crates/nutmegyoke-core/src/process/entry/claiming.rs
+++ b/crates/nutmegyoke-core/src/process/entry/claiming.rs
@@ -55,6 +55,19 @@
                 };
                 self.close(number, request, verdict, out);
             }
+            Outcome::Expired => {
+                // An earlier request with the key may have run, and its claim be dropped.
+                let verdict = Verdict::MayHaveRun {
+                    reason: Reason::KeyExpired,
+                };
+                self.close(number, request, verdict, out);
+            }
+            Outcome::Full => {
+                let verdict = Verdict::NotRun {
+                    reason: Reason::ClaimsFull,
+                };
+                self.close(number, request, verdict, out);
+            }
         }
     }
 
--- a/crates/nutmegyoke-host/src/process/control.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -1,47 +1,61 @@
 //! The role that holds the configuration and the directory.
 
-use std::cell::OnceCell;
+mod ask;
+mod carrier;
+mod offer;
+
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, UNIX_EPOCH};
 
 use compio::net::TcpStream;
+use futures_channel::oneshot;
+use futures_util::future::OptionFuture;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use nutmegyoke_core::process as decision;
+use nutmegyoke_core::process::control::replica::{Id, Seed, Setup, Wish};
 use nutmegyoke_core::process::control::{Acceptance, Command, Event as Input};
 use nutmegyoke_core::process::member::Role;
-use nutmegyoke_core::process::news::News;
 use nutmegyoke_core::process::{Clock, Member};
-use nutmegyoke_core::request::claim;
 use nutmegyoke_core::version::Configuration;
-use nutmegyoke_wire::connection::link::text;
-use nutmegyoke_wire::connection::link_capnp::{agent, control};
-use nutmegyoke_wire::connection::order_capnp::scheduler;
-use nutmegyoke_wire::process::{Settings, Status, member, news};
-use nutmegyoke_wire::request as wire;
+use nutmegyoke_wire::connection::link_capnp::agent;
+use nutmegyoke_wire::connection::replica_capnp::replica;
+use nutmegyoke_wire::process::{Settings, Status, settings, status};
 use nutmegyoke_wire::version::json;
 use prometheus::Registry;
 
+use self::offer::Offer;
 use super::driver::Addressed;
+use super::journal::medium::Memory;
+use super::journal::{self, Folder, Journal, Medium};
 use super::operators::{self, Operators, respond};
 use super::{Driver, Event, Failure, Metrics, Scheduling, withdrawal};
 use crate::connection::listener::Serve;
 use crate::connection::{Latch, Listener, Pool, link};
 use crate::request::Body;
 
+/// How long the message that hands leadership over has to leave.
+const HAND_OVER: Duration = Duration::from_millis(100);
+
+/// How long the leader may take to tell its status.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The longest configuration, in bytes of JSON.
 const CONFIGURATION_BYTES: usize = 8 * 1024 * 1024;
 
-/// The term of a control process that no other can follow.
-const FIRST_TERM: Option<u64> = Some(1);
-
 /// A running control process.
 pub struct Control<C: Clock + 'static> {
     driver: Rc<Driver<decision::Control, C>>,
     scheduling: Scheduling<C>,
     metrics: Metrics,
     member: Member,
+    peers: Rc<Pool<replica::Client>>,
+    /// Calls that wait for the leader's answer.
+    pending: Cell<usize>,
+    failed: RefCell<Option<oneshot::Receiver<journal::Failure>>>,
     listeners: OnceCell<[Listener; 2]>,
     closing: Latch,
     agents: Rc<Pool<agent::Client>>,
@@ -53,7 +67,10 @@
             Self::Teach { call, .. }
             | Self::Judge { call, .. }
             | Self::Record { call }
-            | Self::Answer { call, .. } => Some(*call),
+            | Self::Answer { call, .. }
+            | Self::Grant { call }
+            | Self::Redirect { call } => Some(*call),
+            Self::Send { .. } | Self::Persist { .. } => None,
         }
     }
 }
@@ -63,23 +80,59 @@
     ///
     /// # Errors
     ///
-    /// An address can't be bound.
+    /// An address can't be bound, or the journal can't be opened.
     pub async fn spawn(
         settings: &Settings,
+        own: &settings::Control,
+        clock: C,
+        registry: &Registry,
+    ) -> Result<Rc<Self>, Failure>
+    where
+        C: Clone,
+    {
+        let Some(path) = &own.data else {
+            Event::Volatile.log();
+            return Self::start(settings, own, clock, registry, Memory).await;
+        };
+        let folder = Folder::open(path).map_err(|source| Failure::Journal { source })?;
+        Self::start(settings, own, clock, registry, folder).await
+    }
+
+    async fn start<M: Medium + 'static>(
+        settings: &Settings,
+        own: &settings::Control,
         clock: C,
         registry: &Registry,
+        medium: M,
     ) -> Result<Rc<Self>, Failure>
     where
         C: Clone,
     {
         let member = super::member(settings, &clock, Role::Control);
-        let machine = decision::Control::open(member.vm.run());
-        let (driver, _background) = Driver::spawn(machine, clock.clone());
+        let run = member.vm.run();
+        let opened = Journal::open(medium, Id(run)).await;
+        let (journal, recovered) = opened.map_err(|source| Failure::Journal { source })?;
+        let setup = Setup {
+            id: journal.id(),
+            seed: Seed {
+                name: settings.name.clone(),
+                address: settings.listen,
+            },
+            seeds: own.peers.clone(),
+            election: own.election,
+            random: run,
+        };
+        let machine = decision::Control::open(clock.now(), run, setup, recovered);
+        let (driver, background) = Driver::spawn(machine, clock.clone());
+        let (failing, failed) = oneshot::channel();
         let control = Rc::new(Self {
             driver,
             scheduling: Scheduling::spawn(settings.planner.settings(), clock),
             metrics: Metrics::open(registry, &member)?,
             member,
+            peers: Rc::default(),
+            pending: Cell::new(0),
+            failed: RefCell::new(Some(failed)),
             listeners: OnceCell::new(),
             closing: Latch::default(),
             agents: Rc::default(),
@@ -87,6 +140,9 @@
         let listener = Listener::bind(settings.listen, "listen", Rc::clone(&control)).await?;
         let operators = Operators::open(&control);
         let operators = Listener::bind(settings.operators, "operators", operators).await?;
+        let (driver, pool) = (Rc::clone(&control.driver), Rc::clone(&control.peers));
+        let carrier = carrier::run(driver, background, pool, journal, failing);
+        compio::runtime::spawn(carrier).detach();
         super::log_start(&control.member, listener.address(), operators.address());
         let _ = control.listeners.set([listener, operators]);
         Ok(control)
@@ -102,7 +158,8 @@
     /// Brings the planner up to date with the machine.
     fn schedule(&self) {
         let machine = self.driver.machine();
-        self.scheduling.update(FIRST_TERM, machine.configuration());
+        self.scheduling
+            .update(machine.leading(), machine.configuration());
     }
 
     /// Stops accepting connections.
@@ -112,80 +169,36 @@
         }
     }
 
-    /// Takes nothing new, and waits until the operators' requests are answered.
-    pub async fn drain(&self) {
-        self.close();
-        self.closing.open();
-        super::drained(|| self.in_flight()).await;
-    }
-
-    /// Connections of operators that are open.
-    #[must_use]
-    pub fn in_flight(&self) -> usize {
-        let operators = self.listeners.get().map(|[_, operators]| operators);
-        operators.map_or(0, Listener::connections)
-    }
-
     /// Submits a configuration.
     pub async fn apply(&self, configuration: &Rc<Configuration>) -> Option<Acceptance> {
-        let mut mailbox = self.driver.open();
-        self.driver.feed(Input::Applied {
-            call: mailbox.number(),
-            configuration,
-        });
-        match mailbox.next().await {
-            Some(Command::Answer { acceptance, .. }) => Some(acceptance),
-            _ => None,
-        }
+        self.ask(&ask::Apply(configuration)).await
     }
 
-    async fn exchange(&self, params: &control::ExchangeParams) -> capnp::Result<News> {
-        let params = params.get()?;
-        let member = member::read(params.get_member()?)?;
-        let known = news::read_known(params.get_known()?)?;
-        let mut mailbox = self.driver.open();
-        self.driver.feed(Input::Exchanged {
-            call: mailbox.number(),
-            member: &member,
-            known,
-        });
-        match mailbox.next().await {
-            Some(Command::Teach { news, .. }) => Ok(news),
-            _ => Err(gone()),
+    /// Waits until the disk fails.
+    pub async fn failed(&self) -> journal::Failure {
+        let failed = self.failed.borrow_mut().take();
+        if let Some(Ok(failure)) = OptionFuture::from(failed).await {
+            return failure;
         }
+        std::future::pending().await
     }
 
-    async fn claim(&self, params: &control::ClaimParams) -> capnp::Result<claim::Outcome> {
-        let params = params.get()?;
-        let name = wire::claim::read_name(params.get_name()?)?;
-        let mut mailbox = self.driver.open();
-        self.driver.feed(Input::Claimed {
-            call: mailbox.number(),
-            name: &name,
-            holder: wire::id::read(params.get_holder()?),
-            digest: params.get_digest(),
-        });
-        match mailbox.next().await {
-            Some(Command::Judge { outcome, .. }) => Ok(outcome),
-            _ => Err(gone()),
-        }
+    /// Hands leadership over, takes nothing new, and waits until what is in
+    /// flight has ended.
+    pub async fn drain(&self) {
+        self.driver.feed(Input::Resigned);
+        // The message that hands over has to leave first.
+        compio::time::sleep(HAND_OVER).await;
+        self.close();
+        self.closing.open();
+        super::drained(|| self.in_flight()).await;
     }
 
-    async fn conclude(&self, params: &control::ConcludeParams) -> capnp::Result<()> {
-        let params = params.get()?;
-        let name = wire::claim::read_name(params.get_name()?)?;
-        let mut mailbox = self.driver.open();
-        self.driver.feed(Input::Concluded {
-            call: mailbox.number(),
-            name: &name,
-            holder: wire::id::read(params.get_holder()?),
-            verdict: wire::verdict::read(params.get_verdict()?)?,
-            vm: text(params.get_vm())?,
-        });
-        match mailbox.next().await {
-            Some(Command::Record { .. }) => Ok(()),
-            _ => Err(gone()),
-        }
+    /// Connections of operators that are open, and calls that wait for the leader.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        let operators = self.listeners.get().map(|[_, operators]| operators);
+        self.pending.get() + operators.map_or(0, Listener::connections)
     }
 
     async fn take(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
@@ -213,7 +226,7 @@
 
     async fn answer_apply(&self, configuration: &Rc<Configuration>) -> Response<Body> {
         let Some(acceptance) = self.apply(configuration).await else {
-            let why = b"the control process is stopping\n".to_vec();
+            let why = b"no control replica leads; the outcome is unknown, send it again\n".to_vec();
             return respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", why);
         };
         let status = match acceptance {
@@ -235,70 +248,66 @@
         )
     }
 
-    fn status(&self) -> Response<Body> {
-        let machine = self.driver.machine();
-        let status = Status {
-            number: machine.configuration().number(),
-            digest: machine.configuration().digest(),
-            members: machine.directory().members().cloned().collect(),
-        };
-        respond(StatusCode::OK, "application/json", status.encode())
+    /// The status as the leader sees it, or as this process does if none answers.
+    async fn status(&self) -> Status {
+        let asked = compio::time::timeout(STATUS_TIMEOUT, async {
+            let leader = self.leader().await?;
+            let response = leader.status_request().send().promise.await.ok()?;
+            Status::decode(response.get().ok()?.get_json().ok()?).ok()
+        });
+        let told = asked.await.ok().flatten();
+        told.unwrap_or_else(|| self.own_status())
     }
-}
 
-fn gone() -> capnp::Error {
-    capnp::Error::failed("the control process is gone".to_owned())
-}
-
-/// The interface that other processes call; a type of its own because capnp owns it.
-struct Offer<C: Clock + 'static> {
-    control: Rc<Control<C>>,
-}
-
-impl<C: Clock + 'static> control::Server for Offer<C> {
-    async fn exchange(
-        self: Rc<Self>,
-        params: control::ExchangeParams,
-        mut results: control::ExchangeResults,
-    ) -> capnp::Result<()> {
-        let news = self.control.exchange(&params).await?;
-        news::write(&news, results.get().init_news());
-        Ok(())
+    /// Withdraws an endpoint or puts it back, by its agent.
+    async fn withdraw(&self, request: Request<Incoming>) -> Response<Body> {
+        let members = self.status().await.members;
+        let member = |name: &str| members.iter().find(|row| row.vm.name == name).cloned();
+        withdrawal::take(request, &self.agents, member).await
     }
 
-    async fn claim(
-        self: Rc<Self>,
-        params: control::ClaimParams,
-        mut results: control::ClaimResults,
-    ) -> capnp::Result<()> {
-        let outcome = self.control.claim(&params).await?;
-        wire::claim::write_outcome(&outcome, results.get().init_outcome());
-        Ok(())
+    fn own_status(&self) -> Status {
+        let machine = self.driver.machine();
+        let replica = machine.replica();
+        let last = replica.log().last().index;
+        let peers = replica.membership().peers.iter();
+        Status {
+            number: machine.configuration().number(),
+            digest: machine.configuration().digest(),
+            members: machine.directory().members().cloned().collect(),
+            leader: replica.leader().map(|peer| peer.seed.name.clone()),
+            term: replica.term(),
+            replicas: peers
+                .map(|peer| status::Replica {
+                    seed: peer.seed.clone(),
+                    id: peer.id,
+                    voter: peer.voter,
+                    lag: replica.matched(peer.id).map(|index| last - index.min(last)),
+                })
+                .collect(),
+        }
     }
 
-    async fn conclude(
-        self: Rc<Self>,
-        params: control::ConcludeParams,
-        _: control::ConcludeResults,
-    ) -> capnp::Result<()> {
-        self.control.conclude(&params).await
+    async fn change(&self, wish: Wish<'_>) -> Response<Body> {
+        if self.ask(&ask::Change(wish)).await.is_some() {
+            return respond(StatusCode::OK, "text/plain", b"done\n".to_vec());
+        }
+        let why = "not done: no replica leads, another change is under way, \
+                   or no voter would be left; look at `nutmegyoke status`, try again\n";
+        let why = why.as_bytes().to_vec();
+        respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", why)
     }
 }
 
-impl<C: Clock + 'static> scheduler::Server for Offer<C> {
-    async fn report(
-        self: Rc<Self>,
-        params: scheduler::ReportParams,
-        results: scheduler::ReportResults,
-    ) -> capnp::Result<()> {
-        self.control.schedule();
-        self.control.scheduling.report(&params, results).await
-    }
+/// Milliseconds since the Unix epoch.
+fn wall<C: Clock>(clock: &C) -> u64 {
+    let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
 impl<C: Clock + 'static> Serve for Control<C> {
     async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
-        let offer: control::Client = capnp_rpc::new_client(Offer { control: self });
+        let offer: replica::Client = capnp_rpc::new_client(Offer(self));
         if let Err(error) = link::serve(stream, offer.client).await {
             let why = error.to_string();
             Event::ConnectionFailed { peer, why: &why }.log();
@@ -315,7 +324,7 @@
     }
 
     fn ready(&self) -> bool {
-        true
+        self.driver.machine().replica().leader().is_some()
     }
 
     fn closed(&self) -> impl Future<Output = ()> {
@@ -325,18 +334,23 @@
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/configuration") => Some(self.take(request).await),
-            (&Method::POST, "/v1/withdrawal") => {
-                let member = |name: &str| {
-                    let machine = self.driver.machine();
-                    machine.directory().member(name).cloned()
-                };
-                Some(withdrawal::take(request, &self.agents, member).await)
-            }
+            (&Method::POST, "/v1/withdrawal") => Some(self.withdraw(request).await),
             (&Method::POST, "/v1/plan") => {
                 self.schedule();
                 Some(self.scheduling.take(request).await)
             }
-            (&Method::GET, "/v1/status") => Some(self.status()),
+            (&Method::GET, "/v1/status") => {
+                let status = self.status().await.encode();
+                Some(respond(StatusCode::OK, "application/json", status))
+            }
+            (&Method::PUT, path) => {
+                let name = path.strip_prefix("/v1/replicas/")?.to_owned();
+                Some(self.change(Wish::Add(&name)).await)
+            }
+            (&Method::DELETE, path) => {
+                let name = path.strip_prefix("/v1/replicas/")?.to_owned();
+                Some(self.change(Wish::Remove(&name)).await)
+            }
             _ => None,
         }
     }
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod failure;
 pub mod heartbeat;
+pub mod journal;
 pub mod kept;
 pub mod load;
 pub mod memory;
--- a/crates/nutmegyoke-wire/src/connection/mod.rs
+++ b/crates/nutmegyoke-wire/src/connection/mod.rs
@@ -21,3 +21,13 @@
 )]
 #[rustfmt::skip]
 pub mod order_capnp;
+/// Generated from `schema/replica.capnp`.
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    missing_docs,
+    unused_qualifications,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+pub mod replica_capnp;
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -9,6 +9,8 @@
 pub mod order;
 pub mod planner;
 pub mod preview;
+pub mod record;
+pub mod replica;
 pub mod report;
 pub mod settings;
 pub mod status;
--- a/crates/nutmegyoke-wire/tests/readers.rs
+++ b/crates/nutmegyoke-wire/tests/readers.rs
@@ -85,7 +85,8 @@
     let _ = root.get_root().and_then(verdict::read);
     let _ = root.get_root().and_then(member::read);
     let _ = root.get_root().and_then(directory::read);
-    let _ = root.get_root().and_then(news::read);
+    let base = std::rc::Rc::default();
+    let _ = root.get_root().and_then(|news| news::read(news, &base));
     let _ = root.get_root().and_then(news::read_known);
     let _ = root.get_root().and_then(claim::read_name);
     let _ = root.get_root().and_then(claim::read_outcome);
--- a/src/bin/nutmegyoke/commands/mod.rs
+++ b/src/bin/nutmegyoke/commands/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod drain;
 mod plan;
+mod replica;
 mod status;
 
 use clap::Subcommand;
@@ -17,6 +18,7 @@
     Apply(apply::Apply),
     Drain(drain::Drain),
     Plan(plan::Plan),
+    Replica(replica::Replica),
     Status(status::Status),
 }
 
@@ -28,6 +30,7 @@
             Self::Apply(command) => command.run(),
             Self::Drain(command) => command.run(),
             Self::Plan(command) => command.run(),
+            Self::Replica(command) => command.run(),
             Self::Status(command) => command.run(),
         }
     }
