--- a/crates/nutmegyoke-host/src/request/stream.rs
+++ b/crates/nutmegyoke-host/src/request/stream.rs
@@ -66,6 +66,7 @@
             Either::Right(_) => return count(ticket.entry(), Some(ticket.id()), LEFT),
         }
     };
+    ticket.reported(attempt.load());
     ticket.settle(verdict);
     if verdict != Verdict::Ran {
         count(ticket.entry(), Some(ticket.id()), verdict);
--- a/crates/nutmegyoke-host/tests/attempt.rs
+++ b/crates/nutmegyoke-host/tests/attempt.rs
@@ -189,6 +189,36 @@
         "0",
         1
     ),
+    chunk_late: (
+        &[
+            Act::Head,
+            Act::Chunk(0),
+            Act::Chunk(1),
+            Act::Chunk(0),
+            Act::End(RAN, 2)
+        ],
+        RAN,
+        "01",
+        1
+    ),
+    chunks_reordered: (
+        &[Act::Head, Act::Chunk(1), Act::Chunk(0), Act::End(RAN, 2)],
+        TRUNCATED,
+        "0",
+        1
+    ),
+    chunk_of_another_answer: (
+        &[
+            Act::Head,
+            Act::Chunk(0),
+            Act::Chunk(9),
+            Act::Chunk(1),
+            Act::End(RAN, 2)
+        ],
+        RAN,
+        "01",
+        1
+    ),
     lost_before_the_answer: (&[Act::Fail], LINK_LOST, "", 0),
     lost_in_the_answer: (&[Act::Head, Act::Chunk(0), Act::Fail], LINK_LOST, "0", 0),
     unknown_verdict: (&[Act::Head, Act::Babble], LINK_LOST, "", 0),
