--- a/crates/nutmegyoke-core/src/process/agent/mod.rs
+++ b/crates/nutmegyoke-core/src/process/agent/mod.rs
@@ -6,6 +6,8 @@
 pub mod backend;
 pub mod estimate;
 pub mod event;
+pub mod ledger;
+pub mod memory;
 pub mod queue;
 pub mod seen;
 
@@ -16,6 +18,8 @@
 
 use backend::{Backend, Outcome, Refusal};
 pub use event::{Command, Event};
+pub use ledger::Ledger;
+pub use memory::Memory;
 use queue::Item;
 use seen::Seen;
 
--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod claims;
 pub mod event;
 pub mod history;
+pub mod planner;
 pub mod replica;
 pub mod store;
 
@@ -16,6 +17,7 @@
 
 pub use event::{Acceptance, Command, Event};
 pub use history::{History, Lesson};
+pub use planner::{Planner, Scheduler};
 pub use store::Store;
 
 use self::replica::{Recovered, Replica, Setup};
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -32,7 +32,7 @@
 use super::journal::medium::Memory;
 use super::journal::{self, Folder, Journal, Medium};
 use super::operators::{self, Operators, respond};
-use super::{Driver, Event, Failure, Metrics, withdrawal};
+use super::{Driver, Event, Failure, Metrics, Scheduling, withdrawal};
 use crate::connection::listener::Serve;
 use crate::connection::{Latch, Listener, Pool, link};
 use crate::request::Body;
@@ -49,6 +49,7 @@
 /// A running control process.
 pub struct Control<C: Clock + 'static> {
     driver: Rc<Driver<decision::Control, C>>,
+    scheduling: Scheduling<C>,
     metrics: Metrics,
     member: Member,
     peers: Rc<Pool<replica::Client>>,
@@ -85,7 +86,10 @@
         own: &settings::Control,
         clock: C,
         registry: &Registry,
-    ) -> Result<Rc<Self>, Failure> {
+    ) -> Result<Rc<Self>, Failure>
+    where
+        C: Clone,
+    {
         let Some(path) = &own.data else {
             Event::Volatile.log();
             return Self::start(settings, own, clock, registry, Memory).await;
@@ -100,7 +104,10 @@
         clock: C,
         registry: &Registry,
         medium: M,
-    ) -> Result<Rc<Self>, Failure> {
+    ) -> Result<Rc<Self>, Failure>
+    where
+        C: Clone,
+    {
         let member = super::member(settings, &clock, Role::Control);
         let run = member.vm.run();
         let opened = Journal::open(medium, Id(run)).await;
@@ -116,10 +123,11 @@
             random: run,
         };
         let machine = decision::Control::open(clock.now(), run, setup, recovered);
-        let (driver, background) = Driver::spawn(machine, clock);
+        let (driver, background) = Driver::spawn(machine, clock.clone());
         let (failing, failed) = oneshot::channel();
         let control = Rc::new(Self {
             driver,
+            scheduling: Scheduling::spawn(settings.planner.settings(), clock),
             metrics: Metrics::open(registry, &member)?,
             member,
             peers: Rc::default(),
@@ -147,6 +155,13 @@
         Some(listener.address())
     }
 
+    /// Brings the planner up to date with the machine.
+    fn schedule(&self) {
+        let machine = self.driver.machine();
+        self.scheduling
+            .update(machine.leading(), machine.configuration());
+    }
+
     /// Stops accepting connections.
     pub fn close(&self) {
         for listener in self.listeners.get().into_iter().flatten() {
@@ -320,6 +335,10 @@
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/configuration") => Some(self.take(request).await),
             (&Method::POST, "/v1/withdrawal") => Some(self.withdraw(request).await),
+            (&Method::POST, "/v1/plan") => {
+                self.schedule();
+                Some(self.scheduling.take(request).await)
+            }
             (&Method::GET, "/v1/status") => {
                 let status = self.status().await.encode();
                 Some(respond(StatusCode::OK, "application/json", status))
--- a/crates/nutmegyoke-wire/src/process/settings.rs
+++ b/crates/nutmegyoke-wire/src/process/settings.rs
@@ -21,6 +21,7 @@
 use nutmegyoke_core::process::control::replica::Seed;
 use nutmegyoke_core::process::member::Role;
 
+use super::Planner;
 use super::ini::{Fault, File, Section};
 
 /// The longest request body that an entry takes unless set, in bytes.
@@ -52,6 +53,8 @@
     pub drain_limit: Option<Duration>,
     /// The settings of the role.
     pub own: Own,
+    /// The settings of the planner; defaults but for control.
+    pub planner: Planner,
 }
 
 /// What the process does, with the settings of that role.
@@ -130,6 +133,7 @@
                 .optional("drain-limit-s", "a number of seconds")?
                 .map(Duration::from_secs),
             own,
+            planner: planner(&file)?,
         };
         process.finish()?;
         check_sections(&file, role)?;
@@ -137,6 +141,11 @@
     }
 }
 
+fn planner(file: &File<'_>) -> Result<Planner, Fault> {
+    let section = file.sections().find(|section| section.name == "planner");
+    section.map_or(Ok(Planner::default()), Planner::read)
+}
+
 fn entry(section: Section<'_>) -> Result<Entry, Fault> {
     let entry = Entry {
         callers: section.required("callers", ADDRESS)?,
@@ -208,6 +217,7 @@
     let own = role.to_string();
     let unknown = file
         .sections()
+        .filter(|section| role != Role::Control || section.name != "planner")
         .find(|section| section.name != "process" && section.name != own);
     match unknown {
         Some(section) => Err(section.unknown(&format!("[process] and [{own}] for this role"))),
