--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -12,13 +12,20 @@
 
 use capnp::message::{Builder, HeapAllocator, ReaderOptions};
 use capnp::serialize;
-use nutmegyoke_core::process::control::replica::{Id, Recovered, Seed, Setup};
+use nutmegyoke_core::process::control::claims::{Claims, RETENTION, Wish};
+use nutmegyoke_core::process::control::replica::{
+    Body, Content, Id, Message, Position, Recovered, Seed, Setup, log,
+};
+use nutmegyoke_core::process::control::store::Change;
 use nutmegyoke_core::process::control::{Command as Reply, Event};
 use nutmegyoke_core::process::directory::Mark;
 use nutmegyoke_core::process::news::{Known, News};
 use nutmegyoke_core::process::{Control, Directory, Entry, Machine, entry};
+use nutmegyoke_core::request::{self, claim::Key};
+use nutmegyoke_core::version::Configuration;
+use nutmegyoke_core::version::diff::Diff;
 use nutmegyoke_wire::connection::link_capnp::control;
-use nutmegyoke_wire::process::{member, news};
+use nutmegyoke_wire::process::{member, news, replica};
 use support::caller::{Caller, Form};
 use support::fit::Fit;
 use support::fleet::Fleet;
@@ -30,6 +37,7 @@
 const VMS: [u32; 4] = [40, 85, 170, 340];
 const ENGINES: [u32; 4] = [0, 4, 8, 16];
 const MODELS: [u32; 3] = [130, 260, 520];
+const CLAIMS: [u32; 3] = [50_000, 100_000, 200_000];
 const TOKENS: [u32; 3] = [8, 32, 128];
 
 /// Requests for one point of the data path.
@@ -60,6 +68,8 @@
     change: Fit,
     snapshot: Fit,
     configuration: Fit,
+    diff: Fit,
+    claims: Fit,
     judge: Fit,
     learn: Fit,
     configure: Fit,
@@ -90,6 +100,18 @@
         configuration: Fit::measure("B5 configuration, by models", "bytes", &MODELS, |models| {
             size(encode(&configured(models)).len())
         }),
+        diff: Fit::measure(
+            "B7 configuration as a difference, by changed rows",
+            "bytes",
+            &[1, 4, 16],
+            |rows| size(encode(&difference(rows)).len()),
+        ),
+        claims: Fit::measure(
+            "B8 replication message, by claims",
+            "bytes",
+            &[1, 4, 16],
+            |claims| size(appended(claims).len()),
+        ),
         judge: Fit::measure("T1 heartbeat at control, by engines", "us", &ENGINES, judge),
         learn: Fit::measure(
             "T2 delta at an entry, by changed VMs",
@@ -227,6 +249,72 @@
     }
 }
 
+/// What a process learns when `rows` plans of the target's configuration changed.
+fn difference(rows: u32) -> News {
+    let old = target::configuration(1, target::MODELS);
+    let mut lists = old.lists().clone();
+    lists.number = 2;
+    for plan in lists.plans.iter_mut().take(rows as usize) {
+        plan.concurrency += 1;
+    }
+    let new = Configuration::open(lists).expect("valid lists");
+    News {
+        changes: vec![Rc::new(Diff::between(&old, &new))],
+        ..News::default()
+    }
+}
+
+fn wish(number: u32) -> Wish {
+    let unique = u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    Wish {
+        key: Key {
+            hash: [unique, !unique],
+            born: None,
+        },
+        holder: request::Id {
+            entry: 7,
+            number: u64::from(number),
+        },
+        digest: unique,
+        at: 1_800_000_000_000,
+    }
+}
+
+/// A leader's message to another replica with `count` claims.
+fn appended(count: u32) -> Vec<u8> {
+    let entry = |number: u32| log::Entry {
+        position: Position {
+            term: 3,
+            index: u64::from(number),
+        },
+        content: Content::Change(Change::Claim { wish: wish(number) }),
+    };
+    let body = Body::Append {
+        previous: Position::default(),
+        entries: (0..count).map(entry).collect(),
+        commit: 1,
+        stamp: 1,
+    };
+    let sent = Message {
+        from: Id(1),
+        reply: ([10, 0, 0, 1], 8480).into(),
+        to: Some(Id(2)),
+        term: 3,
+        body,
+    };
+    let mut message = Builder::new_default();
+    replica::write(&sent, message.init_root());
+    serialize::write_message_to_words(&message)
+}
+
+fn claims_of(count: u32) -> Claims {
+    let mut claims = Claims::default();
+    for number in 0..count {
+        claims.grant(wish(number));
+    }
+    claims
+}
+
 /// Control takes a heartbeat in and answers: decode, judge, encode.
 fn judge(engines: u32) -> f64 {
     let bytes = heartbeat(engines);
@@ -330,6 +418,7 @@
     entry: Fit,
     control: Fit,
     configuration: Fit,
+    claims: Fit,
 }
 
 fn state_slopes() -> State {
@@ -342,6 +431,7 @@
             &VMS,
             kib("control"),
         ),
+        claims: Fit::measure("M4 claims", "KiB", &CLAIMS, kib("claims")),
         configuration: Fit::measure(
             "M3 configuration, by models",
             "KiB",
@@ -365,6 +455,7 @@
     let before = support::memory("self");
     match name {
         "entry" => report(before, &entry_of(count)),
+        "claims" => report(before, &claims_of(count)),
         "control" => report(before, &control_of(count)),
         _ => report(before, &target::configuration(1, count)),
     }
@@ -457,9 +548,11 @@
         beat, control.answer
     );
     let lists = control.configuration.at(models);
-    let lists_rate = lists * target::CHANGES / target::DAY;
+    let diff = control.diff.at(1.0);
+    let lists_rate = diff * target::CHANGES / target::DAY;
     println!(
-        "S6 configuration = {lists:.0} bytes, at {} changes a day {lists_rate:.0} bytes/s to each process",
+        "S6 configuration = {lists:.0} bytes whole, {diff:.0} as a difference of one row; \
+         at {} changes a day {lists_rate:.1} bytes/s to each process",
         target::CHANGES
     );
     let per_vm = control.delta.slope;
@@ -483,7 +576,8 @@
         core(nodes * control.judge.at(each) + entries * control.judge.at(0.0))
     );
     println!(
-        "S10 leader, a configuration to all = {:.1} MB; over a day {:.0} bytes/s",
+        "S10 leader, a changed row to all = {:.2} MB, whole lists to all = {:.1} MB; over a day {:.0} bytes/s",
+        diff * beats / 1e6,
         lists * beats / 1e6,
         lists_rate * beats
     );
@@ -511,6 +605,17 @@
         state.control.at(nodes) / 1024.0,
         state.configuration.at(models) / 1024.0
     );
+    for share in [0.1, 0.5, 1.0] {
+        let rate = target::REQUESTS * share;
+        let held = rate * RETENTION.as_secs_f64();
+        // A grant and an end are two entries; batches make the base small.
+        println!(
+            "S16 {:.0}% of the requests keyed = {held:.0} claims in {:.0} MiB, {:.0} bytes/s to each other voter",
+            share * 100.0,
+            state.claims.at(held) / 1024.0,
+            2.0 * rate * control.claims.slope
+        );
+    }
     faults(control, entries, per_vm, each);
 }
 
