--- a/crates/nutmegyoke-host/src/request/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/attempt.rs
@@ -1,8 +1,6 @@
 //! One attempt at a request: submits it to an agent and takes the answer.
 
-use std::cell::Cell;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -18,11 +16,20 @@
 
 /// A submission in progress. Dropping it cancels the request at the agent.
 pub struct Attempt {
-    result: Option<Promise<(Verdict, u64), capnp::Error>>,
+    result: Option<Promise<End, capnp::Error>>,
     parts: mpsc::Receiver<Part>,
     received: u64,
-    end: Option<(Verdict, u64)>,
-    hint: Rc<Cell<Duration>>,
+    end: Option<End>,
+}
+
+/// What the agent told at the end.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    verdict: Verdict,
+    sent: u64,
+    load: Option<u32>,
+    /// When another try may succeed; zero while that is not known.
+    after: Duration,
 }
 
 /// What an attempt yields.
@@ -49,8 +56,6 @@
         payload.write(params.reborrow().init_payload());
         params.set_answer(answer);
         let sent = request.send();
-        let hint = Rc::new(Cell::new(Duration::ZERO));
-        let told = Rc::clone(&hint);
         let result = Promise::from_future(async move {
             let response = sent.promise.await?;
             let results = response.get()?;
@@ -58,14 +63,14 @@
                 // An empty message reads as the first verdict, which is that it ran.
                 return Err(capnp::Error::failed("no verdict".to_owned()));
             }
-            let verdict = verdict::read(results.get_verdict()?)?;
-            told.set(Duration::from_millis(results.get_retry_after_ms()));
-            Ok((verdict, results.get_chunks()))
+            Ok(End {
+                verdict: verdict::read(results.get_verdict()?)?,
+                sent: results.get_chunks(),
+                load: Some(results.get_load()),
+                after: Duration::from_millis(results.get_retry_after_ms()),
+            })
         });
-        Self {
-            hint,
-            ..Self::open(result, parts)
-        }
+        Self::open(result, parts)
     }
 
     /// Recalls the kept answer of request `id` from the agent behind `client`.
@@ -83,26 +88,29 @@
         let sent = request.send();
         let result = Promise::from_future(async move {
             let response = sent.promise.await?;
-            Ok((Verdict::Ran, response.get()?.get_chunks()))
+            Ok(End {
+                verdict: Verdict::Ran,
+                sent: response.get()?.get_chunks(),
+                load: None,
+                after: Duration::ZERO,
+            })
         });
         Self::open(result, parts)
     }
 
-    fn open(result: Promise<(Verdict, u64), capnp::Error>, parts: mpsc::Receiver<Part>) -> Self {
+    fn open(result: Promise<End, capnp::Error>, parts: mpsc::Receiver<Part>) -> Self {
         Self {
             result: Some(result),
             parts,
             received: 0,
             end: None,
-            hint: Rc::default(),
         }
     }
 
-    /// Where the agent's refusal leaves when another try may succeed; zero while
-    /// that is not known.
+    /// The agent's hint when another try may succeed; zero while that is not known.
     #[must_use]
-    pub fn hint(&self) -> Rc<Cell<Duration>> {
-        Rc::clone(&self.hint)
+    pub fn hint(&self) -> Duration {
+        self.end.map_or(Duration::ZERO, |end| end.after)
     }
 
     /// Waits for the next part or the end.
@@ -121,6 +129,12 @@
         }
     }
 
+    /// The requests queued and running at the endpoint when the attempt ended.
+    #[must_use]
+    pub fn load(&self) -> Option<u32> {
+        self.end?.load
+    }
+
     fn step(&mut self, part: Part) -> Step {
         if matches!(part, Part::Chunk { .. }) {
             self.received += 1;
@@ -131,10 +145,14 @@
     /// The agent's verdict, unless the answer lacks a part.
     fn verdict(&self) -> Verdict {
         match self.end {
-            Some((Verdict::Ran, sent)) if sent != self.received => Verdict::MayHaveRun {
+            Some(End {
+                verdict: Verdict::Ran,
+                sent,
+                ..
+            }) if sent != self.received => Verdict::MayHaveRun {
                 reason: Reason::Truncated,
             },
-            Some((verdict, _)) => verdict,
+            Some(End { verdict, .. }) => verdict,
             None => LOST,
         }
     }
@@ -151,7 +169,7 @@
             match Pin::new(result).poll(context) {
                 Poll::Pending => Poll::Pending,
                 Poll::Ready(result) => {
-                    self.end = Some(result.unwrap_or((LOST, 0)));
+                    self.end = Some(result.unwrap_or(NO_END));
                     self.result = None;
                     Poll::Ready(None)
                 }
@@ -165,3 +183,10 @@
 const LOST: Verdict = Verdict::MayHaveRun {
     reason: Reason::LinkLost,
 };
+
+const NO_END: End = End {
+    verdict: LOST,
+    sent: 0,
+    load: None,
+    after: Duration::ZERO,
+};
