Merge main: routing by index; the index follows only deltas that the copy takes

The entry's machine makes whole members of changed endpoints itself, so that its index of places sees members only and never a delta that the copy ignored.

--- a/crates/nutmegyoke-core/benches/route/fleet.rs
+++ b/crates/nutmegyoke-core/benches/route/fleet.rs
@@ -160,7 +160,7 @@
             },
             snapshot: true,
             members: vms.map(|vm| self.member(vm, held)).collect(),
-            gone: Vec::new(),
+            ..Delta::default()
         }
     }
 
--- a/crates/nutmegyoke-core/src/process/directory.rs
+++ b/crates/nutmegyoke-core/src/process/directory.rs
@@ -9,6 +9,7 @@
 //! configuration number alone is not. A loss counts at once; a member that was
 //! lost repeatedly comes back only after a pause, see [`Damping`].
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -244,17 +245,20 @@
     /// Makes whole members of the changed endpoints, with the help of this copy.
     ///
     /// Those who follow a delta then see members only.
-    pub fn expand(&self, delta: &mut Delta) {
-        if !self.follows(delta) {
-            return;
+    #[must_use]
+    pub fn expand<'a>(&self, delta: &'a Delta) -> Cow<'a, Delta> {
+        if delta.changes.is_empty() || !self.follows(delta) {
+            return Cow::Borrowed(delta);
         }
-        for change in std::mem::take(&mut delta.changes) {
+        let mut whole = delta.clone();
+        for change in whole.changes.drain(..) {
             if let Some(known) = self.member(&change.vm) {
                 let mut member = known.clone();
                 change.apply(&mut member);
-                delta.members.push(member);
+                whole.members.push(member);
             }
         }
+        Cow::Owned(whole)
     }
 
     fn follows(&self, delta: &Delta) -> bool {
--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -370,8 +370,10 @@
             self.budgets
                 .retain(|customer, _| plans.iter().any(|plan| plan.customer == *customer));
         }
-        self.directory.learn(&news.directory);
-        self.router.learn(&news.directory);
+        let delta = self.directory.expand(&news.directory);
+        if self.directory.learn(&delta) {
+            self.router.learn(&delta);
+        }
         self.entries = count(&self.directory);
     }
 
--- a/crates/nutmegyoke-core/tests/directory.rs
+++ b/crates/nutmegyoke-core/tests/directory.rs
@@ -129,12 +129,14 @@
                 Step::Arrive { copy, answer } => {
                     let Some(last) = answers[copy].len().checked_sub(1) else { continue };
                     let before = copies[copy].mark();
-                    let mut answer = answers[copy][answer.min(last)].clone();
+                    let answer = &answers[copy][answer.min(last)];
                     // As it travels, or made whole on the way.
                     if answer.mark.revision.is_multiple_of(2) {
-                        copies[copy].expand(&mut answer);
+                        let whole = copies[copy].expand(answer).into_owned();
+                        copies[copy].learn(&whole);
+                    } else {
+                        copies[copy].learn(answer);
                     }
-                    copies[copy].learn(&answer);
                     let after = copies[copy].mark();
                     prop_assert!(after.epoch != before.epoch || after.revision >= before.revision);
                 }
@@ -173,7 +175,7 @@
     let mut copy = Directory::default();
     copy.learn(&source.since(copy.mark()));
     source.renew(now, &member(1, 1, 3, 0));
-    let mut delta = source.since(copy.mark());
+    let delta = source.since(copy.mark());
     assert_eq!(delta.members, []);
     let names: Vec<&str> = delta.changes[0]
         .endpoints
@@ -181,7 +183,7 @@
         .map(|endpoint| endpoint.name.as_str())
         .collect();
     assert_eq!(names, ["b"]);
-    copy.expand(&mut delta);
+    let delta = copy.expand(&delta);
     assert_eq!(delta.members, listed(&source));
     assert!(delta.changes.is_empty());
 }
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -232,15 +232,7 @@
     }
 
     fn learn(&self, news: &News) {
-        if news.directory.changes.is_empty() {
-            self.driver.feed(Input::Taught { news });
-        } else {
-            let mut whole = news.clone();
-            let machine = self.driver.machine();
-            machine.directory().expand(&mut whole.directory);
-            drop(machine);
-            self.driver.feed(Input::Taught { news: &whole });
-        }
+        self.driver.feed(Input::Taught { news });
         super::log_configuration(&self.metrics, news);
     }
 }
