--- a/crates/nutmegyoke-core/src/process/control/claims.rs
+++ b/crates/nutmegyoke-core/src/process/control/claims.rs
@@ -75,12 +75,10 @@
         self.time
     }
 
-    /// The claims in the order of their grants.
-    pub fn rows(&self) -> impl Iterator<Item = (Key, &Row)> {
-        self.order.iter().filter_map(|&(at, key)| {
-            let row = self.rows.get(&key)?;
-            (row.at == at).then_some((key, row))
-        })
+    /// The claims in the order of their keys.
+    #[must_use]
+    pub fn rows(&self) -> impl ExactSizeIterator<Item = (Key, &Row)> {
+        self.rows.iter().map(|(key, row)| (*key, row))
     }
 
     /// Rebuilds the claims from [`Claims::time`] and [`Claims::rows`].
@@ -90,11 +88,15 @@
             time,
             ..Self::default()
         };
-        for (key, mut row) in rows {
+        let rows = rows.into_iter().map(|(key, mut row)| {
             row.vm = row.vm.map(|name| claims.intern(&name));
-            claims.order.push_back((row.at, key));
-            claims.rows.insert(key, row);
-        }
+            (key, row)
+        });
+        let rows: BTreeMap<Key, Row> = rows.collect();
+        let mut order: Vec<(u64, Key)> = rows.iter().map(|(key, row)| (row.at, *key)).collect();
+        order.sort_unstable();
+        claims.rows = rows;
+        claims.order = order.into();
         claims
     }
 
--- a/crates/nutmegyoke-core/src/process/control/history.rs
+++ b/crates/nutmegyoke-core/src/process/control/history.rs
@@ -14,6 +14,8 @@
 pub struct History {
     latest: Rc<Configuration>,
     changes: VecDeque<Rc<Diff>>,
+    /// The rows that all changes carry.
+    rows: usize,
 }
 
 /// What brings a process up to date.
@@ -34,6 +36,7 @@
         Self {
             latest: Rc::clone(latest),
             changes: VecDeque::new(),
+            rows: 0,
         }
     }
 
@@ -44,12 +47,31 @@
         }
         let diff = Diff::between(&self.latest, configuration);
         self.latest = Rc::clone(configuration);
+        self.rows += diff.rows();
         self.changes.push_back(Rc::new(diff));
-        if self.changes.len() > CHANGES {
-            self.changes.pop_front();
+        // Changes that carry as many rows as the whole save nothing.
+        let lists = self.latest.lists();
+        let whole = lists.plans.len() + lists.grants.len();
+        while self.changes.len() > CHANGES || self.rows >= whole {
+            let Some(first) = self.changes.pop_front() else {
+                return;
+            };
+            self.rows -= first.rows();
         }
     }
 
+    /// How many changes are kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.changes.len()
+    }
+
+    /// Whether no change is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+
     /// What a process lacks that has the configuration `number` in force.
     #[must_use]
     pub fn since(&self, number: u64) -> Lesson {
@@ -61,15 +83,9 @@
             return Lesson::Whole(Rc::clone(&self.latest));
         }
         let first = self.changes.iter().position(|diff| diff.from == number);
-        let changes = first.map(|first| self.changes.range(first..));
-        let lists = self.latest.lists();
-        let whole = lists.plans.len() + lists.grants.len();
-        match changes {
-            // Changes that carry as many rows as the whole save nothing.
-            Some(changes) if changes.clone().map(|diff| diff.rows()).sum::<usize>() < whole => {
-                Lesson::Changes(changes.cloned().collect())
-            }
-            _ => Lesson::Whole(Rc::clone(&self.latest)),
+        match first {
+            Some(first) => Lesson::Changes(self.changes.range(first..).cloned().collect()),
+            None => Lesson::Whole(Rc::clone(&self.latest)),
         }
     }
 }
--- a/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
@@ -5,8 +5,12 @@
 use super::log::{Content, Log};
 use super::{Body, Command, Id, Membership, Position, Replica, Sink, State};
 
-/// Entries kept behind a snapshot, so that a replica that is a little behind needs none.
-const TAIL: u64 = 1024;
+/// The most entries kept behind a snapshot, so that a replica that is a little
+/// behind needs none.
+const TAIL: usize = 1024;
+
+/// The size of these entries, in bytes, after which no earlier one is kept.
+const TAIL_BYTES: usize = 4 * 1024 * 1024;
 
 /// The smallest size of the log, in bytes, at which a snapshot replaces it.
 const LEAST_BYTES: usize = 4 * 1024 * 1024;
@@ -46,10 +50,25 @@
             membership: self.applied_membership.clone(),
             state: self.state.clone(),
         }));
-        self.log.compact(self.applied.saturating_sub(TAIL));
+        self.log.compact(self.tail() - 1);
         self.disk.rewrite(self.log.base().index + 1);
     }
 
+    /// The first entry that is kept behind a snapshot of what is applied.
+    fn tail(&self) -> u64 {
+        let mut bytes = 0;
+        let applied = self.log.from(0).rev();
+        let applied = applied.skip_while(|entry| entry.position.index > self.applied);
+        let kept = applied.take(TAIL).take_while(|entry| {
+            if let Content::Change(change) = &entry.content {
+                bytes += S::weight(change);
+            }
+            bytes <= TAIL_BYTES
+        });
+        let first = kept.last().map(|entry| entry.position.index);
+        first.unwrap_or(self.applied + 1)
+    }
+
     /// Replaces log and state by the leader's snapshot, unless they reach as far.
     pub(super) fn install(&mut self, snapshot: &Rc<Snapshot<S>>) {
         if snapshot.position.index <= self.commit {
--- a/crates/nutmegyoke-core/tests/diff.rs
+++ b/crates/nutmegyoke-core/tests/diff.rs
@@ -139,6 +139,16 @@
     let history = history(2000);
     assert!(matches!(history.since(1999), Lesson::Changes(_)));
     assert!(matches!(history.since(2), Lesson::Whole(_)));
+    // Of six rows, no more than two changes of two steps are worth keeping.
+    assert_eq!(history.len(), 2);
+}
+
+#[test]
+fn change_of_every_row_is_not_kept() {
+    let mut history = History::open(&configuration(1, &MODELS));
+    history.note(&configuration(2, &MODELS.map(|(name, _)| (name, 2))));
+    assert!(history.is_empty());
+    assert!(matches!(history.since(1), Lesson::Whole(_)));
 }
 
 fn models() -> impl Strategy<Value = Vec<(String, u64)>> {
--- a/crates/nutmegyoke-core/tests/replica.rs
+++ b/crates/nutmegyoke-core/tests/replica.rs
@@ -21,8 +21,8 @@
 use nutmegyoke_core::process::control::store::{Change, Outcome, Store};
 use nutmegyoke_core::request::Id;
 use nutmegyoke_core::request::claim::{self, Name};
-use nutmegyoke_core::version::Configuration;
 use nutmegyoke_core::version::configuration::Lists;
+use nutmegyoke_core::version::{Configuration, Plan};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use support::{Simulation, Weather};
@@ -558,6 +558,64 @@
     sent
 }
 
+/// A configuration of about 320 kB.
+fn large(number: u64) -> Rc<Configuration> {
+    const PLANS: u32 = 2_000;
+    let plan = |index: u32| Plan {
+        name: format!("plan-{index}"),
+        customer: "kayal".into(),
+        key: format!("key-{index}"),
+        requests_per_second: 1,
+        concurrency: 1,
+        tokens_per_minute: 1,
+        priority: 5,
+        first_token: Duration::from_secs(1),
+        between_tokens: Duration::from_secs(1),
+        deadline: Duration::from_secs(1),
+    };
+    let lists = Lists {
+        number,
+        plans: (0..PLANS).map(plan).collect(),
+        grants: Vec::new(),
+    };
+    Configuration::open(lists).unwrap()
+}
+
+/// The entries kept in memory are bounded by their size.
+#[test]
+fn large_entries_are_not_kept_behind_a_snapshot() {
+    let setup = Setup {
+        id: replica::Id(1),
+        seed: Seed {
+            name: "control-1".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+        },
+        seeds: Vec::new(),
+        election: support::ELECTION,
+        random: 1,
+    };
+    let mut now = Instant::now();
+    let mut replica: Replica<Store> = Replica::open(now, setup, Recovered::default());
+    while !replica.is_current() {
+        feed(&mut replica, now, Event::Ticked);
+        now = replica.deadline().unwrap();
+    }
+    for number in 1..=60 {
+        let change = Change::Configure {
+            configuration: large(number),
+        };
+        let event = Event::Proposed {
+            call: number,
+            change: &change,
+        };
+        feed(&mut replica, now, event);
+    }
+    assert_eq!(replica.state().configuration.number(), 60);
+    let held = replica.log().last().index - replica.log().base().index;
+    // 4 MiB behind the snapshot, and at most as much since.
+    assert!(held <= 2 * 14, "{held} entries are held");
+}
+
 fn from_second(term: u64, body: Body<Store>) -> Message<Store> {
     Message {
         from: replica::Id(2),
--- a/crates/nutmegyoke-wire/src/process/claims.rs
+++ b/crates/nutmegyoke-wire/src/process/claims.rs
@@ -36,7 +36,7 @@
     let list = builder.reborrow().init_reasons(length(reasons.len()));
     set_texts(list, reasons.iter().map(|reason| reason.name()));
     let mut vms = Vms::default();
-    let count = length(claims.rows().count());
+    let count = length(claims.len());
     let mut list = builder.reborrow().init_claims(count);
     for (index, (key, row)) in (0..).zip(claims.rows()) {
         let mut builder = list.reborrow().get(index);
--- a/crates/nutmegyoke-wire/tests/lists.rs
+++ b/crates/nutmegyoke-wire/tests/lists.rs
@@ -160,6 +160,12 @@
         GRANTS,
         "plan `tin` has the key of plan `gold`: give each plan its own key"
     ),
+    deadline_beyond_the_claims: (
+        &PLAN.replace("30000", "120001"),
+        GRANTS,
+        "plan `gold` has a longer deadline than 120000 ms, after which a request's key may be \
+         forgotten: shorten it"
+    ),
     unknown_plan: (
         PLAN,
         &GRANTS.replace("plans = gold", "plans = gold, lead"),
