--- a/crates/nutmegyoke-core/tests/network/bed.rs
+++ b/crates/nutmegyoke-core/tests/network/bed.rs
@@ -76,6 +76,8 @@
         News {
             configuration: Some(configuration(self.number)),
             directory: Delta {
+                base: 0,
+                changes: Vec::new(),
                 mark: Mark {
                     epoch: 1,
                     revision: self.revision,
