Soak of the real processes under load with agents killed and drained

Cause: the fault tables try one fault at a time; nothing showed that the promises hold when agents come and go under load.

Change: tests/soak.rs sends repeatable calls, bookings without a key and keyed bookings with resends through two entries to four agents, while agents are drained, or killed and drained, from a fixed seed. Every request is followed to its end, and the end is compared with the endpoints' own count of runs.

--- a/crates/nutmegyoke-standin/src/script.rs
+++ b/crates/nutmegyoke-standin/src/script.rs
@@ -4,9 +4,10 @@
 //! off wherever a row of a fault table wants it to.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -51,7 +52,9 @@
     holding: Holding,
     acts: RefCell<VecDeque<Act>>,
     runs: Cell<u64>,
+    bodies: RefCell<HashMap<String, u64>>,
     left: Cell<u64>,
+    pace: Cell<Duration>,
 }
 
 impl Script {
@@ -67,7 +70,9 @@
             holding,
             acts: RefCell::default(),
             runs: Cell::new(0),
+            bodies: RefCell::default(),
             left: Cell::new(0),
+            pace: Cell::default(),
         });
         let listener = Listener::bind(address, "script", Rc::clone(&script)).await?;
         script.address.set(listener.address());
@@ -83,12 +88,23 @@
         self.left.set(0);
     }
 
+    /// Sets the time to an answer that no act is set for.
+    pub fn set_pace(&self, pace: Duration) {
+        self.pace.set(pace);
+    }
+
     /// Requests begun since the script was set.
     #[must_use]
     pub fn runs(&self) -> u64 {
         self.runs.get()
     }
 
+    /// Requests begun with this body since the endpoint was bound.
+    #[must_use]
+    pub fn runs_of(&self, body: &str) -> u64 {
+        self.bodies.borrow().get(body).copied().unwrap_or(0)
+    }
+
     /// Stalled requests whose connection the agent closed.
     #[must_use]
     pub fn left(&self) -> u64 {
@@ -97,11 +113,12 @@
 
     async fn converse(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut buffer = Vec::new();
-        while take_request(&mut stream, &mut buffer).await? {
+        while let Some(body) = take_request(&mut stream, &mut buffer).await? {
+            *self.bodies.borrow_mut().entry(body).or_default() += 1;
             self.runs.set(self.runs.get() + 1);
             let act = self.acts.borrow_mut().pop_front();
             let act = act.unwrap_or(Act::Answer {
-                after: Duration::ZERO,
+                after: self.pace.get(),
             });
             if !self.perform(&mut stream, act).await? {
                 return Ok(());
@@ -164,32 +181,33 @@
     stream.write_all(text.into_bytes()).await.0
 }
 
-/// Reads one request off the connection; returns false when it was closed.
-async fn take_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<bool> {
+/// Reads one request off the connection and returns its body; `None` when it was closed.
+async fn take_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<String>> {
     loop {
-        if let Some(length) = request_length(buffer) {
-            buffer.drain(..length);
-            return Ok(true);
+        if let Some(bounds) = request_bounds(buffer) {
+            let body = String::from_utf8_lossy(&buffer[bounds.clone()]).into_owned();
+            buffer.drain(..bounds.end);
+            return Ok(Some(body));
         }
         let (read, bytes) = stream.read(Vec::with_capacity(READ_BYTES)).await.into();
         if read? == 0 {
-            return Ok(false);
+            return Ok(None);
         }
         buffer.extend_from_slice(&bytes);
     }
 }
 
-/// The length of the first request in `buffer`, if it is there in whole.
-fn request_length(buffer: &[u8]) -> Option<usize> {
-    let end = buffer.windows(4).position(|four| four == b"\r\n\r\n")? + 4;
-    let head = std::str::from_utf8(&buffer[..end]).ok()?;
+/// Where the body of the first request in `buffer` is, if it is there in whole.
+fn request_bounds(buffer: &[u8]) -> Option<Range<usize>> {
+    let begin = buffer.windows(4).position(|four| four == b"\r\n\r\n")? + 4;
+    let head = std::str::from_utf8(&buffer[..begin]).ok()?;
     let length = head.lines().find_map(|line| {
         let (name, value) = line.split_once(':')?;
         let named = name.eq_ignore_ascii_case("content-length");
         named.then(|| value.trim().parse().ok()).flatten()
     });
-    let whole = end + length.unwrap_or(0);
-    (buffer.len() >= whole).then_some(whole)
+    let end = begin + length.unwrap_or(0);
+    (buffer.len() >= end).then_some(begin..end)
 }
 
 impl Announcer for Script {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -10,8 +10,6 @@
 /// A fleet with its settings in a temporary folder.
 pub struct Fleet {
     folder: TempDir,
-    /// Where the other processes reach the control process.
-    pub link: SocketAddr,
     /// Where callers reach the entry.
     pub callers: SocketAddr,
     /// Where operators reach the control process.
@@ -48,7 +46,6 @@
         let entry = spawn(&folder, "entry", &text);
         Self {
             folder,
-            link: control,
             callers,
             operators,
             announce,
@@ -103,26 +100,28 @@
         command.output().unwrap()
     }
 
-    /// Spawns one more agent, called `name`; returns it and where endpoints announce themselves.
-    pub fn spawn_agent(&self, name: &str) -> (Daemon, SocketAddr) {
-        let (announce, listen) = (free_address(), free_address());
-        let text = format!(
-            "[process]\nrole = agent\nname = {name}\ndata-centre = alp-a\n\
-             operators = {announce}\nlisten = {listen}\ncontrol = {}\n",
-            self.link
-        );
-        (spawn(&self.folder, name, &text), announce)
-    }
-
-    /// Spawns one more entry, called `name`; returns it and where callers reach it.
-    pub fn spawn_entry(&self, name: &str) -> (Daemon, SocketAddr) {
+    /// Spawns one more entry, called `name`.
+    pub fn spawn_entry(&self, name: &str) -> Entrance {
         let (operators, callers) = (free_address(), free_address());
         let text = format!(
             "[process]\nrole = entry\nname = {name}\ndata-centre = alp-a\n\
              operators = {operators}\ncontrol = {}\n[entry]\ncallers = {callers}\n",
-            self.link
+            self.control_listen
         );
-        (spawn(&self.folder, name, &text), callers)
+        Entrance {
+            daemon: spawn(&self.folder, name, &text),
+            callers,
+            operators,
+        }
+    }
+
+    /// Starts a process again with the settings that it had under `name`.
+    pub fn restart(folder: &std::path::Path, name: &str) -> Daemon {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegyoked"));
+        command
+            .arg("--settings")
+            .arg(folder.join(format!("{name}.ini")));
+        Daemon::spawn(command, "NY0100")
     }
 
     /// The folder of the settings files.
@@ -131,6 +130,16 @@
     }
 }
 
+/// An entry.
+pub struct Entrance {
+    /// The process.
+    pub daemon: Daemon,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+}
+
 /// An agent without control.
 pub struct Lone {
     _folder: TempDir,
--- a/tests/support/pair.rs
+++ b/tests/support/pair.rs
@@ -8,7 +8,7 @@
 use nutmegyoke_standin::{Script, announcer};
 
 use super::Daemon;
-use super::fleet::Fleet;
+use super::fleet::{Entrance, Fleet};
 
 /// Tries before a fleet counts as not serving, a period apart.
 const TRIES: usize = 200;
@@ -17,7 +17,8 @@
 /// The plan's deadline.
 pub const DEADLINE: Duration = Duration::from_secs(2);
 
-const PLANS: &str = "[plan demo]
+/// A plan with a short deadline and wide limits.
+pub const PLANS: &str = "[plan demo]
 customer = demo
 key = demo-key
 requests-per-second = 2000
@@ -29,7 +30,8 @@
 deadline-ms = 2000
 ";
 
-const GRANTS: &str = "[model price-ml]
+/// A model and a service for that plan.
+pub const GRANTS: &str = "[model price-ml]
 memory-mb = 7000
 plans = demo
 
@@ -85,14 +87,16 @@
     pub async fn spawn(kind: Kind) -> Self {
         let fleet = Fleet::spawn();
         assert!(fleet.apply_lists(1, PLANS, GRANTS).status.success());
-        let (agent, announce) = fleet.spawn_agent("agent-2");
-        let (entry, callers) = fleet.spawn_entry("entry-2");
+        let (agent, announce) = fleet.add_agent("agent-2", "");
+        let Entrance {
+            daemon, callers, ..
+        } = fleet.spawn_entry("entry-2");
         let first = bind(&kind, fleet.announce).await;
         let second = bind(&kind, announce).await;
         let pair = Self {
             callers: [fleet.callers, callers],
             fleet,
-            entry,
+            entry: daemon,
             agent,
             scripts: [first, second],
         };
