--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -85,6 +85,10 @@
     Unclaimed,
     /// The idempotency key was used with another body.
     KeyReused,
+    /// The idempotency key carries a time that claims are not kept for.
+    KeyExpired,
+    /// Control holds as many claims as it may.
+    ClaimsFull,
     /// Another request with the key is still running.
     StillRunning,
     /// The entry that ran a request with the key is lost.
--- a/crates/nutmegyoke-core/tests/network/bed.rs
+++ b/crates/nutmegyoke-core/tests/network/bed.rs
@@ -84,6 +84,7 @@
                 members: (0..AGENTS).map(|agent| self.member(agent)).collect(),
                 gone: Vec::new(),
             },
+            ..News::default()
         }
     }
 
--- a/src/bin/nutmegyoked/run.rs
+++ b/src/bin/nutmegyoked/run.rs
@@ -4,6 +4,8 @@
 use std::path::{Path, PathBuf};
 
 use derive_more::{Display, Error, From};
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
 use nutmegyoke_core::process::clock::System;
 use nutmegyoke_host::process::shutdown::{self, Stop};
 use nutmegyoke_host::process::{self, Agent, Control, Entry};
@@ -68,9 +70,15 @@
             let agent = Agent::spawn(&settings, System, &registry).await?;
             finish(shutdown::run(limit, || agent.in_flight(), agent.leave()).await?)
         }
-        Own::Control => {
-            let control = Control::spawn(&settings, System, &registry).await?;
-            finish(shutdown::run(limit, || control.in_flight(), control.drain()).await?)
+        Own::Control(own) => {
+            let control = Control::spawn(&settings, own, System, &registry).await?;
+            let stopping = shutdown::run(limit, || control.in_flight(), control.drain());
+            let failed = control.failed();
+            pin_mut!(stopping, failed);
+            match select(stopping, failed).await {
+                Either::Left((stopped, _)) => finish(stopped?),
+                Either::Right((source, _)) => Err(process::Failure::Journal { source }.into()),
+            }
         }
     }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod fleet;
 pub mod pair;
+pub mod replicas;
 
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
