--- a/crates/nutmegyoke-core/src/version/configuration.rs
+++ b/crates/nutmegyoke-core/src/version/configuration.rs
@@ -10,12 +10,13 @@
 use super::grant::Item;
 use super::{Adapter, Grant, Plan};
 use crate::request::arrival::Destination;
+use crate::request::claim::RETENTION;
 
 /// An accepted configuration, indexed for the request path.
 ///
 /// Values of this type are immutable and shared by reference; a newer version
 /// replaces the whole value.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Configuration {
     lists: Lists,
     digest: u64,
@@ -46,6 +47,13 @@
     /// Two plans share a bearer key.
     #[display("plan `{name}` has the key of plan `{other}`: give each plan its own key")]
     DuplicateKey { name: String, other: String },
+    /// A plan lets a request run for longer than claims are known.
+    #[display(
+        "plan `{name}` has a longer deadline than {} ms, after which a request's key may be \
+         forgotten: shorten it",
+        RETENTION.as_millis()
+    )]
+    LongDeadline { name: String },
     /// Two items of a kind share a name.
     #[display("item `{name}` is listed twice: rename or remove one")]
     DuplicateItem { name: String },
@@ -59,6 +67,21 @@
     UnknownModel { adapter: String, model: String },
 }
 
+impl Default for Configuration {
+    /// No configuration: two empty lists under the number 0, with their digest.
+    fn default() -> Self {
+        let lists = Lists::default();
+        Self {
+            digest: digest(&lists),
+            lists,
+            plans: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            models: BTreeMap::new(),
+            services: BTreeMap::new(),
+        }
+    }
+}
+
 impl Configuration {
     /// Checks both lists whole and indexes them.
     ///
@@ -72,6 +95,11 @@
         };
         let mut names = BTreeMap::new();
         for (index, plan) in lists.plans.iter().enumerate() {
+            if plan.deadline > RETENTION {
+                return Err(Fault::LongDeadline {
+                    name: plan.name.clone(),
+                });
+            }
             if names.insert(plan.name.as_str(), index).is_some() {
                 return Err(Fault::DuplicatePlan {
                     name: plan.name.clone(),
--- a/crates/nutmegyoke-wire/schema/link.capnp
+++ b/crates/nutmegyoke-wire/schema/link.capnp
@@ -149,6 +149,11 @@
   grants @2 :List(Grant);
 }
 
+struct EndpointChange {
+  vm @0 :Text;
+  endpoints @1 :List(Endpoint);
+}
+
 # A step of an edited list: rows that stay, or a new row.
 struct PlanStep {
   start @0 :UInt32;
@@ -177,6 +182,8 @@
   snapshot @1 :Bool;
   members @2 :List(Member);
   gone @3 :List(Text);
+  base @4 :UInt64;
+  changes @5 :List(EndpointChange);
 }
 
 struct News {
