--- a/crates/nutmegyoke-core/benches/load/bed.rs
+++ b/crates/nutmegyoke-core/benches/load/bed.rs
@@ -1,51 +1,28 @@
 //! The event loop over virtual time, with the fakes at the machines' interfaces.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use nutmegyoke_core::process::agent::{self, Event as AgentEvent};
-use nutmegyoke_core::process::directory::{Delta, Mark};
-use nutmegyoke_core::process::endpoint::{Holding, Phase};
 use nutmegyoke_core::process::entry::{self, Event as EntryEvent};
-use nutmegyoke_core::process::member::Role;
-use nutmegyoke_core::process::news::News;
-use nutmegyoke_core::process::{Agent, Endpoint, Entry, Machine, Member, Vm};
+use nutmegyoke_core::process::{Agent, Entry, Machine};
 use nutmegyoke_core::request::arrival::Subject;
 use nutmegyoke_core::request::{Arrival, Reason, Submission, Verdict};
-use nutmegyoke_core::version::configuration::Lists;
-use nutmegyoke_core::version::grant::Item;
-use nutmegyoke_core::version::{Configuration, Grant, Plan};
 
 use crate::Policy;
-use crate::callers::{self, Call, Customer, PROMPT, TOKENS_ALLOWED, TOKENS_MEAN};
+use crate::callers::{self, Call, PROMPT, TOKENS_ALLOWED};
 use crate::fifo::Fifo;
+use crate::fleet::{
+    DEADLINE, ENGINES, FIRST, FIRST_TOKEN, SLOTS, TOKEN, address, capacity, endpoint, news,
+};
 use crate::report::Report;
 
-/// Engines, each behind an agent of its own.
-const ENGINES: u16 = 16;
-
-/// Requests that an engine runs at once.
-const SLOTS: u32 = 8;
-
-/// An engine's time to the first token, and to each further one.
-const FIRST: Duration = Duration::from_millis(200);
-const TOKEN: Duration = Duration::from_millis(20);
-
 /// From one process to another.
 const LINK: Duration = Duration::from_millis(1);
 
 /// The time between two announcements of an endpoint.
 const ANNOUNCED: Duration = Duration::from_secs(1);
 
-/// Expectations of both plans.
-const FIRST_TOKEN: Duration = Duration::from_secs(1);
-const DEADLINE: Duration = Duration::from_secs(10);
-
-/// The requests a second that the bursty customer's plan has, as a share of the
-/// capacity.
-const LIMIT: f64 = 0.6;
-
 const SEED: u64 = 20_261_204;
 
 /// What is due at a virtual time.
@@ -109,12 +86,6 @@
     report: Report,
 }
 
-/// Requests a second that the engines serve.
-fn capacity() -> f64 {
-    let whole = FIRST + TOKEN * (TOKENS_MEAN - 1);
-    f64::from(u32::from(ENGINES) * SLOTS) / whole.as_secs_f64()
-}
-
 impl Bed {
     pub fn open(policy: Policy) -> Self {
         let base = Instant::now();
@@ -387,86 +358,3 @@
         self.at(self.now + ANNOUNCED, Due::Announcements);
     }
 }
-
-/// The agent's number stands in the port.
-fn address(index: u16) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, index))
-}
-
-fn endpoint() -> Endpoint {
-    Endpoint {
-        name: "engine".to_owned(),
-        holding: Holding::Engine {
-            models: vec!["price".into()],
-            adapters: Vec::new(),
-        },
-        slots: SLOTS,
-        phase: Phase::Ready,
-    }
-}
-
-fn news(policy: Policy) -> News {
-    let members = (0..ENGINES).map(|index| Member {
-        vm: Vm {
-            name: format!("vm-{index}"),
-            incarnation: 1,
-        },
-        role: Role::Agent,
-        data_centre: "here".into(),
-        address: address(index),
-        endpoints: vec![endpoint()],
-        configuration: 1,
-    });
-    let plans = Customer::ALL.map(|customer| plan(customer, policy));
-    let grant = Grant {
-        plans: plans.iter().map(|plan| plan.name.clone()).collect(),
-        item: Item::Model {
-            name: "price".into(),
-            bytes: 1,
-        },
-    };
-    let lists = Lists {
-        number: 1,
-        plans: plans.into(),
-        grants: vec![grant],
-    };
-    News {
-        configuration: Configuration::open(lists).ok(),
-        directory: Delta {
-            mark: Mark {
-                epoch: 1,
-                revision: 1,
-            },
-            snapshot: true,
-            members: members.collect(),
-            gone: Vec::new(),
-        },
-        ..News::default()
-    }
-}
-
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a small positive rate"
-)]
-fn plan(customer: Customer, policy: Policy) -> Plan {
-    let limited = policy == Policy::Admission && customer == Customer::Bursty;
-    let rate = if limited {
-        (capacity() * LIMIT) as u32
-    } else {
-        u32::MAX
-    };
-    Plan {
-        name: customer.key().to_owned(),
-        customer: customer.key().into(),
-        key: customer.key().to_owned(),
-        requests_per_second: rate,
-        concurrency: u32::MAX,
-        tokens_per_minute: u64::MAX,
-        priority: 5,
-        first_token: FIRST_TOKEN,
-        between_tokens: Duration::from_millis(50),
-        deadline: DEADLINE,
-    }
-}
--- a/crates/nutmegyoke-core/benches/load/main.rs
+++ b/crates/nutmegyoke-core/benches/load/main.rs
@@ -10,6 +10,7 @@
 mod bed;
 mod callers;
 mod fifo;
+mod fleet;
 mod report;
 
 use std::time::Duration;
