--- a/crates/nutmegyoke-core/benches/load/fleet.rs
+++ b/crates/nutmegyoke-core/benches/load/fleet.rs
@@ -90,7 +90,7 @@
             },
             snapshot: true,
             members: members.collect(),
-            gone: Vec::new(),
+            ..Delta::default()
         },
         ..News::default()
     }
