--- a/crates/nutmegyoke-standin/src/engine/orders.rs
+++ b/crates/nutmegyoke-standin/src/engine/orders.rs
@@ -96,6 +96,10 @@
             return refuse(StatusCode::CONFLICT, "a newer order was seen");
         }
         compio::time::sleep(self.load).await;
+        // A newer stamp that came meanwhile ends the load.
+        if !self.memory.accepts(order.stamp, order.incarnation) {
+            return refuse(StatusCode::CONFLICT, "a newer order was seen");
+        }
         self.memory.perform(order.stamp, &order.action);
         let body = br#"{"outcome":"done"}"#.to_vec();
         respond(StatusCode::OK, "application/json", body)
