Move copies for sustained rates only

Cause: at the target size a one-minute burst moved 43 copies under attainment-first: a model that had been slightly overloaded for longer than the hold needed no further wait when its demand rose tenfold.

--- a/crates/nutmegyoke-core/src/process/control/planner/demand.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/demand.rs
@@ -1,6 +1,6 @@
 //! Requests a second by model or adapter, decayed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::process::report::{Demand, Report};
@@ -16,9 +16,14 @@
     /// Requests since the last update, by name.
     fresh: HashMap<String, u64>,
     rates: HashMap<String, f64>,
+    /// The lowest rates of late, by name; see [`Estimate::sustained`].
+    lows: HashMap<String, Lows>,
     updated: Option<Instant>,
 }
 
+/// The times at which a rate was lower than at any time since, in order.
+type Lows = VecDeque<(Instant, f64)>;
+
 impl Estimate {
     /// Takes the counters of one engine in; a counter that fell began anew.
     pub fn count(&mut self, vm: &str, report: &Report) {
@@ -38,8 +43,25 @@
         self.counters.retain(|(name, _), _| name != vm);
     }
 
-    /// Brings the rates up to date.
-    pub fn update(&mut self, now: Instant) {
+    /// Brings the rates up to date; a rate counts as sustained after `hold`.
+    pub fn update(&mut self, now: Instant, hold: Duration) {
+        self.decay(now);
+        for (name, &rate) in &self.rates {
+            let lows = self.lows.entry(name.clone()).or_insert_with(|| {
+                // Before the first request there was none.
+                VecDeque::from([(now, 0.0)])
+            });
+            while lows.back().is_some_and(|&(_, low)| low >= rate) {
+                lows.pop_back();
+            }
+            lows.push_back((now, rate));
+            while lows.len() > 1 && lows[0].0 + hold <= now {
+                lows.pop_front();
+            }
+        }
+    }
+
+    fn decay(&mut self, now: Instant) {
         let Some(updated) = self.updated.replace(now) else {
             self.fresh.clear();
             return;
@@ -61,6 +83,13 @@
         }
     }
 
+    /// The lowest rate of the last `hold`: a burst that was shorter does not show.
+    #[must_use]
+    pub fn sustained(&self, name: &str) -> f64 {
+        let low = self.lows.get(name).and_then(VecDeque::front);
+        low.map_or(0.0, |&(_, rate)| rate)
+    }
+
     /// The rate of a model or adapter, in requests a second.
     #[must_use]
     pub fn rate(&self, name: &str) -> f64 {
--- a/crates/nutmegyoke-core/src/process/control/planner/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/mod.rs
@@ -57,8 +57,6 @@
     pending: Vec<Pending>,
     claims: Vec<Held>,
     estimate: Estimate,
-    /// Since when a model's engines have been overloaded.
-    hot: HashMap<Weights, Instant>,
     budget: f64,
     /// When the first round may be.
     begins: Instant,
@@ -115,7 +113,6 @@
             pending: Vec::new(),
             claims: Vec::new(),
             estimate: Estimate::default(),
-            hot: HashMap::new(),
             budget: 0.0,
             // The first leader of all finds nothing to listen to.
             begins: if term > 1 { now + GRACE } else { now },
@@ -250,7 +247,7 @@
         if now < self.begins {
             return;
         }
-        self.estimate.update(now);
+        self.estimate.update(now, self.settings.policy.hold);
         let mut fleet = self.fleet(needs);
         let mut account = self.account;
         let (models, adapters) = Self::leases(&fleet);
@@ -285,7 +282,7 @@
     ///
     /// An unload that has become unsafe meanwhile is dropped.
     fn fleet(&mut self, needs: &[Need]) -> Fleet {
-        let mut fleet = Fleet::open(needs, |name| self.estimate.rate(name));
+        let mut fleet = Fleet::open(needs, |name| self.estimate.sustained(name));
         let mut centres: Vec<&DataCentre> = Vec::new();
         for (vm, agent) in &self.agents {
             let known = centres
@@ -384,7 +381,7 @@
         }
     }
 
-    /// Moves copies against overload that has lasted, within the budget.
+    /// Moves copies against overload by sustained rates, within the budget.
     fn relieve(&mut self, round: &mut Round<'_>, now: Instant) {
         let policy = self.settings.policy;
         let engines = u32::try_from(round.fleet.engines.len()).unwrap_or(u32::MAX);
@@ -392,17 +389,9 @@
         let passed = self.planned.map_or(Duration::ZERO, |planned| now - planned);
         let earned = hourly * passed.as_secs_f64() / 3600.0;
         self.budget = (self.budget + earned).min((hourly / 6.0).max(1.0));
-        let hot = balance::hot(round, &self.settings);
-        let weights = |item: &usize| round.fleet.items[*item].weights.clone();
-        let current: BTreeMap<Weights, usize> =
-            hot.iter().map(|item| (weights(item), *item)).collect();
-        self.hot.retain(|weights, _| current.contains_key(weights));
         let mut left = ELECTIVE;
-        for (weights, item) in current {
-            let since = *self.hot.entry(weights).or_insert(now);
-            let lasted = now.saturating_duration_since(since) >= policy.hold;
-            while lasted
-                && left > 0
+        for item in balance::hot(round, &self.settings) {
+            while left > 0
                 && self.budget >= 1.0
                 && balance::relieve(round, now, item, &self.settings)
             {
