--- a/crates/nutmegyoke-core/benches/load/bed.rs
+++ b/crates/nutmegyoke-core/benches/load/bed.rs
@@ -439,7 +439,7 @@
             },
             snapshot: true,
             members: members.collect(),
-            gone: Vec::new(),
+            ..Delta::default()
         },
         ..News::default()
     }
