--- a/crates/nutmegyoke-core/src/process/control/planner/policy.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/policy.rs
@@ -60,7 +60,7 @@
     fn from(preset: Preset) -> Self {
         match preset {
             Preset::AttainmentFirst => Self {
-                hold: Duration::from_mins(2),
+                hold: Duration::from_mins(3),
                 gain: 0.1,
                 moves_per_engine_hour: 12.0,
                 high: 0.85,
@@ -69,7 +69,7 @@
             Preset::MovesFirst => Self {
                 hold: Duration::from_mins(10),
                 gain: 0.25,
-                moves_per_engine_hour: 2.0,
+                moves_per_engine_hour: 0.5,
                 high: 1.0,
                 low: 0.7,
             },
