--- a/crates/nutmegyoke-core/src/process/control/planner/round.rs
+++ b/crates/nutmegyoke-core/src/process/control/planner/round.rs
@@ -114,14 +114,25 @@
             .collect();
         spare.sort_unstable();
         let mut victims = Vec::new();
-        for (_, item, bytes_of) in spare {
+        for (_, item, size) in spare {
             if available >= bytes {
                 break;
             }
-            victims.push(item);
-            available += bytes_of;
+            victims.push((item, size));
+            available += size;
         }
-        (available >= bytes).then_some(victims)
+        if available < bytes {
+            return None;
+        }
+        // Small copies collected before a large one are often not in the way.
+        victims.retain(|&(_, size)| {
+            let needless = available - size >= bytes;
+            if needless {
+                available -= size;
+            }
+            !needless
+        });
+        Some(victims.into_iter().map(|(item, _)| item).collect())
     }
 
     /// What a copy of the item is worth, in thousandths of a request a second.
