--- a/crates/nutmegyoke-host/src/process/control/offer.rs
+++ b/crates/nutmegyoke-host/src/process/control/offer.rs
@@ -9,6 +9,7 @@
 use nutmegyoke_core::version::Configuration;
 use nutmegyoke_wire::connection::link::text;
 use nutmegyoke_wire::connection::link_capnp::control;
+use nutmegyoke_wire::connection::order_capnp::scheduler;
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::process::{member, news, replica as message};
 use nutmegyoke_wire::request as wire;
@@ -23,6 +24,17 @@
     capnp::Error::failed("no control replica leads at the moment".to_owned())
 }
 
+impl<C: Clock + 'static> scheduler::Server for Offer<C> {
+    async fn report(
+        self: Rc<Self>,
+        params: scheduler::ReportParams,
+        results: scheduler::ReportResults,
+    ) -> capnp::Result<()> {
+        self.0.schedule();
+        self.0.scheduling.report(&params, results).await
+    }
+}
+
 impl<C: Clock + 'static> control::Server for Offer<C> {
     async fn exchange(
         self: Rc<Self>,
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
-use nutmegyoke_core::process::Vm;
 use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::process::{Order, Vm};
 use nutmegyoke_core::request::{Id, Reason};
 use spdlog::Level;
 use strum::{EnumDiscriminants, EnumIter};
@@ -66,6 +66,12 @@
     /// An operator withdrew an endpoint or put it back.
     #[display("endpoint {name} {}", if *withdrawn { "withdrawn" } else { "put back" })]
     Withdrawn { name: &'a str, withdrawn: bool },
+    /// An engine carried an order out.
+    #[display("order {} done on {}: {}", order.fence, order.endpoint, order.action)]
+    OrderDone { order: &'a Order },
+    /// An engine did not confirm an order.
+    #[display("order {} lost on {}: {}: {why}", order.fence, order.endpoint, order.action)]
+    OrderLost { order: &'a Order, why: &'a str },
     /// An endpoint's announcement was refused.
     #[display("announcement refused: {why}")]
     AnnouncementRefused { why: &'a str },
@@ -93,6 +99,8 @@
             Self::Announced => 500,
             Self::AnnouncementRefused => 501,
             Self::Withdrawn => 502,
+            Self::OrderDone => 600,
+            Self::OrderLost => 601,
         }
     }
 }
@@ -109,6 +117,7 @@
             Self::ControlLost { .. }
             | Self::CutOff { .. }
             | Self::Rejected { .. }
+            | Self::OrderLost { .. }
             | Self::Volatile
             | Self::DiskFull { .. }
             | Self::AnnouncementRefused { .. } => Level::Warn,
--- a/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
@@ -6689,7 +6689,7 @@
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
     }
-    pub trait Server<> : crate::link_capnp::control::Server + 'static  {
+    pub trait Server<> : crate::order_capnp::scheduler::Server + crate::link_capnp::control::Server + 'static  {
         fn deliver(self: ::capnp::capability::Rc<Self>, _: DeliverParams<>, _: DeliverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method replica::Server::deliver not implemented".to_string()))) }
         fn apply(self: ::capnp::capability::Rc<Self>, _: ApplyParams<>, _: ApplyResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method replica::Server::apply not implemented".to_string()))) }
         fn wish(self: ::capnp::capability::Rc<Self>, _: WishParams<>, _: WishResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method replica::Server::wish not implemented".to_string()))) }
@@ -6715,6 +6715,7 @@
         fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match interface_id {
                 _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                0xc6edbfbaefeee15f => crate::order_capnp::scheduler::ServerDispatch::<_T>::dispatch_call_internal(self.server, method_id, params, results),
                 0xae1892677e3edd5a => crate::link_capnp::control::ServerDispatch::<_T>::dispatch_call_internal(self.server, method_id, params, results),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
--- a/crates/nutmegyoke-wire/src/lib.rs
+++ b/crates/nutmegyoke-wire/src/lib.rs
@@ -15,4 +15,5 @@
 
 // The generated code names its own module by this path.
 pub use connection::link_capnp;
+pub use connection::order_capnp;
 pub use connection::replica_capnp;
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -3,16 +3,22 @@
 pub mod announcement;
 pub mod claims;
 pub mod directory;
+pub mod engine;
 pub mod ini;
 pub mod member;
 pub mod news;
+pub mod order;
+pub mod planner;
+pub mod preview;
 pub mod record;
 pub mod replica;
+pub mod report;
 pub mod settings;
 pub mod status;
 pub mod withdrawal;
 
 pub use announcement::Announcement;
+pub use planner::Planner;
 pub use settings::Settings;
 pub use status::Status;
 pub use withdrawal::Withdrawal;
--- a/src/bin/nutmegyoke/commands/mod.rs
+++ b/src/bin/nutmegyoke/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod drain;
+mod plan;
 mod replica;
 mod status;
 
@@ -16,6 +17,7 @@
     Check(check::Check),
     Apply(apply::Apply),
     Drain(drain::Drain),
+    Plan(plan::Plan),
     Replica(replica::Replica),
     Status(status::Status),
 }
@@ -27,6 +29,7 @@
             Self::Check(command) => command.run(),
             Self::Apply(command) => command.run(),
             Self::Drain(command) => command.run(),
+            Self::Plan(command) => command.run(),
             Self::Replica(command) => command.run(),
             Self::Status(command) => command.run(),
         }
