--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -350,7 +350,7 @@
             address: ([127, 0, 0, 1], 1).into(),
         },
         seeds: Vec::new(),
-        election: Duration::from_millis(1),
+        election: Duration::from_secs(1),
         random: 1,
     };
     let mut machine = Control::open(Instant::now(), 1, setup, Recovered::default());
@@ -358,12 +358,16 @@
     while machine.leading().is_none() {
         let due = machine.deadline().expect("an election is due");
         machine.handle(due, Event::Ticked, &mut out);
-        for reply in std::mem::take(&mut out) {
+        let mut next = 0;
+        // A synced batch may lead to the next one.
+        while let Some(reply) = out.get(next) {
             if let Reply::Persist { batch } = reply {
                 let ticket = batch.ticket;
                 machine.handle(due, Event::Synced { ticket }, &mut out);
             }
+            next += 1;
         }
+        out.clear();
     }
     machine
 }
