Hold the stand-ins' listeners in place of forgetting them

An endpoint kept its address beside a listener that it leaked. It now holds the listener and asks it for the address; the same in all three.

--- a/crates/nutmegyoke-standin/src/desk.rs
+++ b/crates/nutmegyoke-standin/src/desk.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a plain service: a booking desk.
 
-use std::cell::Cell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::cell::{Cell, OnceCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 use nutmegyoke_wire::process::Announcement;
 use serde_json::json;
 
-use crate::Announcer;
+use crate::{ANY, Announcer};
 
 /// The time that a booking takes.
 pub const BOOKING: Duration = Duration::from_millis(200);
@@ -30,7 +30,7 @@
 /// A running stand-in booking desk, the service `desk`.
 #[derive(Debug)]
 pub struct Desk {
-    address: Cell<SocketAddr>,
+    listener: OnceCell<Listener>,
     bookings: Cell<u64>,
 }
 
@@ -41,22 +41,19 @@
     ///
     /// No port can be bound.
     pub async fn bind() -> Result<Rc<Self>, Failure> {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let desk = Rc::new(Self {
-            address: Cell::new(address),
+            listener: OnceCell::new(),
             bookings: Cell::new(0),
         });
-        let listener = Listener::bind(address, "desk", Rc::clone(&desk)).await?;
-        desk.address.set(listener.address());
-        // The listener closes with the loop.
-        std::mem::forget(listener);
+        let listener = Listener::bind(ANY, "desk", Rc::clone(&desk)).await?;
+        let _ = desk.listener.set(listener);
         Ok(desk)
     }
 
     /// Where it serves.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.address.get()
+        self.listener.get().map_or(ANY, Listener::address)
     }
 
     /// Bookings made.
--- a/crates/nutmegyoke-standin/src/engine.rs
+++ b/crates/nutmegyoke-standin/src/engine.rs
@@ -5,8 +5,8 @@
 pub mod memory;
 pub mod orders;
 
-use std::cell::Cell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::cell::{Cell, OnceCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,7 +30,7 @@
 use orders::Orders;
 use serde_json::json;
 
-use crate::Announcer;
+use crate::{ANY, Announcer};
 
 /// What the engine generates, in turn.
 const WORDS: [&str; 8] = [
@@ -56,7 +56,7 @@
     behaviour: Behaviour,
     /// `None` for an engine with fixed models.
     orders: Option<Rc<Orders>>,
-    address: Cell<SocketAddr>,
+    listener: OnceCell<Listener>,
     runs: Cell<u64>,
 }
 
@@ -83,24 +83,21 @@
     }
 
     async fn serve(behaviour: Behaviour, orders: Option<Rc<Orders>>) -> Result<Rc<Self>, Failure> {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let engine = Rc::new(Self {
             behaviour,
             orders,
-            address: Cell::new(address),
+            listener: OnceCell::new(),
             runs: Cell::new(0),
         });
-        let listener = Listener::bind(address, "engine", Rc::clone(&engine)).await?;
-        engine.address.set(listener.address());
-        // The listener closes with the loop.
-        std::mem::forget(listener);
+        let listener = Listener::bind(ANY, "engine", Rc::clone(&engine)).await?;
+        let _ = engine.listener.set(listener);
         Ok(engine)
     }
 
     /// Where it serves.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.address.get()
+        self.listener.get().map_or(ANY, Listener::address)
     }
 
     /// Completions begun.
--- a/crates/nutmegyoke-standin/src/lib.rs
+++ b/crates/nutmegyoke-standin/src/lib.rs
@@ -9,7 +9,12 @@
 pub mod engine;
 pub mod script;
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
 pub use announcer::Announcer;
 pub use desk::Desk;
 pub use engine::Engine;
 pub use script::Script;
+
+/// A free port of the loopback address.
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
--- a/crates/nutmegyoke-standin/src/script.rs
+++ b/crates/nutmegyoke-standin/src/script.rs
@@ -3,10 +3,10 @@
 //! It speaks just enough HTTP/1.1 over a plain socket to close, stall or break
 //! off wherever a row of a fault table wants it to.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 use nutmegyoke_host::process::Failure;
 use nutmegyoke_wire::process::Announcement;
 
-use crate::Announcer;
+use crate::{ANY, Announcer};
 
 /// Requests that the endpoint runs at once.
 const SLOTS: u32 = 256;
@@ -48,7 +48,7 @@
 /// A running endpoint with its script.
 #[derive(Debug)]
 pub struct Script {
-    address: Cell<SocketAddr>,
+    listener: OnceCell<Listener>,
     holding: Holding,
     acts: RefCell<VecDeque<Act>>,
     runs: Cell<u64>,
@@ -64,9 +64,8 @@
     ///
     /// No port can be bound.
     pub async fn bind(holding: Holding) -> Result<Rc<Self>, Failure> {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let script = Rc::new(Self {
-            address: Cell::new(address),
+            listener: OnceCell::new(),
             holding,
             acts: RefCell::default(),
             runs: Cell::new(0),
@@ -74,10 +73,8 @@
             left: Cell::new(0),
             pace: Cell::default(),
         });
-        let listener = Listener::bind(address, "script", Rc::clone(&script)).await?;
-        script.address.set(listener.address());
-        // The listener closes with the loop.
-        std::mem::forget(listener);
+        let listener = Listener::bind(ANY, "script", Rc::clone(&script)).await?;
+        let _ = script.listener.set(listener);
         Ok(script)
     }
 
@@ -214,7 +211,7 @@
     fn announcement(&self) -> Announcement {
         Announcement {
             capacity: None,
-            address: self.address.get(),
+            address: self.listener.get().map_or(ANY, Listener::address),
             endpoint: Endpoint {
                 name: "script".to_owned(),
                 holding: self.holding.clone(),
