--- a/crates/nutmegyoke-cases/src/lib.rs
+++ b/crates/nutmegyoke-cases/src/lib.rs
@@ -1,4 +1,8 @@
-//! The macro by which tests are arranged.
+//! The macro by which tests are arranged, and the seed of the property tests.
+
+use std::str::FromStr;
+
+use proptest::test_runner::{Config, RngSeed};
 
 /// Names the cases of a check and makes a test of each.
 ///
@@ -32,3 +36,24 @@
         }
     };
 }
+
+/// The seed of every property test, unless `NUTMEGYOKE_SEED` says otherwise.
+const SEED: u64 = 20_261_204;
+
+/// Configures a property test to give the same verdict each run.
+///
+/// Runs `cases` of them with a fixed seed and keeps no file of failures;
+/// `NUTMEGYOKE_CASES` and `NUTMEGYOKE_SEED` set other numbers.
+#[must_use]
+pub fn config(cases: u32) -> Config {
+    Config {
+        cases: setting("NUTMEGYOKE_CASES").unwrap_or(cases),
+        rng_seed: RngSeed::Fixed(setting("NUTMEGYOKE_SEED").unwrap_or(SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn setting<T: FromStr>(name: &str) -> Option<T> {
+    std::env::var(name).ok()?.parse().ok()
+}
--- a/crates/nutmegyoke-core/tests/agent_order.rs
+++ b/crates/nutmegyoke-core/tests/agent_order.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use nutmegyoke_cases::config;
 use nutmegyoke_core::process::agent::queue::CAPACITY;
 use nutmegyoke_core::process::agent::{Command, Event};
 use nutmegyoke_core::process::endpoint::{Holding, Phase};
@@ -13,9 +14,7 @@
 use nutmegyoke_core::request::{Id, Submission};
 use nutmegyoke_core::version::grant::Repeat;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 
-const SEED: u64 = 20_261_204;
 const NAMES: [&str; 2] = ["one", "two"];
 const SLOTS: u32 = 3;
 
@@ -159,12 +158,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        cases: 200,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(config(200))]
 
     #[test]
     fn each_call_is_answered_once(steps in steps()) {
--- a/crates/nutmegyoke-core/tests/diff.rs
+++ b/crates/nutmegyoke-core/tests/diff.rs
@@ -4,24 +4,13 @@
 
 use std::rc::Rc;
 
-use nutmegyoke_cases::cases;
+use nutmegyoke_cases::{cases, config};
 use nutmegyoke_core::process::control::{History, Lesson};
 use nutmegyoke_core::version::configuration::Lists;
 use nutmegyoke_core::version::diff::{Diff, Mismatch, Step};
 use nutmegyoke_core::version::grant::Item;
 use nutmegyoke_core::version::{Configuration, Grant};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-
-fn config() -> Config {
-    let seed = std::env::var("NUTMEGYOKE_SEED");
-    let seed = seed.ok().and_then(|seed| seed.parse().ok());
-    Config {
-        rng_seed: RngSeed::Fixed(seed.unwrap_or(20_261_204)),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
 
 /// A configuration with a model for each name and size, in their order.
 fn configuration(number: u64, models: &[(&str, u64)]) -> Rc<Configuration> {
@@ -161,7 +150,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(256))]
 
     #[test]
     fn change_leads_from_any_configuration_to_any(old in models(), new in models()) {
--- a/crates/nutmegyoke-core/tests/directory.rs
+++ b/crates/nutmegyoke-core/tests/directory.rs
@@ -5,28 +5,16 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use nutmegyoke_cases::config;
 use nutmegyoke_core::process::damping::LONGEST;
 use nutmegyoke_core::process::directory::{Delta, LEASE, Mark};
 use nutmegyoke_core::process::endpoint::{Holding, Phase};
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::{Directory, Endpoint, Member, Vm};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 
-const SEED: u64 = 20_261_204;
 const SECOND: Duration = Duration::from_secs(1);
 
-fn config() -> Config {
-    let seed = std::env::var("NUTMEGYOKE_SEED");
-    let seed = seed.ok().and_then(|seed| seed.parse().ok());
-    Config {
-        cases: 512,
-        rng_seed: RngSeed::Fixed(seed.unwrap_or(SEED)),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 fn member(name: u8, incarnation: u64, slots: u32, configuration: u64) -> Member {
     Member {
         vm: Vm {
@@ -98,7 +86,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(512))]
 
     #[test]
     fn copies_equal_the_source(steps in prop::collection::vec(step(), 1..80)) {
--- a/crates/nutmegyoke-core/tests/memory.rs
+++ b/crates/nutmegyoke-core/tests/memory.rs
@@ -2,21 +2,20 @@
 //!
 //! A random history of orders, losses, duplicates, delays, restarts and leader
 //! changes runs against an engine that loads whatever reaches it. More seeds:
-//! `MEMORY_CASES=20000 cargo test -p nutmegyoke-core --test memory`.
+//! `NUTMEGYOKE_CASES=20000 cargo test -p nutmegyoke-core --test memory`.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use nutmegyoke_cases::cases;
+use nutmegyoke_cases::{cases, config};
 use nutmegyoke_core::process::agent::Memory;
 use nutmegyoke_core::process::agent::ledger::ORDER_LIFE;
 use nutmegyoke_core::process::agent::memory::Command as Step;
 use nutmegyoke_core::process::order::{Action, Fence, Order, Outcome, Stage, Stamp, Weights};
 use nutmegyoke_core::process::report::{Capacity, Content, Fencing, Inventory};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 
-const SEED: u64 = 20_261_204;
 const CASES: u32 = 400;
 const BYTES: u64 = 100;
 const NAMES: [(&str, u64); 5] = [("a", 60), ("b", 50), ("c", 40), ("d", 30), ("e", 100)];
@@ -318,16 +317,8 @@
 }
 
 fn never_overcommits(fencing: Fencing) {
-    let cases = std::env::var("MEMORY_CASES").ok();
-    let config = Config {
-        cases: cases.and_then(|cases| cases.parse().ok()).unwrap_or(CASES),
-        rng_algorithm: RngAlgorithm::ChaCha,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
     let histories = proptest::collection::vec(happening(), 1..150);
-    let result = TestRunner::new(config).run(&histories, |history| {
+    let result = TestRunner::new(config(CASES)).run(&histories, |history| {
         let mut world = World::open(fencing);
         for happening in history {
             world.run(happening);
--- a/crates/nutmegyoke-core/tests/planner.rs
+++ b/crates/nutmegyoke-core/tests/planner.rs
@@ -1,11 +1,11 @@
 //! The planner with the agents' ledgers, under losses, restarts and leader changes.
 //!
-//! More seeds: `PLANNER_CASES=5000 cargo test -p nutmegyoke-core --test planner`.
+//! More seeds: `NUTMEGYOKE_CASES=5000 cargo test -p nutmegyoke-core --test planner`.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use nutmegyoke_cases::cases;
+use nutmegyoke_cases::{cases, config};
 use nutmegyoke_core::process::agent::Memory;
 use nutmegyoke_core::process::agent::memory::Command as Step;
 use nutmegyoke_core::process::control::Planner;
@@ -14,9 +14,8 @@
 use nutmegyoke_core::process::order::{Action, Order, Outcome, Stage, Stamp, Weights};
 use nutmegyoke_core::process::report::{Capacity, Content, Fencing, Inventory};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 
-const SEED: u64 = 20_261_204;
 const CASES: u32 = 100;
 const BYTES: u64 = 100;
 const VMS: usize = 4;
@@ -355,16 +354,8 @@
 
 #[test]
 fn memory_holds_and_models_stay_reachable_under_faults() {
-    let cases = std::env::var("PLANNER_CASES").ok();
-    let config = Config {
-        cases: cases.and_then(|cases| cases.parse().ok()).unwrap_or(CASES),
-        rng_algorithm: RngAlgorithm::ChaCha,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
     let histories = proptest::collection::vec(happening(), 1..120);
-    let result = TestRunner::new(config).run(&histories, |history| {
+    let result = TestRunner::new(config(CASES)).run(&histories, |history| {
         let mut world = World::open();
         for happening in history {
             world.run(happening);
--- a/crates/nutmegyoke-core/tests/queue.rs
+++ b/crates/nutmegyoke-core/tests/queue.rs
@@ -3,22 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use nutmegyoke_cases::cases;
+use nutmegyoke_cases::{cases, config};
 use nutmegyoke_core::process::agent::queue::{BYTES, CAPACITY, Item, Queue};
 use nutmegyoke_core::request::arrival::Destination;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-
-const SEED: u64 = 20_261_204;
-
-fn config() -> Config {
-    Config {
-        cases: 256,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
 
 /// An item: customer, priority, deadline in seconds.
 fn item(base: Instant, call: u64, customer: &str, priority: u8, deadline: u64) -> Item {
@@ -199,7 +187,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(256))]
 
     /// Whatever happens, each request leaves exactly once and the bounds hold.
     #[test]
--- a/crates/nutmegyoke-core/tests/quota.rs
+++ b/crates/nutmegyoke-core/tests/quota.rs
@@ -3,15 +3,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nutmegyoke_cases::cases;
+use nutmegyoke_cases::{cases, config};
 use nutmegyoke_core::process::entry::quota::{Quotas, RATE_BURST, TOKENS_BURST};
 use nutmegyoke_core::request::Reason;
 use nutmegyoke_core::version::configuration::Lists;
 use nutmegyoke_core::version::{Configuration, Plan};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-
-const SEED: u64 = 20_261_204;
 
 fn plan() -> Plan {
     Plan {
@@ -211,12 +208,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        cases: 256,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(config(256))]
 
     /// Over the whole run no limit is exceeded by more than its burst, whatever
     /// comes in whatever order.
--- a/crates/nutmegyoke-wire/tests/readers.rs
+++ b/crates/nutmegyoke-wire/tests/readers.rs
@@ -4,6 +4,7 @@
 
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize;
+use nutmegyoke_cases::config;
 use nutmegyoke_core::process::directory::{Change, Delta, Mark};
 use nutmegyoke_core::process::endpoint::{Holding, Phase};
 use nutmegyoke_core::process::member::Role;
@@ -16,20 +17,6 @@
 use nutmegyoke_wire::request::{Completion, Payload, claim, submission, verdict};
 use nutmegyoke_wire::version::{ini, json};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-
-const SEED: u64 = 20_261_204;
-
-fn config() -> Config {
-    let seed = std::env::var("NUTMEGYOKE_SEED");
-    let seed = seed.ok().and_then(|seed| seed.parse().ok());
-    Config {
-        cases: 256,
-        rng_seed: RngSeed::Fixed(seed.unwrap_or(SEED)),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
 
 /// Text that comes near what INI files hold.
 fn ini_text() -> impl Strategy<Value = String> {
@@ -194,7 +181,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(256))]
 
     #[test]
     fn ini_readers_do_not_panic(text in ini_text()) {
--- a/crates/nutmegyoke-wire/tests/replica.rs
+++ b/crates/nutmegyoke-wire/tests/replica.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use capnp::message::{Builder, ReaderOptions};
-use nutmegyoke_cases::cases;
+use nutmegyoke_cases::{cases, config};
 use nutmegyoke_core::process::control::Store;
 use nutmegyoke_core::process::control::claims::{Claims, Row, Wish};
 use nutmegyoke_core::process::control::replica::{
@@ -19,17 +19,6 @@
 use nutmegyoke_wire::connection::replica_capnp::message;
 use nutmegyoke_wire::process::{record, replica};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-
-fn config() -> Config {
-    let seed = std::env::var("NUTMEGYOKE_SEED");
-    let seed = seed.ok().and_then(|seed| seed.parse().ok());
-    Config {
-        rng_seed: RngSeed::Fixed(seed.unwrap_or(20_261_204)),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
 
 fn seed() -> Seed {
     Seed {
@@ -206,7 +195,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(256))]
 
     #[test]
     fn damaged_messages_and_records_do_not_panic(
