--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -244,6 +244,7 @@
         agent.terminate();
         let text = rest(response).await;
         assert!(!text.contains("[DONE]"), "{text}");
+        assert!(text.contains(r#""code":"link_lost""#), "{text}");
     });
     assert_eq!(agent.wait(), Some(CUT_OFF));
 }
