Read the lists' files in one place; work out what an arrival expects once

Three subcommands declared and read the same two options; they now share commands::files::Files. An entry worked out first token and tokens of each admitted request twice, once to charge it and once to build it; it passes them on instead.

--- a/crates/nutmegyoke-core/src/process/entry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/entry/mod.rs
@@ -127,10 +127,10 @@
             Ok(admission) => admission,
             Err(reason) => return out.push(refuse(number, reason)),
         };
-        let (_, tokens) = expected(arrival, &admission);
-        let charged = self
-            .quotas
-            .charge(now, number, admission.plan, tokens, self.entries);
+        let expected = expected(arrival, &admission);
+        let charged =
+            self.quotas
+                .charge(now, number, admission.plan, expected.tokens, self.entries);
         if let Err(refusal) = charged {
             return out.push(Command::Settle {
                 number,
@@ -140,7 +140,7 @@
                 after: Some(refusal.after),
             });
         }
-        let request = self.admitted(now, number, arrival, admission);
+        let request = self.admitted(now, number, arrival, admission, expected);
         if request.claim.is_some() {
             self.claim(number, request, out);
         } else {
@@ -154,8 +154,11 @@
         number: u64,
         arrival: &Arrival<'_>,
         admission: Admission<'_>,
+        Expected {
+            first_token,
+            tokens,
+        }: Expected,
     ) -> Request {
-        let (first_token, tokens) = expected(arrival, &admission);
         let once = admission.repeat == Repeat::Once;
         let key = arrival.idempotency.filter(|_| once);
         let submission = Submission {
@@ -306,14 +309,25 @@
     }
 }
 
-/// When the first token is due after the arrival, and the tokens it may cost.
-fn expected(arrival: &Arrival<'_>, admission: &Admission<'_>) -> (Option<Duration>, u64) {
+/// What an admitted request leads to expect.
+#[derive(Clone, Copy, Debug)]
+struct Expected {
+    /// When the first token is due after the arrival, if the request is for tokens.
+    first_token: Option<Duration>,
+    /// The tokens that it may cost, prompt included.
+    tokens: u64,
+}
+
+fn expected(arrival: &Arrival<'_>, admission: &Admission<'_>) -> Expected {
     match arrival.subject {
-        Subject::Completion { prompt, tokens, .. } => {
-            let all = u64::from(prompt) + u64::from(tokens);
-            (Some(admission.plan.first_token), all)
-        }
-        Subject::Call { .. } => (None, 0),
+        Subject::Completion { prompt, tokens, .. } => Expected {
+            first_token: Some(admission.plan.first_token),
+            tokens: u64::from(prompt) + u64::from(tokens),
+        },
+        Subject::Call { .. } => Expected {
+            first_token: None,
+            tokens: 0,
+        },
     }
 }
 
--- a/src/bin/nutmegyoke/commands/apply.rs
+++ b/src/bin/nutmegyoke/commands/apply.rs
@@ -1,13 +1,12 @@
 //! `nutmegyoke apply`: submits the two lists under a version number.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 
 use clap::Args;
 use nutmegyoke_core::process::control::Acceptance;
-use nutmegyoke_host::version::lists;
 use nutmegyoke_wire::version::json;
 
+use super::files::Files;
 use crate::operators::{self, Failure};
 
 /// Submit the two lists; sending the same again is safe.
@@ -21,13 +20,8 @@
     #[arg(long, value_name = "NUMBER", value_parser = clap::value_parser!(u64).range(1..))]
     number: u64,
 
-    /// The plans list.
-    #[arg(long, value_name = "FILE")]
-    plans: PathBuf,
-
-    /// The grants list.
-    #[arg(long, value_name = "FILE")]
-    grants: PathBuf,
+    #[command(flatten)]
+    files: Files,
 
     /// Print the outcome as JSON.
     #[arg(long)]
@@ -36,7 +30,7 @@
 
 impl Apply {
     pub fn run(&self) -> Result<(), Failure> {
-        let lists = lists::read(self.number, &self.plans, &self.grants)?;
+        let lists = self.files.read(self.number)?;
         let answer = operators::post(self.control, "/v1/configuration", json::encode(&lists))?;
         if !matches!(answer.status, 200 | 409) {
             let why = String::from_utf8_lossy(&answer.body).into_owned();
--- a/src/bin/nutmegyoke/commands/check.rs
+++ b/src/bin/nutmegyoke/commands/check.rs
@@ -1,22 +1,15 @@
 //! `nutmegyoke check`: validates the two lists offline.
 
-use std::path::PathBuf;
-
 use clap::Args;
-use nutmegyoke_host::version::lists;
 
+use super::files::Files;
 use crate::operators::Failure;
 
 /// Check the two lists without contacting the fleet.
 #[derive(Debug, Args)]
 pub struct Check {
-    /// The plans list.
-    #[arg(long, value_name = "FILE")]
-    plans: PathBuf,
-
-    /// The grants list.
-    #[arg(long, value_name = "FILE")]
-    grants: PathBuf,
+    #[command(flatten)]
+    files: Files,
 
     /// Print the outcome as JSON.
     #[arg(long)]
@@ -25,7 +18,7 @@
 
 impl Check {
     pub fn run(&self) -> Result<(), Failure> {
-        let lists = lists::read(0, &self.plans, &self.grants)?;
+        let lists = self.files.read(0)?;
         let (plans, grants) = (lists.plans.len(), lists.grants.len());
         if self.json {
             println!("{}", serde_json::json!({"plans": plans, "grants": grants}));
--- a/src/bin/nutmegyoke/commands/mod.rs
+++ b/src/bin/nutmegyoke/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod drain;
+mod files;
 mod plan;
 mod replica;
 mod status;
--- a/src/bin/nutmegyoke/commands/plan.rs
+++ b/src/bin/nutmegyoke/commands/plan.rs
@@ -1,14 +1,13 @@
 //! `nutmegyoke plan`: shows what a new configuration would move.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 
 use clap::Args;
 use nutmegyoke_core::process::control::planner::Preview;
-use nutmegyoke_host::version::lists;
 use nutmegyoke_wire::process::preview;
 use nutmegyoke_wire::version::json;
 
+use super::files::Files;
 use crate::operators::{self, Failure};
 
 /// Show what the two lists would move, and whether they fit; changes nothing.
@@ -18,13 +17,8 @@
     #[arg(long, value_name = "ADDR")]
     control: SocketAddr,
 
-    /// The plans list.
-    #[arg(long, value_name = "FILE")]
-    plans: PathBuf,
-
-    /// The grants list.
-    #[arg(long, value_name = "FILE")]
-    grants: PathBuf,
+    #[command(flatten)]
+    files: Files,
 
     /// Print the moves as JSON.
     #[arg(long)]
@@ -33,7 +27,7 @@
 
 impl Plan {
     pub fn run(&self) -> Result<(), Failure> {
-        let lists = lists::read(0, &self.plans, &self.grants)?;
+        let lists = self.files.read(0)?;
         let answer = operators::post(self.control, "/v1/plan", json::encode(&lists))?;
         if answer.status != 200 {
             let why = String::from_utf8_lossy(&answer.body).into_owned();
