--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -14,7 +14,7 @@
 use capnp::serialize;
 use nutmegyoke_core::process::control::claims::{Claims, RETENTION, Wish};
 use nutmegyoke_core::process::control::replica::{
-    Body, Content, Id, Message, Position, Recovered, Seed, Setup, log,
+    Body, Content, Id, Message, Position, Recovered, Roster, Seed, Setup, log,
 };
 use nutmegyoke_core::process::control::store::Change;
 use nutmegyoke_core::process::control::{Command as Reply, Event};
@@ -348,8 +348,9 @@
         seed: Seed {
             name: "control-1".to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
+            observer: false,
         },
-        seeds: Vec::new(),
+        roster: Roster::default(),
         election: Duration::from_secs(1),
         random: 1,
     };
--- a/benches/control.rs
+++ b/benches/control.rs
@@ -14,7 +14,8 @@
 
 use nutmegyoke_core::process::control::claims::{Claims, Row};
 use nutmegyoke_core::process::control::replica::{
-    Batch, Command, Event, Id, Membership, Position, Recovered, Replica, Seed, Setup, Snapshot,
+    Batch, Command, Event, Id, Membership, Position, Recovered, Replica, Roster, Seed, Setup,
+    Snapshot,
 };
 use nutmegyoke_core::process::control::store::Change;
 use nutmegyoke_core::process::control::{Store, claims};
@@ -114,6 +115,7 @@
     Seed {
         name: "control-1".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
+        observer: false,
     }
 }
 
@@ -141,7 +143,7 @@
         let setup = Setup {
             id: Id(1),
             seed: seed(),
-            seeds: Vec::new(),
+            roster: Roster::default(),
             election: Duration::from_millis(100),
             random: 1,
         };
@@ -375,6 +377,7 @@
         position: Position { term: 1, index: 1 },
         membership: Membership::default(),
         state: Store {
+            document: None,
             configuration: configuration(1),
             claims,
         },
--- a/crates/nutmegyoke-core/src/process/control/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/event.rs
@@ -10,7 +10,7 @@
 use crate::process::Member;
 use crate::process::news::{Known, News};
 use crate::request::{Id, Verdict, claim};
-use crate::version::Configuration;
+use crate::version::{Configuration, Document};
 
 /// What happened to a control process.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +26,13 @@
         call: u64,
         configuration: &'a Rc<Configuration>,
     },
+    /// An operator published a routing document.
+    Published {
+        call: u64,
+        document: &'a Rc<Document>,
+    },
+    /// Someone wants to know which routing document is the newest.
+    Read { call: u64 },
     /// An entry wants a claim for a request.
     Claimed {
         call: u64,
@@ -62,6 +69,8 @@
 pub enum Command {
     /// Answer a heartbeat.
     Teach { call: u64, news: News },
+    /// Tell the number of the routing document that is in force.
+    Tell { call: u64, number: Option<u64> },
     /// Answer a wish for a claim.
     Judge { call: u64, outcome: claim::Outcome },
     /// Answer that the end of a claimed request is recorded.
@@ -79,6 +88,8 @@
     },
     /// Write and sync a batch, then report it.
     Persist { batch: Batch<Store> },
+    /// The routing document or the membership is another one than before.
+    Changed,
 }
 
 /// The outcome of submitting a configuration.
--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -25,7 +25,7 @@
 use super::directory::{Delta, LEASE, Mark};
 use super::news::{Known, News};
 use super::{Directory, Machine, Member, Sink};
-use crate::version::Configuration;
+use crate::version::{Configuration, Document};
 
 /// A control process's decision state.
 #[derive(Debug)]
@@ -36,6 +36,8 @@
     directory: Directory,
     /// The term in which the directory is kept, and until when it may lack members.
     tenure: Option<Tenure>,
+    /// The number of the routing document, and the index of the membership.
+    seen: (Option<u64>, u64),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +57,7 @@
             replica,
             directory: Directory::open(epoch),
             tenure: None,
+            seen: (None, 0),
         }
     }
 
@@ -64,6 +67,12 @@
         &self.replica.state().configuration
     }
 
+    /// The routing document in force, as far as this replica knows.
+    #[must_use]
+    pub fn document(&self) -> Option<&Rc<Document>> {
+        self.replica.state().document.as_ref()
+    }
+
     /// The members of the fleet, if this replica leads.
     #[must_use]
     pub fn directory(&self) -> &Directory {
@@ -142,12 +151,23 @@
         }
     }
 
+    /// What watchers of the routing and the membership have to look at again.
+    fn look(&self) -> (Option<u64>, u64) {
+        let number = self.document().map(|document| document.number);
+        (number, self.replica.membership_index())
+    }
+
     /// Feeds the replica and passes its commands on.
     fn drive<S>(&mut self, now: Instant, event: replica::Event<'_, Store>, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
+        let before = self.seen;
         self.replica.handle(now, event, &mut Relay { out });
+        self.seen = self.look();
+        if self.seen != before {
+            out.push(Command::Changed);
+        }
         self.history.note(&self.replica.state().configuration);
         if !self.replica.leads() {
             self.tenure = None;
@@ -179,6 +199,7 @@
             replica::Command::Outcome { call, outcome } => match outcome {
                 Outcome::Answered { acceptance } => Command::Answer { call, acceptance },
                 Outcome::Judged { outcome } => Command::Judge { call, outcome },
+                Outcome::Published { number } => Command::Tell { call, number },
                 Outcome::Recorded => Command::Record { call },
             },
         });
@@ -210,6 +231,11 @@
                 let configuration = Rc::clone(configuration);
                 self.propose(now, call, &Change::Configure { configuration }, out);
             }
+            Event::Published { call, document } => {
+                let document = Rc::clone(document);
+                self.propose(now, call, &Change::Publish { document }, out);
+            }
+            Event::Read { call } => self.propose(now, call, &Change::Confirm, out),
             Event::Claimed {
                 call,
                 name,
--- a/crates/nutmegyoke-core/src/process/control/replica/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/event.rs
@@ -6,7 +6,7 @@
 
 use super::log::Entry;
 use super::membership::Wish;
-use super::{Id, Message, Seed, Snapshot, State};
+use super::{Id, Message, Roster, Seed, Snapshot, State};
 
 /// What identifies a replica and paces it.
 #[derive(Clone, Debug)]
@@ -16,7 +16,7 @@
     /// Its own VM.
     pub seed: Seed,
     /// The control VMs that the settings name, its own included or not.
-    pub seeds: Vec<Seed>,
+    pub roster: Roster,
     /// The shortest time without a leader after which a replica campaigns.
     pub election: Duration,
     /// The seed of its randomness.
--- a/crates/nutmegyoke-core/src/process/control/replica/follower.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/follower.rs
@@ -18,9 +18,14 @@
             Body::Poll { last } => self.take_poll(now, message, *last, out),
             Body::Polled { granted: true } => self.take_granted(now, message.from, true, out),
             Body::Polled { granted: false } => self.take_denied(now, message.term, out),
-            Body::Join { seed } => self.take_join(now, message.from, seed, out),
+            Body::Join { seed } if self.leads() => self.take_join(now, message.from, seed, out),
+            Body::Join { .. } => self.pass_join(message, out),
             Body::Probe => self.answer_probe(message, out),
-            Body::Probed { name, fresh } => self.take_probed(name, *fresh),
+            Body::Probed {
+                name,
+                fresh,
+                founder,
+            } => self.take_probed(message.reply, name, *fresh, *founder),
             body => {
                 if self.ignores_solicit(now, body) || self.is_outdated(message, out) {
                     return;
--- a/crates/nutmegyoke-core/src/process/control/replica/join.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/join.rs
@@ -6,16 +6,27 @@
 //! step is a membership of its own, and the next waits until it is committed.
 //!
 //! A fleet is founded by the first VM of the settings' list, by name, once all
-//! the others have told that they hold no state either.
+//! the others have told that they hold no state either. Where the settings name
+//! only a few contacts, the first by address of those that may found it does.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use super::{
-    Body, Command, Content, Entry, Id, Membership, Message, Peer, Position, Replica, Role, Seed,
-    Sink, State, Wish,
+    Body, Command, Content, Entry, Id, Membership, Message, Peer, Position, Replica, Role, Roster,
+    Seed, Sink, State, Wish,
 };
 
+/// What the VMs of the settings told of themselves, before there is a fleet.
+#[derive(Debug, Default)]
+pub struct Probes {
+    /// Names of those that hold no state.
+    fresh: BTreeSet<String>,
+    /// Addresses of those that hold no state, and whether they may found the fleet.
+    founders: BTreeMap<SocketAddr, bool>,
+}
+
 impl<S: State> Replica<S> {
     /// Asks for a place, or founds the fleet; for a replica that doesn't vote.
     pub(super) fn look_for_fleet<K>(&mut self, now: Instant, out: &mut K)
@@ -23,40 +34,88 @@
         K: Sink<Command = Command<S>>,
     {
         self.alarm = now + self.heartbeat();
-        if !self.is_fresh() || self.leader.is_some() {
-            return;
-        }
-        let others: Vec<Seed> = self.others().cloned().collect();
-        if others.iter().all(|seed| self.setup.seed.name < seed.name) {
-            if others.iter().all(|seed| self.fresh.contains(&seed.name)) {
+        let silent = now >= self.heard + self.setup.election * 2;
+        if self.is_fresh() && self.leader.is_none() {
+            if self.may_found() && self.is_founder() {
                 self.found(now);
                 return;
             }
-            for seed in &others {
-                self.call(seed.address, None, Body::Probe, out);
-            }
+        } else if !silent {
+            return;
         }
-        for seed in others {
+        let contacts = self.contacts();
+        for address in contacts {
+            if self.may_found() {
+                self.call(address, None, Body::Probe, out);
+            }
             let body = Body::Join {
                 seed: self.setup.seed.clone(),
             };
-            self.call(seed.address, None, body, out);
+            self.call(address, None, body, out);
         }
     }
 
     fn others(&self) -> impl Iterator<Item = &Seed> {
         let own = &self.setup.seed.name;
-        self.setup
-            .seeds
-            .iter()
-            .filter(move |seed| &seed.name != own)
+        let seeds = match &self.setup.roster {
+            Roster::Listed { seeds } => seeds.as_slice(),
+            Roster::Open { .. } => &[],
+        };
+        seeds.iter().filter(move |seed| &seed.name != own)
+    }
+
+    /// Where other replicas may be reached without a membership.
+    fn contacts(&self) -> Vec<SocketAddr> {
+        let own = self.setup.seed.address;
+        match &self.setup.roster {
+            Roster::Listed { .. } => self.others().map(|seed| seed.address).collect(),
+            Roster::Open { contacts, .. } => {
+                let known = self.membership.peers.iter().map(|peer| peer.seed.address);
+                let all: BTreeSet<SocketAddr> = contacts.iter().copied().chain(known).collect();
+                all.into_iter().filter(|&address| address != own).collect()
+            }
+        }
+    }
+
+    /// Whether the settings let this replica found a fleet.
+    fn may_found(&self) -> bool {
+        let own = &self.setup.seed;
+        match &self.setup.roster {
+            Roster::Listed { .. } => self.others().all(|seed| own.name < seed.name),
+            Roster::Open { contacts, found } => {
+                *found && !own.observer && self.is_fresh() && contacts.contains(&own.address)
+            }
+        }
+    }
+
+    /// Whether all others of the settings hold no state, and none comes before this one.
+    fn is_founder(&self) -> bool {
+        let own = self.setup.seed.address;
+        match &self.setup.roster {
+            Roster::Listed { .. } => self
+                .others()
+                .all(|seed| self.probes.fresh.contains(&seed.name)),
+            Roster::Open { contacts, .. } => {
+                let mut others = contacts.iter().filter(|&&address| address != own);
+                others.all(|address| match self.probes.founders.get(address) {
+                    Some(founder) => !founder || own < *address,
+                    None => false,
+                })
+            }
+        }
     }
 
     fn found(&mut self, now: Instant) {
-        let names = self.others().map(|seed| seed.name.clone());
         let own = &self.setup.seed;
+        let open = matches!(self.setup.roster, Roster::Open { .. });
         let membership = Membership {
-            names: names.chain([own.name.clone()]).collect(),
+            open,
+            names: if open {
+                BTreeSet::new()
+            } else {
+                let others = self.others().map(|seed| seed.name.clone());
+                others.chain([own.name.clone()]).collect()
+            },
             peers: vec![Peer {
                 id: self.setup.id,
                 seed: own.clone(),
@@ -93,18 +152,43 @@
         let body = Body::Probed {
             name: self.setup.seed.name.clone(),
             fresh: self.is_fresh(),
+            founder: self.may_found(),
         };
         self.call(message.reply, Some(message.from), body, out);
     }
 
-    pub(super) fn take_probed(&mut self, name: &str, fresh: bool) {
+    pub(super) fn take_probed(
+        &mut self,
+        address: SocketAddr,
+        name: &str,
+        fresh: bool,
+        founder: bool,
+    ) {
         if fresh {
-            self.fresh.insert(name.to_owned());
+            self.probes.fresh.insert(name.to_owned());
+            self.probes.founders.insert(address, founder);
         } else {
-            self.fresh.remove(name);
+            self.probes.fresh.remove(name);
+            self.probes.founders.remove(&address);
         }
     }
 
+    /// Passes a wish to join on to the leader, which the new replica can't know.
+    pub(super) fn pass_join<K>(&self, message: &Message<S>, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        // A message that was passed on carries an addressee and goes no further.
+        let (Some(leader), None) = (self.leader, message.to) else {
+            return;
+        };
+        let message = Message {
+            to: Some(leader),
+            ..message.clone()
+        };
+        self.emit(leader, message, out);
+    }
+
     /// Whether the membership may change: one change at a time, and only after
     /// an entry of the present term is committed.
     fn may_change(&self) -> bool {
@@ -133,7 +217,7 @@
         K: Sink<Command = Command<S>>,
     {
         let known = self.membership.peer(from).is_some();
-        if known || !self.may_change() || !self.membership.names.contains(&seed.name) {
+        if known || !self.may_change() || !self.membership.admits(&seed.name) {
             return;
         }
         let mut membership = self.membership.clone();
@@ -158,6 +242,7 @@
             .matched(id)
             .is_some_and(|matched| matched >= self.commit);
         let learner = self.membership.peer(id).filter(|peer| !peer.voter);
+        let learner = learner.filter(|peer| !peer.seed.observer);
         let Some(learner) = learner.filter(|_| caught_up && self.may_change()) else {
             return;
         };
--- a/crates/nutmegyoke-core/src/process/control/replica/membership.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/membership.rs
@@ -25,6 +25,8 @@
     pub name: String,
     /// Where other processes reach it.
     pub address: SocketAddr,
+    /// Whether it only ever receives the log and never votes.
+    pub observer: bool,
 }
 
 /// A replica in the membership.
@@ -43,6 +45,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Membership {
+    /// Whether any VM may join; `names` is empty then.
+    pub open: bool,
     /// The VMs that may hold a replica.
     pub names: BTreeSet<String>,
     /// The replicas.
@@ -58,7 +62,32 @@
     Remove(&'a str),
 }
 
+/// The control VMs that the settings name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Roster {
+    /// All of them; others join only when an operator adds them.
+    Listed { seeds: Vec<Seed> },
+    /// A few of them, by address; whoever asks one may join.
+    Open {
+        contacts: Vec<SocketAddr>,
+        /// Whether this process may found the fleet.
+        found: bool,
+    },
+}
+
+impl Default for Roster {
+    fn default() -> Self {
+        Self::Listed { seeds: Vec::new() }
+    }
+}
+
 impl Membership {
+    /// Whether a VM of this name may hold a replica.
+    #[must_use]
+    pub fn admits(&self, name: &str) -> bool {
+        self.open || self.names.contains(name)
+    }
+
     /// The replicas that vote.
     pub fn voters(&self) -> impl Iterator<Item = &Peer> {
         self.peers.iter().filter(|peer| peer.voter)
--- a/crates/nutmegyoke-core/src/process/control/replica/message.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/message.rs
@@ -61,6 +61,10 @@
     Join { seed: Seed },
     /// Does the receiver hold any state?
     Probe,
-    /// Answers a probe.
-    Probed { name: String, fresh: bool },
+    /// Answers a probe; `founder` if the sender may found the fleet.
+    Probed {
+        name: String,
+        fresh: bool,
+        founder: bool,
+    },
 }
--- a/crates/nutmegyoke-core/src/process/control/replica/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/mod.rs
@@ -30,8 +30,9 @@
 
 pub use disk::Disk;
 pub use event::{Batch, Command, Event, Recovered, Setup, Vote};
+use join::Probes;
 pub use log::{Content, Entry, Log, Position};
-pub use membership::{Id, Membership, Peer, Seed, Wish};
+pub use membership::{Id, Membership, Peer, Roster, Seed, Wish};
 pub use message::{Body, Message};
 pub use replication::Progress;
 pub use snapshot::Snapshot;
@@ -109,8 +110,8 @@
     waiting: BTreeMap<u64, u64>,
     /// Where the latest messages came from.
     addresses: BTreeMap<Id, SocketAddr>,
-    /// Peers of the settings that told that they hold no state.
-    fresh: BTreeSet<String>,
+    /// What the VMs of the settings told of themselves.
+    probes: Probes,
 }
 
 impl<S: State> Replica<S> {
@@ -154,7 +155,7 @@
             held: Vec::new(),
             waiting: BTreeMap::new(),
             addresses: BTreeMap::new(),
-            fresh: BTreeSet::new(),
+            probes: Probes::default(),
             setup,
         };
         replica.find_membership();
@@ -207,6 +208,12 @@
         &self.membership
     }
 
+    /// Where in the log the latest membership stands.
+    #[must_use]
+    pub fn membership_index(&self) -> u64 {
+        self.membership_index
+    }
+
     /// The last committed index known here.
     #[must_use]
     pub fn commit(&self) -> u64 {
--- a/crates/nutmegyoke-core/src/process/control/store.rs
+++ b/crates/nutmegyoke-core/src/process/control/store.rs
@@ -8,7 +8,7 @@
 use super::replica::State;
 use crate::request::claim::{self, Key};
 use crate::request::{Id, Verdict};
-use crate::version::Configuration;
+use crate::version::{Configuration, Document};
 
 /// About how many bytes a claim takes in the log or a snapshot.
 const CLAIM_BYTES: usize = 80;
@@ -21,6 +21,8 @@
 pub struct Store {
     /// The configuration in force.
     pub configuration: Rc<Configuration>,
+    /// The routing document in force, if one was published.
+    pub document: Option<Rc<Document>>,
     /// The claims within their retention.
     pub claims: Claims,
 }
@@ -30,6 +32,10 @@
 pub enum Change {
     /// An operator submitted a configuration.
     Configure { configuration: Rc<Configuration> },
+    /// An operator published a routing document.
+    Publish { document: Rc<Document> },
+    /// Nothing; its place in the log proves what came before it.
+    Confirm,
     /// An entry wants a claim.
     Claim { wish: claims::Wish },
     /// An entry tells how a claimed request ended.
@@ -48,6 +54,8 @@
     Answered { acceptance: Acceptance },
     /// Whether the claim is granted.
     Judged { outcome: claim::Outcome },
+    /// The number of the routing document that is in force now.
+    Published { number: Option<u64> },
     /// The end of the claimed request is recorded.
     Recorded,
 }
@@ -74,6 +82,25 @@
     }
 }
 
+impl Store {
+    /// Puts a document in force if its number is the highest so far.
+    fn publish(&mut self, document: &Rc<Document>) {
+        if self
+            .document
+            .as_ref()
+            .is_none_or(|held| held.number < document.number)
+        {
+            self.document = Some(Rc::clone(document));
+        }
+    }
+
+    fn published(&self) -> Outcome {
+        Outcome::Published {
+            number: self.document.as_ref().map(|document| document.number),
+        }
+    }
+}
+
 impl State for Store {
     type Change = Change;
     type Outcome = Outcome;
@@ -83,6 +110,11 @@
             Change::Configure { configuration } => Outcome::Answered {
                 acceptance: self.configure(configuration),
             },
+            Change::Publish { document } => {
+                self.publish(document);
+                self.published()
+            }
+            Change::Confirm => self.published(),
             Change::Claim { wish } => Outcome::Judged {
                 outcome: self.claims.grant(*wish),
             },
@@ -101,12 +133,14 @@
     fn weight(change: &Change) -> usize {
         match change {
             Change::Configure { configuration } => rows(configuration) * ROW_BYTES,
-            Change::Claim { .. } | Change::Conclude { .. } => CLAIM_BYTES,
+            Change::Publish { document } => document.source.len(),
+            Change::Claim { .. } | Change::Conclude { .. } | Change::Confirm => CLAIM_BYTES,
         }
     }
 
     fn size(&self) -> usize {
-        rows(&self.configuration) * ROW_BYTES + self.claims.len() * CLAIM_BYTES
+        let document = self.document.as_ref().map_or(0, |held| held.source.len());
+        rows(&self.configuration) * ROW_BYTES + self.claims.len() * CLAIM_BYTES + document
     }
 }
 
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/gateway/budget.rs
@@ -0,0 +1,64 @@
+//! How often requests of a service may be sent to a second endpoint.
+//!
+//! The bound holds over all gateways and in every window, so each takes its
+//! part of the fixed allowance and a share of its own requests only.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// The bound on repeated requests, as the settings give it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Repeats allowed per request.
+    pub ratio: f64,
+    /// Repeats allowed on top, over all gateways.
+    pub slack: f64,
+    /// The length of the window in which both are counted.
+    pub window: Duration,
+}
+
+impl Default for Bound {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            slack: 50.0,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
+/// The requests of one service in the present window.
+#[derive(Debug, Default)]
+pub struct Budget {
+    requests: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+impl Budget {
+    /// Counts a request of a client.
+    pub fn count(&mut self, now: Instant, bound: &Bound) {
+        self.requests.push_back(now);
+        self.forget(now, bound);
+    }
+
+    /// Takes a repeat, if the bound allows one more; `gateways` share its slack.
+    pub fn take(&mut self, now: Instant, bound: &Bound, gateways: usize) -> bool {
+        self.forget(now, bound);
+        let number = |length: usize| f64::from(u32::try_from(length).unwrap_or(u32::MAX));
+        let allowed =
+            bound.ratio * number(self.requests.len()) + bound.slack / number(gateways.max(1));
+        if number(self.repeats.len()) + 1.0 > allowed {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    fn forget(&mut self, now: Instant, bound: &Bound) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|&at| at + bound.window < now) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -0,0 +1,73 @@
+//! A request that a gateway is passing through.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::prompt::Prompt;
+use crate::process::endpoint::Target;
+use crate::request::{Passage, Reason};
+use crate::version::routing::Route;
+use crate::version::{Model, Service};
+
+/// A request in flight.
+#[derive(Debug)]
+pub struct Call {
+    pub route: Rc<Route>,
+    pub service: Service,
+    pub model: Option<Model>,
+    pub adapter: Option<String>,
+    pub prompt: Prompt,
+    /// When the client or the route gives up.
+    pub deadline: Instant,
+    /// The endpoints tried, by id.
+    pub tried: Vec<String>,
+    /// Attempts that may have run, with the reason of the latest.
+    pub runs: u32,
+    pub suspect: Option<Reason>,
+    pub stage: Stage,
+}
+
+/// How far a request has got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No attempt is under way.
+    Idle,
+    /// The steward of the endpoint is loading what the request needs.
+    Preparing { endpoint: String },
+    /// The endpoint has been sent the request.
+    Running { endpoint: String, ahead: u64 },
+    /// The endpoint's answer is passed on.
+    Begun { endpoint: String },
+}
+
+impl Call {
+    pub fn open(now: Instant, route: &Rc<Route>, service: &Service, passage: &Passage<'_>) -> Self {
+        let (model, adapter) = match passage.target {
+            Some(Target::Model { model, adapter }) => (Some(model), adapter),
+            _ => (None, None),
+        };
+        let patience = passage.patience.unwrap_or(route.timeout);
+        Self {
+            route: Rc::clone(route),
+            service: service.clone(),
+            model: model.map(Model::from),
+            adapter: adapter.map(str::to_owned),
+            prompt: Prompt::open(passage.target, passage.prompt),
+            deadline: now + patience.min(route.timeout),
+            tried: Vec::new(),
+            runs: 0,
+            suspect: None,
+            stage: Stage::Idle,
+        }
+    }
+
+    /// The endpoint that the request is at.
+    pub fn endpoint(&self) -> Option<&str> {
+        match &self.stage {
+            Stage::Idle => None,
+            Stage::Preparing { endpoint }
+            | Stage::Running { endpoint, .. }
+            | Stage::Begun { endpoint } => Some(endpoint),
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -0,0 +1,92 @@
+//! What a gateway is told and what it tells its host to do.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::process::registry::{Announcement, Rumor};
+use crate::request::{Passage, Verdict};
+use crate::version::Routing;
+
+/// What happened to a gateway. `call` is unique in this run.
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    /// A client sent a request.
+    Arrived { call: u64, passage: Passage<'a> },
+    /// The steward of the chosen engine answered; the names of the adapters that
+    /// the engine holds, `None` if it did not say.
+    Prepared {
+        call: u64,
+        adapters: Option<&'a [String]>,
+    },
+    /// The endpoint began to answer, and the answer is passed on from now.
+    Begun { call: u64 },
+    /// An attempt ended.
+    Settled { call: u64, verdict: Verdict },
+    /// The client closed its connection.
+    Left { call: u64 },
+    /// Another routing document is in force.
+    Configured { routing: &'a Rc<Routing> },
+    /// An endpoint's heartbeat came.
+    Heard { announcement: &'a Announcement },
+    /// An endpoint signed off.
+    SignedOff { id: &'a str },
+    /// Another gateway told what it heard.
+    Told { rumors: &'a [Rumor] },
+    /// The other gateways, by the address at which they take rumors.
+    Listed { gateways: &'a [SocketAddr] },
+    /// A message to another gateway ended; `run` is the run that took it in.
+    Spread { to: SocketAddr, run: Option<u64> },
+    /// The machine's deadline passed.
+    Ticked,
+}
+
+/// What a gateway's host shall do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Have the steward of `endpoint` load an adapter, then report.
+    Prepare {
+        call: u64,
+        endpoint: Rc<Announcement>,
+        model: String,
+        adapter: String,
+        /// How many adapters the engine holds at most.
+        slots: u32,
+    },
+    /// Tell the steward of `endpoint` that an adapter is in use; needs no report.
+    Touch {
+        endpoint: Rc<Announcement>,
+        model: String,
+        adapter: String,
+        /// How many adapters the engine holds at most.
+        slots: u32,
+    },
+    /// Send the request to an endpoint.
+    Dispatch {
+        call: u64,
+        endpoint: Rc<Announcement>,
+        /// How long the endpoint may work on it.
+        patience: Duration,
+        /// Its precedence at the endpoint; 0 is the most urgent.
+        rank: u8,
+        /// Whether the answer is a stream of events.
+        streams: bool,
+    },
+    /// Answer that the request failed, and abandon an attempt that is under way.
+    Refuse { call: u64, refusal: Refusal },
+    /// Break off an answer that is being passed on.
+    Cancel { call: u64 },
+    /// Tell another gateway what it lacks.
+    Spread { to: SocketAddr, rumors: Vec<Rumor> },
+    /// Attempts were repeated or could have been; for the counters.
+    Retried { verdict: Verdict, allowed: bool },
+}
+
+/// Why a request failed, for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Whether the request may have run, and the reason.
+    pub verdict: Verdict,
+    /// When it may be worth to try again; only where it has not run.
+    pub retry_after: Option<Duration>,
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -0,0 +1,116 @@
+//! Picks the endpoint of an attempt.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rapidhash::v3::rapidhash_v3;
+
+use super::Gateway;
+use super::call::Call;
+use crate::process::registry::{Announcement, Row};
+
+/// How long an endpoint that isn't heard of counts as alive: three heartbeats
+/// and a half, so that one lost heartbeat and a slow one change nothing.
+const LEASE_BEATS: f64 = 3.5;
+
+/// What an engine that runs a request costs another one, in prompt tokens.
+const RUNNING_COST: u64 = 60;
+
+/// What a load of an adapter costs, in prompt tokens: about 10 ms.
+const ADAPTER_COST: u64 = 400;
+
+/// What an endpoint of another data centre costs, in prompt tokens: about 1 ms
+/// there and back, and bytes that are paid for.
+const FAR_COST: u64 = 80;
+
+/// What an engine costs that the hash of the prompt does not favour, in prompt
+/// tokens. It makes gateways that know nothing of each other agree.
+const STRAY_COST: u64 = 400;
+
+/// What an occupied slot of a plain service costs, as a part of its slots.
+const SLOT_COST: u64 = 1000;
+
+/// What an endpoint costs that works slowly after its start.
+const WARMING_COST: u64 = 500;
+
+/// What an engine costs whose slots are all taken, in prompt tokens.
+const FULL_COST: u64 = 100_000;
+
+impl Gateway {
+    /// The best endpoint that was not tried yet.
+    pub(super) fn pick(&self, now: Instant, call: &Call) -> Option<Rc<Announcement>> {
+        let rows = self.registry.rows().filter(|row| is_usable(call, row));
+        let rows: Vec<&Row> = rows.collect();
+        let sound: Vec<&Row> = rows
+            .iter()
+            .copied()
+            .filter(|row| self.is_sound(now, row))
+            .collect();
+        // Where none is known to work, one that is suspected is better than none.
+        let rows = if sound.is_empty() { rows } else { sound };
+        let favourite = rows
+            .iter()
+            .map(|row| affinity(call, &row.announcement.id))
+            .max()?;
+        let best = rows.into_iter().min_by_key(|row| {
+            let hash = affinity(call, &row.announcement.id);
+            (self.cost(now, call, row, hash == favourite), hash)
+        })?;
+        Some(Rc::clone(&best.announcement))
+    }
+
+    fn is_sound(&self, now: Instant, row: &Row) -> bool {
+        let lease = self.setup.heartbeat.mul_f64(LEASE_BEATS);
+        let seat = self.seats.get(&row.announcement.id);
+        now < row.heard + lease && !seat.is_some_and(|seat| seat.is_avoided(now))
+    }
+
+    /// The work that the request has to wait for and causes, in prompt tokens.
+    fn cost(&self, now: Instant, call: &Call, row: &Row, favourite: bool) -> u64 {
+        let announcement = &row.announcement;
+        let seat = self.seats.get(&announcement.id);
+        let in_flight = u64::from(seat.map_or(0, |seat| seat.in_flight));
+        let slots = u64::from(announcement.slots.max(1));
+        let mut cost = 0;
+        if announcement.data_centre != self.setup.data_centre {
+            cost += FAR_COST;
+        }
+        if announcement.warming > Duration::ZERO {
+            cost += WARMING_COST;
+        }
+        let Some(model) = &call.model else {
+            return cost + in_flight * SLOT_COST / slots;
+        };
+        let kept = seat.map_or(0, |seat| seat.cache.kept(now, &call.prompt));
+        cost += seat.map_or(0, |seat| seat.ahead) + in_flight * RUNNING_COST;
+        cost += u64::from(call.prompt.tokens - kept);
+        if let Some(adapter) = &call.adapter
+            && !seat.is_some_and(|seat| seat.holds(model.as_str(), adapter))
+        {
+            cost += ADAPTER_COST;
+        }
+        if !favourite {
+            cost += STRAY_COST;
+        }
+        if in_flight >= slots {
+            cost += FULL_COST;
+        }
+        cost
+    }
+}
+
+fn is_usable(call: &Call, row: &Row) -> bool {
+    let announcement = &row.announcement;
+    let held = |model| announcement.models.contains(model);
+    row.takes_work()
+        && announcement.service == call.service
+        && !call.tried.contains(&announcement.id)
+        && call.model.as_ref().is_none_or(held)
+}
+
+/// How much the prompt favours an endpoint. All gateways compute the same.
+fn affinity(call: &Call, id: &str) -> u64 {
+    let mut key = call.prompt.shared().to_le_bytes().to_vec();
+    key.extend_from_slice(id.as_bytes());
+    rapidhash_v3(&key)
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/gateway/seat.rs
@@ -0,0 +1,111 @@
+//! What a gateway knows of an endpoint from its own requests.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::prompt::Cache;
+use crate::request::{Reason, Verdict};
+
+/// How long an endpoint is passed over after a first failure; doubles with each more.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// The most doublings of the pause.
+const DOUBLINGS: u32 = 4;
+
+/// Failures in a row of an endpoint that can be reached, after which it is passed over.
+const TOLERATED: u32 = 3;
+
+/// How long an adapter may be used before its steward is told again, so that it
+/// isn't taken for idle.
+const TOUCH_PERIOD: Duration = Duration::from_secs(1);
+
+/// An endpoint as the gateway's own requests found it.
+#[derive(Debug, Default)]
+pub struct Seat {
+    /// The start of the endpoint that the rest is about.
+    pub born: u64,
+    /// Requests that it is working on.
+    pub in_flight: u32,
+    /// Prompt tokens that it still has to read before it can begin the answers.
+    pub ahead: u64,
+    /// Prompt parts that it read lately.
+    pub cache: Cache,
+    /// The adapters that it holds, by model and name, and when its steward was told last.
+    adapters: BTreeMap<(String, String), Instant>,
+    failures: u32,
+    avoided: Option<Instant>,
+}
+
+impl Seat {
+    /// Forgets what an earlier start of the endpoint held.
+    pub fn renew(&mut self, born: u64) {
+        if self.born != born {
+            self.born = born;
+            self.cache.clear();
+            self.adapters.clear();
+            self.failures = 0;
+            self.avoided = None;
+        }
+    }
+
+    /// Whether requests had better go elsewhere.
+    #[must_use]
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided.is_some_and(|until| now < until)
+    }
+
+    /// Takes in how an attempt ended.
+    pub fn judge(&mut self, now: Instant, verdict: Verdict) {
+        let weight = match verdict.reason() {
+            None => {
+                self.failures = 0;
+                self.avoided = None;
+                return;
+            }
+            // Nothing else is known of an endpoint that can't be reached.
+            Some(Reason::Unreachable) => TOLERATED,
+            Some(Reason::LinkLost | Reason::EndpointFailed | Reason::Truncated) => 1,
+            Some(_) => return,
+        };
+        self.failures = self.failures.saturating_add(weight);
+        if let Some(over) = self.failures.checked_sub(TOLERATED) {
+            self.avoided = Some(now + PAUSE * 2_u32.pow(over.min(DOUBLINGS)));
+        }
+    }
+
+    /// Whether the endpoint is known to hold an adapter.
+    #[must_use]
+    pub fn holds(&self, model: &str, adapter: &str) -> bool {
+        let key = (model.to_owned(), adapter.to_owned());
+        self.adapters.contains_key(&key)
+    }
+
+    /// Notes that an adapter is used. Returns whether the steward should be told.
+    pub fn touch(&mut self, now: Instant, model: &str, adapter: &str) -> bool {
+        let key = (model.to_owned(), adapter.to_owned());
+        match self.adapters.get_mut(&key) {
+            Some(told) if *told + TOUCH_PERIOD <= now => {
+                *told = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes in which adapters the endpoint holds, each as MODEL/NAME.
+    pub fn hold(&mut self, now: Instant, adapters: &[String]) {
+        let names = adapters.iter().filter_map(|name| name.split_once('/'));
+        let mut held = BTreeMap::new();
+        for (model, adapter) in names {
+            let key = (model.to_owned(), adapter.to_owned());
+            let told = self.adapters.get(&key).copied().unwrap_or(now);
+            held.insert(key, told);
+        }
+        self.adapters = held;
+    }
+
+    /// Forgets the adapters, because one was missing.
+    pub fn doubt_adapters(&mut self) {
+        self.adapters.clear();
+    }
+}
--- a/crates/nutmegyoke-core/src/process/member.rs
+++ b/crates/nutmegyoke-core/src/process/member.rs
@@ -36,4 +36,8 @@
     Agent,
     /// Holds a replica of the state that survives.
     Control,
+    /// Passes clients' requests through to services.
+    Gateway,
+    /// Runs beside one engine and is the only one that orders it.
+    Steward,
 }
--- a/crates/nutmegyoke-core/src/process/mod.rs
+++ b/crates/nutmegyoke-core/src/process/mod.rs
@@ -1,7 +1,7 @@
 //! What lives as long as a process.
 //!
-//! Each role of the daemon is one [`machine::Machine`]: [`entry`], [`agent`]
-//! and [`control`]. They share the words for the fleet ([`vm`],
+//! Each role of the daemon is one [`machine::Machine`]: [`entry`], [`agent`],
+//! [`control`], [`gateway`] and [`steward`]. They share the words for the fleet ([`vm`],
 //! [`data_centre`], [`endpoint`]) and the [`clock`].
 
 pub mod agent;
@@ -12,11 +12,14 @@
 pub mod directory;
 pub mod endpoint;
 pub mod entry;
+pub mod gateway;
 pub mod machine;
 pub mod member;
 pub mod news;
 pub mod order;
+pub mod registry;
 pub mod report;
+pub mod steward;
 pub mod vm;
 
 pub use agent::Agent;
@@ -26,8 +29,11 @@
 pub use directory::Directory;
 pub use endpoint::Endpoint;
 pub use entry::Entry;
+pub use gateway::Gateway;
 pub use machine::{Machine, Sink};
 pub use member::Member;
 pub use order::Order;
+pub use registry::Registry;
 pub use report::Report;
+pub use steward::Steward;
 pub use vm::Vm;
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/registry/announcement.rs
@@ -0,0 +1,57 @@
+//! What an endpoint without an agent tells of itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::process::DataCentre;
+use crate::process::endpoint::Phase;
+use crate::version::{Model, Service};
+
+/// One heartbeat of an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Announcement {
+    /// Identifies the endpoint; a restarted one may come back under the same id.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: Service,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Where it is.
+    pub data_centre: DataCentre,
+    /// When it started.
+    pub stamp: Stamp,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub phase: Phase,
+    /// How much longer it works slowly after its start.
+    pub warming: Duration,
+    /// When it is gone for good, if it leaves at short notice.
+    pub leaves_in: Option<Duration>,
+    /// The models that it holds; empty for plain services.
+    pub models: Vec<Model>,
+}
+
+/// Orders the heartbeats of an endpoint: a later start wins, then a higher count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Stamp {
+    /// The start of the endpoint, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Counts its heartbeats since then.
+    pub sequence: u64,
+}
+
+impl Announcement {
+    /// Whether `other` says the same, but for the time at which it was said.
+    #[must_use]
+    pub fn repeats(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.service == other.service
+            && self.address == other.address
+            && self.stamp.born == other.stamp.born
+            && self.slots == other.slots
+            && self.phase == other.phase
+            && self.models == other.models
+            && self.leaves_in.is_some() == other.leaves_in.is_some()
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/registry/mod.rs
@@ -0,0 +1,208 @@
+//! The endpoints that a gateway knows, from their heartbeats and from other gateways.
+//!
+//! Every change carries a revision, so that each other gateway is sent just
+//! what it has not acknowledged, see [`spread`]. Rows of endpoints that left
+//! stay for a while, so that a late heartbeat doesn't bring them back.
+
+pub mod announcement;
+pub mod rumor;
+pub mod spread;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+pub use announcement::{Announcement, Stamp};
+pub use rumor::{Content, Rumor};
+pub use spread::Spread;
+
+use super::endpoint::Phase;
+
+/// How long a row is kept after its endpoint was last heard of. Longer than any
+/// heartbeat can be under way.
+const RETENTION: Duration = Duration::from_mins(1);
+
+/// The endpoints that a gateway knows.
+#[derive(Debug, Default)]
+pub struct Registry {
+    rows: BTreeMap<String, Row>,
+    revision: u64,
+}
+
+/// What is known of one endpoint.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Its latest heartbeat that said something new.
+    pub announcement: Rc<Announcement>,
+    /// Its latest heartbeat.
+    pub stamp: Stamp,
+    /// When it was last heard of, by any gateway.
+    pub heard: Instant,
+    /// Whether it signed off.
+    pub left: bool,
+    /// The revision of the latest change.
+    changed: u64,
+    /// The revision of the latest heartbeat that came here directly.
+    renewed: u64,
+}
+
+impl Row {
+    /// Whether requests may be sent to it, as far as it said.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        !self.left && self.announcement.phase == Phase::Ready
+    }
+}
+
+impl Registry {
+    /// The revision of the latest change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The endpoints, those that left included.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values()
+    }
+
+    /// The endpoint called `id`.
+    #[must_use]
+    pub fn row(&self, id: &str) -> Option<&Row> {
+        self.rows.get(id)
+    }
+
+    /// Takes in a heartbeat that came directly. Returns whether it said something new.
+    pub fn hear(&mut self, now: Instant, announcement: &Announcement) -> bool {
+        let changed = self.take(now, announcement);
+        if let Some(row) = self.rows.get_mut(&announcement.id)
+            && row.stamp == announcement.stamp
+        {
+            self.revision += 1;
+            row.renewed = self.revision;
+        }
+        changed
+    }
+
+    /// Takes in that an endpoint signed off. Returns false if it isn't known.
+    pub fn leave(&mut self, now: Instant, id: &str) -> bool {
+        let Some(stamp) = self.rows.get(id).map(|row| row.stamp) else {
+            return false;
+        };
+        self.sign_off(now, id, stamp);
+        true
+    }
+
+    /// Takes in what another gateway heard. Returns whether it said something new.
+    pub fn learn(&mut self, now: Instant, rumor: &Rumor) -> bool {
+        let heard = now.checked_sub(rumor.age).unwrap_or(now);
+        match &rumor.content {
+            Content::Told(announcement) => self.take(heard, announcement),
+            Content::Renewed { id, stamp } => {
+                self.renew(heard, id, *stamp);
+                false
+            }
+            Content::Left { id, stamp } => self.sign_off(heard, id, *stamp),
+        }
+    }
+
+    /// What a gateway lacks that acknowledged `revision`.
+    #[must_use]
+    pub fn since(&self, now: Instant, revision: u64) -> Vec<Rumor> {
+        let rows = self.rows.iter();
+        let news = rows.filter_map(|(id, row)| {
+            let (id, stamp) = (id.clone(), row.stamp);
+            let content = if row.changed > revision && row.left {
+                Content::Left { id, stamp }
+            } else if row.changed > revision {
+                Content::Told(Rc::clone(&row.announcement))
+            } else if row.renewed > revision {
+                Content::Renewed { id, stamp }
+            } else {
+                return None;
+            };
+            let age = now.saturating_duration_since(row.heard);
+            Some(Rumor { age, content })
+        });
+        news.collect()
+    }
+
+    /// Drops what is too old to matter.
+    pub fn expire(&mut self, now: Instant) {
+        self.rows.retain(|_, row| now < row.heard + RETENTION);
+    }
+
+    fn take(&mut self, heard: Instant, announcement: &Announcement) -> bool {
+        let known = self.rows.get(&announcement.id);
+        let changed = match known {
+            Some(row) if announcement.stamp <= row.stamp => return false,
+            // Only a new start brings an endpoint back that signed off.
+            Some(row) if row.left && announcement.stamp.born <= row.stamp.born => return false,
+            Some(row) => row.left || !row.announcement.repeats(announcement),
+            None => !self.is_superseded(announcement),
+        };
+        if !changed {
+            self.renew(heard, &announcement.id, announcement.stamp);
+            return false;
+        }
+        self.revision += 1;
+        let row = Row {
+            announcement: Rc::new(announcement.clone()),
+            stamp: announcement.stamp,
+            heard,
+            left: false,
+            changed: self.revision,
+            renewed: 0,
+        };
+        self.rows.insert(announcement.id.clone(), row);
+        self.supersede(announcement);
+        true
+    }
+
+    /// Whether a later endpoint has the address of `announcement`.
+    fn is_superseded(&self, announcement: &Announcement) -> bool {
+        self.rows.values().any(|row| {
+            row.announcement.address == announcement.address
+                && row.stamp.born > announcement.stamp.born
+        })
+    }
+
+    /// Signs off the earlier endpoints at the address of `announcement`.
+    fn supersede(&mut self, announcement: &Announcement) {
+        for (id, row) in &mut self.rows {
+            let earlier = row.announcement.address == announcement.address
+                && *id != announcement.id
+                && row.stamp.born < announcement.stamp.born;
+            if earlier && !row.left {
+                self.revision += 1;
+                row.left = true;
+                row.changed = self.revision;
+            }
+        }
+    }
+
+    fn renew(&mut self, heard: Instant, id: &str, stamp: Stamp) {
+        if let Some(row) = self.rows.get_mut(id)
+            && row.stamp.born == stamp.born
+            && row.stamp < stamp
+        {
+            row.stamp = stamp;
+            row.heard = row.heard.max(heard);
+        }
+    }
+
+    fn sign_off(&mut self, heard: Instant, id: &str, stamp: Stamp) -> bool {
+        let Some(row) = self.rows.get_mut(id) else {
+            return false;
+        };
+        if row.left || row.stamp.born > stamp.born {
+            return false;
+        }
+        self.revision += 1;
+        row.left = true;
+        row.heard = row.heard.max(heard);
+        row.stamp = row.stamp.max(stamp);
+        row.changed = self.revision;
+        true
+    }
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/version/routing/mod.rs
@@ -0,0 +1,191 @@
+//! How requests are passed through to services, by host and path.
+
+pub mod pool;
+pub mod route;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+
+pub use pool::{Engine, Pool, Weights};
+pub use route::{Conduct, Route, Share};
+
+use super::Service;
+
+/// A routing document as it was decoded, not checked yet.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Draft {
+    /// The version number.
+    pub number: u64,
+    /// The routes, in any order.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub pools: Vec<Pool>,
+    /// What clients may send.
+    pub limits: Limits,
+}
+
+/// What a client may send, and how long it may take or stay idle.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The longest request head, in bytes.
+    pub header_bytes: usize,
+    /// The longest request body, in bytes.
+    pub body_bytes: usize,
+    /// How long a client may take to send the head of a request.
+    pub header_timeout: Duration,
+    /// How long a connection may be idle between requests.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_mins(1),
+        }
+    }
+}
+
+/// A checked routing document.
+#[derive(Clone, Debug, Default)]
+pub struct Routing {
+    number: u64,
+    /// The routes of each host, the longest prefix first.
+    hosts: BTreeMap<String, Vec<Rc<Route>>>,
+    pools: BTreeMap<Service, Rc<Pool>>,
+    limits: Limits,
+}
+
+/// What is wrong with a routing document, and what to do about it.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum Fault {
+    /// A route leads to a service that the document does not define.
+    #[display(
+        "route `{route}` leads to the unknown service `{service}`: add the service or correct the name"
+    )]
+    UnknownService { route: String, service: String },
+    /// Two routes take the same requests.
+    #[display("routes `{first}` and `{second}` have the same host and prefix: remove one")]
+    SamePlace { first: String, second: String },
+    /// No request could go anywhere.
+    #[display("the weights of route `{route}` add up to 0: give one a positive weight")]
+    NoWeight { route: String },
+    /// No request could be answered in time.
+    #[display("the timeout of route `{route}` is 0: write a positive number of milliseconds")]
+    NoTimeout { route: String },
+    /// The prefix can't match as it should.
+    #[display("the prefix `{prefix}` of route `{route}` has to begin and end with a slash")]
+    Prefix { route: String, prefix: String },
+    /// Two services have the same name.
+    #[display("service `{service}` is defined twice: remove one")]
+    ServiceTwice { service: String },
+}
+
+impl Routing {
+    /// Checks a draft.
+    ///
+    /// # Errors
+    ///
+    /// The first fault found.
+    pub fn open(draft: Draft) -> Result<Rc<Self>, Fault> {
+        let mut pools = BTreeMap::new();
+        for pool in draft.pools {
+            let service = pool.service.clone();
+            if pools.insert(service.clone(), Rc::new(pool)).is_some() {
+                return Err(Fault::ServiceTwice {
+                    service: service.to_string(),
+                });
+            }
+        }
+        let mut hosts: BTreeMap<String, Vec<Rc<Route>>> = BTreeMap::new();
+        for route in draft.routes {
+            check(&route, &pools)?;
+            let host = hosts.entry(route.host.clone()).or_default();
+            host.push(Rc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by(|one, other| {
+                let key = |route: &Route| (Reverse(route.prefix.len()), route.prefix.clone());
+                key(one).cmp(&key(other))
+            });
+            if let Some(pair) = routes
+                .windows(2)
+                .find(|pair| pair[0].prefix == pair[1].prefix)
+            {
+                return Err(Fault::SamePlace {
+                    first: pair[0].name.clone(),
+                    second: pair[1].name.clone(),
+                });
+            }
+        }
+        Ok(Rc::new(Self {
+            number: draft.number,
+            hosts,
+            pools,
+            limits: draft.limits,
+        }))
+    }
+
+    /// The version number.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// What clients may send.
+    #[must_use]
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// The route of a request: of its host, the one with the longest prefix.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let routes = self.hosts.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The service called `service`.
+    #[must_use]
+    pub fn pool(&self, service: &str) -> Option<&Rc<Pool>> {
+        self.pools.get(service)
+    }
+
+    /// The services.
+    pub fn pools(&self) -> impl Iterator<Item = &Rc<Pool>> {
+        self.pools.values()
+    }
+}
+
+fn check(route: &Route, pools: &BTreeMap<Service, Rc<Pool>>) -> Result<(), Fault> {
+    let name = || route.name.clone();
+    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+        return Err(Fault::Prefix {
+            route: name(),
+            prefix: route.prefix.clone(),
+        });
+    }
+    if route.timeout.is_zero() {
+        return Err(Fault::NoTimeout { route: name() });
+    }
+    let services: BTreeSet<&Service> = route.shares.iter().map(|share| &share.service).collect();
+    if let Some(unknown) = services
+        .into_iter()
+        .find(|&service| !pools.contains_key(service))
+    {
+        return Err(Fault::UnknownService {
+            route: name(),
+            service: unknown.to_string(),
+        });
+    }
+    if route.shares.iter().all(|share| share.weight == 0) {
+        return Err(Fault::NoWeight { route: name() });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/src/version/routing/pool.rs
@@ -0,0 +1,50 @@
+//! A service that routes lead to, with what its endpoints have in common.
+
+use std::time::Duration;
+
+use crate::version::{Model, Service};
+
+/// The endpoints of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    /// The service.
+    pub service: Service,
+    /// The path of the endpoints' health check.
+    pub health_path: String,
+    /// The connections that one endpoint takes from all callers together.
+    pub connections: u32,
+    /// What the endpoints are capable of, if they are model engines.
+    pub engine: Option<Engine>,
+}
+
+/// The properties that all model engines of a service share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that the KV cache holds.
+    pub cache_tokens: u64,
+    /// Accelerator memory for weights, in megabytes.
+    pub weights_mb: f64,
+    /// Adapters that fit at once.
+    pub adapter_slots: u32,
+    /// Loads that the weight store allows over all engines, per second.
+    pub loads_per_second: f64,
+    /// The models that the engines may be asked for.
+    pub models: Vec<Weights>,
+}
+
+/// The weights of a model in the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Weights {
+    /// The model.
+    pub model: Model,
+    /// Their size, in megabytes.
+    pub mb: f64,
+    /// How long a load from the store takes.
+    pub load: Duration,
+    /// How many adapters the model has.
+    pub adapters: u32,
+    /// The size of an adapter, in megabytes.
+    pub adapter_mb: f64,
+}
--- a/crates/nutmegyoke-core/tests/network/control.rs
+++ b/crates/nutmegyoke-core/tests/network/control.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use nutmegyoke_core::process::control::replica::{Id, Recovered, Seed, Setup};
+use nutmegyoke_core::process::control::replica::{Id, Recovered, Roster, Seed, Setup};
 use nutmegyoke_core::process::control::{Command, Event};
 use nutmegyoke_core::process::{Control, Machine};
 
@@ -14,8 +14,9 @@
         seed: Seed {
             name: "control-1".to_owned(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            observer: false,
         },
-        seeds: Vec::new(),
+        roster: Roster::default(),
         election: Duration::from_secs(1),
         random: 1,
     };
--- a/crates/nutmegyoke-core/tests/replica.rs
+++ b/crates/nutmegyoke-core/tests/replica.rs
@@ -16,7 +16,7 @@
 use nutmegyoke_core::process::control::claims::Wish;
 use nutmegyoke_core::process::control::replica::{
     self, Body, Content, Entry, Event, Membership, Message, Peer, Position, Recovered, Replica,
-    Seed, Setup, State, Vote,
+    Roster, Seed, Setup, State, Vote,
 };
 use nutmegyoke_core::process::control::store::{Change, Outcome, Store};
 use nutmegyoke_core::request::Id;
@@ -464,6 +464,7 @@
     let seed = Seed {
         name: "control-0".to_owned(),
         address: simulation.address(0),
+        observer: false,
     };
     tell(&mut simulation, learner, Body::Join { seed });
     let commit = *simulation.committed.keys().next_back().unwrap();
@@ -499,6 +500,7 @@
     let seed = |vm: u16| Seed {
         name: format!("control-{vm}"),
         address: ([127, 0, 0, 1], vm).into(),
+        observer: false,
     };
     let peers = (1..=3).map(|vm| Peer {
         id: replica::Id(vm.into()),
@@ -506,6 +508,7 @@
         voter: true,
     });
     let membership = Membership {
+        open: false,
         names: (1..=3).map(|vm| seed(vm).name).collect(),
         peers: peers.collect(),
     };
@@ -519,7 +522,7 @@
     let setup = Setup {
         id: replica::Id(1),
         seed: seed(1),
-        seeds: Vec::new(),
+        roster: Roster::default(),
         election: support::ELECTION,
         random: 1,
     };
@@ -589,8 +592,9 @@
         seed: Seed {
             name: "control-1".to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
+            observer: false,
         },
-        seeds: Vec::new(),
+        roster: Roster::default(),
         election: support::ELECTION,
         random: 1,
     };
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -7,8 +7,8 @@
 
 use nutmegyoke_core::process::Machine;
 use nutmegyoke_core::process::control::replica::{
-    Batch, Command, Content, Entry, Event, Id, Membership, Message, Recovered, Replica, Seed,
-    Setup, State, Vote,
+    Batch, Command, Content, Entry, Event, Id, Membership, Message, Recovered, Replica, Roster,
+    Seed, Setup, State, Vote,
 };
 
 pub const ELECTION: Duration = Duration::from_secs(1);
@@ -88,6 +88,7 @@
         let seeds = (0..count).map(|vm| Seed {
             name: format!("control-{vm}"),
             address: address(vm),
+            observer: false,
         });
         let mut simulation = Self {
             now: Instant::now(),
@@ -130,7 +131,9 @@
         let setup = Setup {
             id: self.vms[vm].id,
             seed: self.seeds[vm].clone(),
-            seeds: self.seeds.clone(),
+            roster: Roster::Listed {
+                seeds: self.seeds.clone(),
+            },
             election: ELECTION,
             random: self.random.u64(..),
         };
--- a/crates/nutmegyoke-host/src/connection/http.rs
+++ b/crates/nutmegyoke-host/src/connection/http.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use compio::net::TcpStream;
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, select};
@@ -15,7 +16,6 @@
 use hyper::{Request, Response};
 
 use crate::process::Event;
-use crate::request::Body;
 
 /// How long a connection may take to send its request line and headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -25,8 +25,14 @@
 
 /// Answers HTTP requests.
 pub trait Handler {
+    /// The body of its responses.
+    type Body: hyper::body::Body<Data = Bytes, Error: std::error::Error + Send + Sync> + 'static;
+
     /// Answers one request.
-    fn handle(self: Rc<Self>, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
+    fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Self::Body>>;
 
     /// Whether connections shall be closed after the answer in progress.
     fn closing(&self) -> bool;
--- a/crates/nutmegyoke-host/src/connection/mod.rs
+++ b/crates/nutmegyoke-host/src/connection/mod.rs
@@ -5,6 +5,7 @@
 pub mod link;
 pub mod listener;
 pub mod pool;
+pub mod upstream;
 
 pub use latch::Latch;
 pub use listener::Listener;
--- /dev/null
+++ b/crates/nutmegyoke-host/src/connection/upstream.rs
@@ -0,0 +1,134 @@
+//! Kept HTTP/1.1 connections to endpoints, one request at a time on each.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+
+/// How long connecting to an endpoint may take. Endpoints take about 1 ms for a
+/// new connection, so this allows for one lost packet.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// How long an idle connection is kept whose endpoint doesn't say how long it does.
+const KEEP_ALIVE: Duration = Duration::from_secs(4);
+
+/// How long before an endpoint closes an idle connection it isn't used any more.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// The idle connections kept for one endpoint at most.
+const IDLE: usize = 32;
+
+/// The connections of a process to endpoints.
+#[derive(Debug, Default)]
+pub struct Upstreams {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    upstream: Upstream,
+    until: Instant,
+}
+
+/// A connection to an endpoint.
+#[derive(Debug)]
+pub struct Upstream {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    /// Whether it has carried a request before.
+    pub used: bool,
+}
+
+impl Upstreams {
+    /// Takes an idle connection to `address`, if there is a live one.
+    pub fn take(&self, now: Instant, address: SocketAddr) -> Option<Upstream> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some(Idle { upstream, until }) = kept.pop() {
+            if now < until && upstream.sender.is_ready() {
+                return Some(upstream);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    /// Keeps a connection whose response has been read in whole.
+    pub fn keep(&self, now: Instant, upstream: Upstream, keep_alive: Option<Duration>) {
+        let span = keep_alive.unwrap_or(KEEP_ALIVE).saturating_sub(MARGIN);
+        if upstream.sender.is_closed() || span.is_zero() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(upstream.address).or_default();
+        kept.retain(|row| now < row.until && !row.upstream.sender.is_closed());
+        if kept.len() < IDLE {
+            let until = now + span;
+            kept.push(Idle { upstream, until });
+        }
+    }
+}
+
+impl Upstream {
+    /// Connects to the endpoint at `address`.
+    ///
+    /// # Errors
+    ///
+    /// The endpoint can't be reached in time; nothing was sent.
+    pub async fn dial(address: SocketAddr) -> io::Result<Self> {
+        let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = connected.map_err(|_| io::ErrorKind::TimedOut)??;
+        stream.set_nodelay(true)?;
+        let io = HyperStream::new_plain(stream);
+        let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
+        compio::runtime::spawn(async move {
+            // The request in flight has failed with the same error.
+            let _ = connection.await;
+        })
+        .detach();
+        Ok(Self {
+            address,
+            sender,
+            used: false,
+        })
+    }
+
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke; [`Broken::sent`] tells whether the request may have left.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Broken> {
+        self.used = true;
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| Broken {
+            sent: error.take_message().is_none(),
+            why: error.into_error(),
+        })
+    }
+}
+
+/// A connection broke before the head of the response was there.
+#[derive(Debug)]
+pub struct Broken {
+    /// Whether any of the request may have left.
+    pub sent: bool,
+    /// What went wrong.
+    pub why: hyper::Error,
+}
+
+/// The connections of a process, shared by its requests.
+pub type Shared = Rc<Upstreams>;
--- a/crates/nutmegyoke-host/src/process/control/ask.rs
+++ b/crates/nutmegyoke-host/src/process/control/ask.rs
@@ -12,8 +12,9 @@
 use nutmegyoke_core::process::control::replica::Wish;
 use nutmegyoke_core::process::control::{Acceptance, Command, Event as Input};
 use nutmegyoke_core::request::{Id, Verdict, claim};
-use nutmegyoke_core::version::Configuration;
+use nutmegyoke_core::version::{Configuration, Document};
 use nutmegyoke_wire::connection::replica_capnp::replica;
+use nutmegyoke_wire::process::record;
 use nutmegyoke_wire::request as wire;
 use nutmegyoke_wire::version::{acceptance, lists};
 
@@ -22,6 +23,9 @@
 /// How long a call is tried before it fails.
 const PATIENCE: Duration = Duration::from_secs(8);
 
+/// How long a call about routing is tried: its callers go elsewhere after a second.
+const ROUTING_PATIENCE: Duration = Duration::from_millis(900);
+
 /// The pause before a call is tried again.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -33,6 +37,9 @@
     /// What the caller learns.
     type Answer;
 
+    /// How long the call is tried before it fails.
+    const PATIENCE: Duration = PATIENCE;
+
     /// The event for the own machine.
     fn event<C: Clock>(&self, call: u64, clock: &C) -> Input<'_>;
 
@@ -47,7 +54,7 @@
     /// Gets the answer from the leader, this process or another.
     pub(super) async fn ask<A: Ask>(&self, ask: &A) -> Option<A::Answer> {
         self.pending.set(self.pending.get() + 1);
-        let answer = compio::time::timeout(PATIENCE, self.insist(ask)).await;
+        let answer = compio::time::timeout(A::PATIENCE, self.insist(ask)).await;
         self.pending.set(self.pending.get() - 1);
         answer.ok()
     }
@@ -110,6 +117,60 @@
     }
 }
 
+/// Publishes a routing document.
+pub struct Publish<'a>(pub &'a Rc<Document>);
+
+impl Ask for Publish<'_> {
+    type Answer = Option<u64>;
+
+    const PATIENCE: Duration = ROUTING_PATIENCE;
+
+    fn event<C: Clock>(&self, call: u64, _: &C) -> Input<'_> {
+        Input::Published {
+            call,
+            document: self.0,
+        }
+    }
+
+    fn answer(command: Command) -> Option<Option<u64>> {
+        match command {
+            Command::Tell { number, .. } => Some(number),
+            _ => None,
+        }
+    }
+
+    async fn pass(&self, leader: &replica::Client) -> capnp::Result<Option<u64>> {
+        let mut request = leader.publish_request();
+        record::write_document(self.0, request.get().init_document());
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        Ok(response.get_published().then_some(response.get_number()))
+    }
+}
+
+/// Asks for the number of the newest routing document.
+pub struct Newest;
+
+impl Ask for Newest {
+    type Answer = Option<u64>;
+
+    const PATIENCE: Duration = ROUTING_PATIENCE;
+
+    fn event<C: Clock>(&self, call: u64, _: &C) -> Input<'_> {
+        Input::Read { call }
+    }
+
+    fn answer(command: Command) -> Option<Option<u64>> {
+        Publish::answer(command)
+    }
+
+    async fn pass(&self, leader: &replica::Client) -> capnp::Result<Option<u64>> {
+        let response = leader.read_request().send().promise.await?;
+        let response = response.get()?;
+        Ok(response.get_published().then_some(response.get_number()))
+    }
+}
+
 /// Asks for a claim.
 pub struct Claim<'a> {
     pub name: &'a claim::Name,
--- a/crates/nutmegyoke-host/src/process/control/carrier.rs
+++ b/crates/nutmegyoke-host/src/process/control/carrier.rs
@@ -29,7 +29,7 @@
     mut background: mpsc::UnboundedReceiver<Command>,
     pool: Rc<Pool<replica::Client>>,
     journal: Journal<M>,
-    failed: oneshot::Sender<Failure>,
+    (failed, mut changed): (oneshot::Sender<Failure>, mpsc::Sender<()>),
 ) where
     C: Clock + 'static,
     M: Medium + 'static,
@@ -45,6 +45,10 @@
                 // The writer ends only when the disk has failed.
                 let _ = batches.unbounded_send(batch);
             }
+            Command::Changed => {
+                // A full channel means that the watcher is about to look anyway.
+                let _ = changed.try_send(());
+            }
             _ => {}
         }
     }
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -6,21 +6,23 @@
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, UNIX_EPOCH};
 
 use compio::net::TcpStream;
-use futures_channel::oneshot;
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
 use futures_util::future::OptionFuture;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use nutmegyoke_core::process as decision;
-use nutmegyoke_core::process::control::replica::{Id, Seed, Setup, Wish};
+use nutmegyoke_core::process::control::replica::{Id, Roster, Seed, Setup, Wish};
 use nutmegyoke_core::process::control::{Acceptance, Command, Event as Input};
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::{Clock, Member};
-use nutmegyoke_core::version::Configuration;
+use nutmegyoke_core::version::{Configuration, Document};
 use nutmegyoke_wire::connection::link_capnp::agent;
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::process::{Settings, Status, settings, status};
@@ -59,18 +61,46 @@
     listeners: OnceCell<[Listener; 2]>,
     closing: Latch,
     agents: Rc<Pool<agent::Client>>,
+    changes: RefCell<mpsc::Receiver<()>>,
+}
+
+/// A replica's place among the others.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    /// The data folder; without one the state ends with the process.
+    pub data: Option<PathBuf>,
+    /// The other control processes.
+    pub roster: Roster,
+    /// Whether it only ever receives the log.
+    pub observer: bool,
+    /// How long a leader is missed before another is elected.
+    pub election: Duration,
+}
+
+impl From<&settings::Control> for Seat {
+    fn from(own: &settings::Control) -> Self {
+        Self {
+            data: own.data.clone(),
+            roster: Roster::Listed {
+                seeds: own.peers.clone(),
+            },
+            observer: false,
+            election: own.election,
+        }
+    }
 }
 
 impl Addressed for Command {
     fn addressee(&self) -> Option<u64> {
         match self {
             Self::Teach { call, .. }
+            | Self::Tell { call, .. }
             | Self::Judge { call, .. }
             | Self::Record { call }
             | Self::Answer { call, .. }
             | Self::Grant { call }
             | Self::Redirect { call } => Some(*call),
-            Self::Send { .. } | Self::Persist { .. } => None,
+            Self::Send { .. } | Self::Persist { .. } | Self::Changed => None,
         }
     }
 }
@@ -90,17 +120,34 @@
     where
         C: Clone,
     {
-        let Some(path) = &own.data else {
+        Self::open(settings, &Seat::from(own), clock, registry).await
+    }
+
+    /// Spawns a control process that takes `seat` among the others.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound, or the journal can't be opened.
+    pub async fn open(
+        settings: &Settings,
+        seat: &Seat,
+        clock: C,
+        registry: &Registry,
+    ) -> Result<Rc<Self>, Failure>
+    where
+        C: Clone,
+    {
+        let Some(path) = &seat.data else {
             Event::Volatile.log();
-            return Self::start(settings, own, clock, registry, Memory).await;
+            return Self::start(settings, seat, clock, registry, Memory).await;
         };
         let folder = Folder::open(path).map_err(|source| Failure::Journal { source })?;
-        Self::start(settings, own, clock, registry, folder).await
+        Self::start(settings, seat, clock, registry, folder).await
     }
 
     async fn start<M: Medium + 'static>(
         settings: &Settings,
-        own: &settings::Control,
+        seat: &Seat,
         clock: C,
         registry: &Registry,
         medium: M,
@@ -117,14 +164,16 @@
             seed: Seed {
                 name: settings.name.clone(),
                 address: settings.listen,
+                observer: seat.observer,
             },
-            seeds: own.peers.clone(),
-            election: own.election,
+            roster: seat.roster.clone(),
+            election: seat.election,
             random: run,
         };
         let machine = decision::Control::open(clock.now(), run, setup, recovered);
         let (driver, background) = Driver::spawn(machine, clock.clone());
         let (failing, failed) = oneshot::channel();
+        let (change, changes) = mpsc::channel(0);
         let control = Rc::new(Self {
             driver,
             scheduling: Scheduling::spawn(settings.planner.settings(), clock),
@@ -136,12 +185,13 @@
             listeners: OnceCell::new(),
             closing: Latch::default(),
             agents: Rc::default(),
+            changes: RefCell::new(changes),
         });
         let listener = Listener::bind(settings.listen, "listen", Rc::clone(&control)).await?;
         let operators = Operators::open(&control);
         let operators = Listener::bind(settings.operators, "operators", operators).await?;
         let (driver, pool) = (Rc::clone(&control.driver), Rc::clone(&control.peers));
-        let carrier = carrier::run(driver, background, pool, journal, failing);
+        let carrier = carrier::run(driver, background, pool, journal, (failing, change));
         compio::runtime::spawn(carrier).detach();
         super::log_start(&control.member, listener.address(), operators.address());
         let _ = control.listeners.set([listener, operators]);
@@ -174,6 +224,49 @@
         self.ask(&ask::Apply(configuration)).await
     }
 
+    /// Publishes a routing document. Returns the number of the one that is in
+    /// force then, `None` if no leader answered.
+    pub async fn publish(&self, document: &Rc<Document>) -> Option<u64> {
+        self.ask(&ask::Publish(document)).await.flatten()
+    }
+
+    /// The number of the newest routing document, confirmed by the leader;
+    /// `None` if no leader answered.
+    pub async fn newest(&self) -> Option<Option<u64>> {
+        self.ask(&ask::Newest).await
+    }
+
+    /// The routing document that this replica knows of.
+    #[must_use]
+    pub fn document(&self) -> Option<Rc<Document>> {
+        self.driver.machine().document().cloned()
+    }
+
+    /// Where the processes that hold a replica are reached.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        let machine = self.driver.machine();
+        let peers = machine.replica().membership().peers.iter();
+        peers.map(|peer| peer.seed.address).collect()
+    }
+
+    /// Waits until the routing document or the membership has changed.
+    pub async fn changed(&self) {
+        let next =
+            std::future::poll_fn(|context| self.changes.borrow_mut().poll_next_unpin(context));
+        if next.await.is_none() {
+            // The carrier runs as long as the process.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Hands leadership over.
+    pub async fn resign(&self) {
+        self.driver.feed(Input::Resigned);
+        // The message that hands over has to leave first.
+        compio::time::sleep(HAND_OVER).await;
+    }
+
     /// Waits until the disk fails.
     pub async fn failed(&self) -> journal::Failure {
         let failed = self.failed.borrow_mut().take();
@@ -186,9 +279,7 @@
     /// Hands leadership over, takes nothing new, and waits until what is in
     /// flight has ended.
     pub async fn drain(&self) {
-        self.driver.feed(Input::Resigned);
-        // The message that hands over has to leave first.
-        compio::time::sleep(HAND_OVER).await;
+        self.resign().await;
         self.close();
         self.closing.open();
         super::drained(|| self.in_flight()).await;
--- a/crates/nutmegyoke-host/src/process/control/offer.rs
+++ b/crates/nutmegyoke-host/src/process/control/offer.rs
@@ -11,7 +11,7 @@
 use nutmegyoke_wire::connection::link_capnp::control;
 use nutmegyoke_wire::connection::order_capnp::scheduler;
 use nutmegyoke_wire::connection::replica_capnp::replica;
-use nutmegyoke_wire::process::{member, news, replica as message};
+use nutmegyoke_wire::process::{member, news, record, replica as message};
 use nutmegyoke_wire::request as wire;
 use nutmegyoke_wire::version::{acceptance, lists};
 
@@ -136,6 +136,30 @@
         self.0.ask(&ask::Change(wish)).await.ok_or_else(unavailable)
     }
 
+    async fn publish(
+        self: Rc<Self>,
+        params: replica::PublishParams,
+        mut results: replica::PublishResults,
+    ) -> capnp::Result<()> {
+        let document = record::read_document(params.get()?.get_document()?)?;
+        let number = self.0.ask(&ask::Publish(&document)).await;
+        let number = number.ok_or_else(unavailable)?;
+        results.get().set_published(number.is_some());
+        results.get().set_number(number.unwrap_or(0));
+        Ok(())
+    }
+
+    async fn read(
+        self: Rc<Self>,
+        _: replica::ReadParams,
+        mut results: replica::ReadResults,
+    ) -> capnp::Result<()> {
+        let number = self.0.ask(&ask::Newest).await.ok_or_else(unavailable)?;
+        results.get().set_published(number.is_some());
+        results.get().set_number(number.unwrap_or(0));
+        Ok(())
+    }
+
     async fn status(
         self: Rc<Self>,
         _: replica::StatusParams,
--- a/crates/nutmegyoke-host/src/process/driver.rs
+++ b/crates/nutmegyoke-host/src/process/driver.rs
@@ -8,6 +8,7 @@
 use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 
 use futures_channel::mpsc;
 use futures_util::future::{Either, select};
@@ -149,6 +150,11 @@
         self.number
     }
 
+    /// Looks for a command without waiting.
+    pub fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<M::Command>> {
+        self.commands.poll_next_unpin(context)
+    }
+
     /// Waits for the next command.
     pub async fn next(&mut self) -> Option<M::Command> {
         self.commands.next().await
--- a/crates/nutmegyoke-host/src/process/entry.rs
+++ b/crates/nutmegyoke-host/src/process/entry.rs
@@ -199,6 +199,8 @@
 }
 
 impl<C: Clock + 'static> Handler for Entry<C> {
+    type Body = Body;
+
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         caller::answer(&self, request).await
     }
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -2,19 +2,26 @@
 
 use std::net::SocketAddr;
 
-use derive_more::Display;
+use nutmegyoke_core::process::endpoint::Phase;
 use nutmegyoke_core::process::member::Role;
-use nutmegyoke_core::process::{Order, Vm};
-use nutmegyoke_core::request::{Id, Reason};
+use nutmegyoke_core::process::{Order, Vm, steward};
+use nutmegyoke_core::request::{Id, Reason, Verdict};
+use serde::Serialize;
 use spdlog::Level;
 use strum::{EnumDiscriminants, EnumIter};
 
+use super::log;
+
 /// Something worth a line in the log.
-#[derive(Clone, Debug, Display, EnumDiscriminants)]
+#[derive(Clone, Debug, Serialize, EnumDiscriminants)]
+#[serde(
+    rename_all = "kebab-case",
+    rename_all_fields = "kebab-case",
+    tag = "event"
+)]
 #[strum_discriminants(name(Kind), derive(EnumIter))]
 pub enum Event<'a> {
     /// The process runs.
-    #[display("{role} {vm} listens on {listen}, operators on {operators}")]
     Started {
         role: Role,
         vm: &'a Vm,
@@ -22,58 +29,76 @@
         operators: SocketAddr,
     },
     /// The process was asked to stop and finishes what is in flight.
-    #[display("draining: {in_flight} requests in flight")]
     Draining { in_flight: usize },
     /// The drain limit passed, or a second signal came: what was in flight is cut off.
-    #[display("stopped before it was idle ({why}): {cut_off} requests cut off")]
     CutOff { cut_off: usize, why: &'a str },
     /// The process ends.
-    #[display("stopped")]
     Stopped,
+    /// Log lines were dropped, because their reader was slow.
+    LinesDropped { dropped: u64 },
     /// A newer configuration is in force in this process.
-    #[display("configuration {number} in force")]
     Configured { number: u64 },
     /// An operator's configuration was accepted.
-    #[display("configuration {number} accepted, digest {digest:016x}")]
     Accepted { number: u64, digest: u64 },
     /// An operator's configuration was not accepted.
-    #[display("configuration {number} not accepted: {why}")]
     Rejected { number: u64, why: &'a str },
     /// A request ended without a whole answer.
-    #[display("request {} not answered: {reason}", request.map_or_else(|| "-".to_owned(), |id| id.to_string()))]
     Refused { request: Option<Id>, reason: Reason },
     /// No control process answers.
-    #[display("no control process answers: {why}; serving on the last known state")]
     ControlLost { why: &'a str },
     /// A control process answers again.
-    #[display("control process {address} answers")]
     ControlFound { address: SocketAddr },
     /// A connection ended with an error.
-    #[display("connection of {peer} failed: {why}")]
     ConnectionFailed { peer: SocketAddr, why: &'a str },
     /// The process keeps its state in memory only.
-    #[display("no data folder is set: the state ends with this process")]
     Volatile,
     /// The journal's disk is full.
-    #[display("{why}; nothing is accepted until there is room")]
     DiskFull { why: &'a str },
     /// The journal can't be written any more.
-    #[display("{why}; the process stops")]
     JournalFailed { why: &'a str },
     /// An endpoint announced itself for the first time.
-    #[display("endpoint {name} at {address} announced itself")]
     Announced { name: &'a str, address: SocketAddr },
     /// An operator withdrew an endpoint or put it back.
-    #[display("endpoint {name} {}", if *withdrawn { "withdrawn" } else { "put back" })]
     Withdrawn { name: &'a str, withdrawn: bool },
     /// An engine carried an order out.
-    #[display("order {} done on {}: {}", order.fence, order.endpoint, order.action)]
     OrderDone { order: &'a Order },
     /// An engine did not confirm an order.
-    #[display("order {} lost on {}: {}: {why}", order.fence, order.endpoint, order.action)]
     OrderLost { order: &'a Order, why: &'a str },
+    /// A request that was passed through ended.
+    Passed {
+        request: &'a str,
+        endpoint: &'a str,
+        attempts: u32,
+        verdict: Verdict,
+        /// From its arrival to its end, in milliseconds.
+        elapsed_ms: u64,
+    },
+    /// A routing document was acknowledged; `held` is the number in force.
+    Published { number: u64, held: u64 },
+    /// An endpoint without an agent was heard of for the first time, or says
+    /// something else of itself than before.
+    EndpointHeard {
+        id: &'a str,
+        address: SocketAddr,
+        phase: Phase,
+        born: u64,
+    },
+    /// An endpoint without an agent signed off.
+    EndpointLeft { id: &'a str },
+    /// The steward beside an engine did not answer.
+    StewardSilent { address: SocketAddr, why: &'a str },
+    /// The engine beside a steward was sent an order.
+    EngineOrdered {
+        model: &'a str,
+        adapter: &'a str,
+        load: bool,
+        expected: u64,
+        outcome: steward::Outcome,
+        why: &'a str,
+    },
+    /// The engine beside a steward did not say what it holds.
+    EngineSilent { why: &'a str },
     /// An endpoint's announcement was refused.
-    #[display("announcement refused: {why}")]
     AnnouncementRefused { why: &'a str },
 }
 
@@ -85,6 +110,7 @@
             Self::Started => 100,
             Self::Draining => 101,
             Self::Stopped => 102,
+            Self::LinesDropped => 104,
             Self::CutOff => 103,
             Self::Configured => 200,
             Self::Accepted => 201,
@@ -101,6 +127,13 @@
             Self::Withdrawn => 502,
             Self::OrderDone => 600,
             Self::OrderLost => 601,
+            Self::Passed => 301,
+            Self::Published => 203,
+            Self::EndpointHeard => 503,
+            Self::EndpointLeft => 504,
+            Self::StewardSilent => 403,
+            Self::EngineOrdered => 602,
+            Self::EngineSilent => 603,
         }
     }
 }
@@ -112,12 +145,17 @@
         Kind::from(self).number()
     }
 
-    fn level(&self) -> Level {
+    /// How much it matters.
+    #[must_use]
+    pub fn level(&self) -> Level {
         match self {
             Self::ControlLost { .. }
             | Self::CutOff { .. }
             | Self::Rejected { .. }
             | Self::OrderLost { .. }
+            | Self::LinesDropped { .. }
+            | Self::StewardSilent { .. }
+            | Self::EngineSilent { .. }
             | Self::Volatile
             | Self::DiskFull { .. }
             | Self::AnnouncementRefused { .. } => Level::Warn,
@@ -129,6 +167,6 @@
 
     /// Writes the event to the log.
     pub fn log(&self) {
-        spdlog::log!(self.level(), "NY{:04} {self}", self.number());
+        spdlog::log!(self.level(), "{}", log::line(self));
     }
 }
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/gateway/health.rs
@@ -0,0 +1,42 @@
+//! Tells a balancer whether the gateway takes new connections.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use compio::net::TcpStream;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use nutmegyoke_core::process::Clock;
+
+use super::Gateway;
+use crate::connection::http::{self, Handler};
+use crate::connection::listener::Serve;
+use crate::process::Dialect;
+use crate::process::operators::respond;
+use crate::request::Body;
+
+/// Answers every path alike.
+pub struct Health<C: Clock + 'static, D: Dialect>(pub Rc<Gateway<C, D>>);
+
+impl<C: Clock + 'static, D: Dialect> Serve for Health<C, D> {
+    async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        http::serve(self, stream, peer).await;
+    }
+}
+
+impl<C: Clock + 'static, D: Dialect> Handler for Health<C, D> {
+    type Body = Body;
+
+    async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Response<Body> {
+        let (status, text) = if self.0.ready() {
+            (StatusCode::OK, "ready\n")
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        };
+        respond(status, "text/plain", text.into())
+    }
+
+    fn closing(&self) -> bool {
+        false
+    }
+}
--- a/crates/nutmegyoke-host/src/process/operators.rs
+++ b/crates/nutmegyoke-host/src/process/operators.rs
@@ -52,6 +52,8 @@
 }
 
 impl<R: Role + 'static> Handler for Operators<R> {
+    type Body = Body;
+
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/metrics") => {
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/steward.rs
@@ -0,0 +1,227 @@
+//! The role beside one engine, the only one that orders it.
+
+use std::cell::{Cell, OnceCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use compio::net::TcpStream;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use nutmegyoke_core::process as decision;
+use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::process::steward::{Command, Event as Input, Order, Outcome, View};
+use nutmegyoke_core::process::{Clock, Member};
+use nutmegyoke_wire::connection::link::{length, set_texts, text};
+use nutmegyoke_wire::connection::mesh_capnp::steward;
+use nutmegyoke_wire::process::Settings;
+use prometheus::Registry;
+
+use super::driver::Addressed;
+use super::operators::{self, Operators};
+use super::{Driver, Event, Failure, Metrics};
+use crate::connection::listener::Serve;
+use crate::connection::{Listener, link};
+use crate::request::Body;
+
+/// Speaks the protocol of the engine beside the steward.
+pub trait Engine: 'static {
+    /// Why an engine gave no usable answer.
+    type Failure: std::fmt::Display;
+
+    /// Asks what the engine holds.
+    ///
+    /// # Errors
+    ///
+    /// The engine did not answer, or not with what it holds.
+    fn inspect(&self) -> impl Future<Output = Result<View, Self::Failure>>;
+
+    /// Sends an order that takes effect only if the engine has accepted exactly
+    /// `expected` orders before. Returns whether it was accepted.
+    ///
+    /// # Errors
+    ///
+    /// The order may have taken effect, or may yet.
+    fn order(
+        &self,
+        order: &Order,
+        expected: u64,
+    ) -> impl Future<Output = Result<bool, Self::Failure>>;
+}
+
+/// A running steward.
+pub struct Steward<C: Clock + 'static> {
+    driver: Rc<Driver<decision::Steward, C>>,
+    metrics: Metrics,
+    pending: Cell<usize>,
+    listeners: OnceCell<[Listener; 2]>,
+}
+
+impl Addressed for Command {
+    fn addressee(&self) -> Option<u64> {
+        match self {
+            Self::Answer { call, .. } => Some(*call),
+            Self::Inspect | Self::Order { .. } => None,
+        }
+    }
+}
+
+impl<C: Clock + 'static> Steward<C> {
+    /// Spawns a steward on the current loop.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound.
+    pub async fn spawn<E: Engine>(
+        settings: &Settings,
+        engine: E,
+        clock: C,
+        registry: &Registry,
+    ) -> Result<Rc<Self>, Failure> {
+        let member: Member = super::member(settings, &clock, Role::Steward);
+        let (driver, background) = Driver::spawn(decision::Steward::default(), clock);
+        let this = Rc::new(Self {
+            driver,
+            metrics: Metrics::open(registry, &member)?,
+            pending: Cell::new(0),
+            listeners: OnceCell::new(),
+        });
+        let listener = Listener::bind(settings.listen, "listen", Rc::clone(&this)).await?;
+        let operators = Operators::open(&this);
+        let operators = Listener::bind(settings.operators, "operators", operators).await?;
+        super::log_start(&member, listener.address(), operators.address());
+        let _ = this.listeners.set([listener, operators]);
+        let work = work(Rc::clone(&this.driver), background, engine);
+        compio::runtime::spawn(work).detach();
+        Ok(this)
+    }
+
+    /// Gateways that wait for an adapter.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.pending.get()
+    }
+
+    /// Waits until no gateway waits any more.
+    pub async fn drain(&self) {
+        for listener in self.listeners.get().into_iter().flatten() {
+            listener.close();
+        }
+        super::drained(|| self.in_flight()).await;
+    }
+}
+
+/// Carries out what the machine asks for, one thing after the other.
+async fn work<C: Clock + 'static, E: Engine>(
+    driver: Rc<Driver<decision::Steward, C>>,
+    mut background: mpsc::UnboundedReceiver<Command>,
+    engine: E,
+) {
+    while let Some(command) = background.next().await {
+        match command {
+            Command::Inspect => {
+                let view = engine.inspect().await;
+                if let Err(failure) = &view {
+                    let why = failure.to_string();
+                    Event::EngineSilent { why: &why }.log();
+                }
+                let view = view.as_ref().ok();
+                driver.feed(Input::Inspected { view });
+            }
+            Command::Order { order, expected } => {
+                let sent = engine.order(&order, expected).await;
+                let outcome = log(&order, expected, sent);
+                driver.feed(Input::Ordered { outcome });
+            }
+            Command::Answer { .. } => {}
+        }
+    }
+}
+
+fn log<F: std::fmt::Display>(order: &Order, expected: u64, sent: Result<bool, F>) -> Outcome {
+    let (outcome, why) = match sent {
+        Ok(true) => (Outcome::Accepted, String::new()),
+        Ok(false) => (Outcome::Refused, String::new()),
+        Err(failure) => (Outcome::Lost, failure.to_string()),
+    };
+    Event::EngineOrdered {
+        model: &order.model,
+        adapter: &order.adapter,
+        load: order.action == decision::steward::Action::Load,
+        expected,
+        outcome,
+        why: &why,
+    }
+    .log();
+    outcome
+}
+
+/// A type of its own because capnp owns it.
+struct Offer<C: Clock + 'static>(Rc<Steward<C>>);
+
+impl<C: Clock + 'static> Serve for Steward<C> {
+    async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        let offer: steward::Client = capnp_rpc::new_client(Offer(self));
+        if let Err(error) = link::serve(stream, offer.client).await {
+            let why = error.to_string();
+            Event::ConnectionFailed { peer, why: &why }.log();
+        }
+    }
+}
+
+/// A gateway that waits; dropping it tells the machine that it gave up.
+struct Waiter<'a, C: Clock + 'static> {
+    steward: &'a Steward<C>,
+    call: u64,
+}
+
+impl<C: Clock + 'static> Drop for Waiter<'_, C> {
+    fn drop(&mut self) {
+        let pending = &self.steward.pending;
+        pending.set(pending.get() - 1);
+        let call = self.call;
+        self.steward.driver.feed(Input::Left { call });
+    }
+}
+
+impl<C: Clock + 'static> steward::Server for Offer<C> {
+    async fn prepare(
+        self: Rc<Self>,
+        params: steward::PrepareParams,
+        mut results: steward::PrepareResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let steward = &*self.0;
+        let mut mailbox = steward.driver.open();
+        let call = mailbox.number();
+        steward.pending.set(steward.pending.get() + 1);
+        let _waiter = Waiter { steward, call };
+        steward.driver.feed(Input::Asked {
+            call,
+            endpoint: text(params.get_endpoint())?,
+            model: text(params.get_model())?,
+            adapter: text(params.get_adapter())?,
+            slots: usize::try_from(params.get_slots()).unwrap_or(usize::MAX),
+        });
+        if let Some(Command::Answer { adapters, .. }) = mailbox.next().await {
+            let list = results.get().init_adapters(length(adapters.len()));
+            set_texts(list, adapters.iter().map(String::as_str));
+        }
+        Ok(())
+    }
+}
+
+impl<C: Clock + 'static> operators::Role for Steward<C> {
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn ready(&self) -> bool {
+        true
+    }
+
+    async fn answer(self: Rc<Self>, _: Request<Incoming>) -> Option<Response<Body>> {
+        None
+    }
+}
--- a/crates/nutmegyoke-host/src/request/mod.rs
+++ b/crates/nutmegyoke-host/src/request/mod.rs
@@ -12,6 +12,7 @@
 pub mod call;
 pub mod caller;
 pub mod forward;
+pub mod pass;
 pub mod path;
 pub mod registrar;
 pub mod reply;
--- /dev/null
+++ b/crates/nutmegyoke-host/src/request/pass/mod.rs
@@ -0,0 +1,209 @@
+//! Passes one request of a client through to a service.
+//!
+//! The body is read first, so that it can be sent to another endpoint. An
+//! answer that isn't a stream is read in whole before any of it is passed on.
+
+mod attempt;
+mod body;
+mod headers;
+mod ticket;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use nutmegyoke_core::process::Clock;
+use nutmegyoke_core::process::gateway::{Command, Event as Input, Refusal};
+use nutmegyoke_core::request::{Passage, Reason, Verdict};
+use nutmegyoke_wire::request::Failure;
+
+use attempt::{Answer, Choice, Parcel};
+pub use body::Passed;
+use ticket::Ticket;
+
+use crate::process::dialect::Heading;
+use crate::process::{Dialect, Gateway};
+
+/// How long the steward beside an engine may take. An adapter takes 10 ms, in
+/// proportion longer while many are on their way.
+const PREPARE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Passes a request through and returns the answer for its client.
+pub async fn pass<C: Clock + 'static, D: Dialect>(
+    gateway: Rc<Gateway<C, D>>,
+    request: Request<Incoming>,
+) -> Response<Passed<C, D>> {
+    let (head, body) = request.into_parts();
+    let limit = gateway.body_bytes();
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let reason = if error.is::<LengthLimitError>() {
+                Reason::BodyTooLong
+            } else {
+                Reason::BodyIncomplete
+            };
+            return refuse::<C, D>(Refusal {
+                verdict: Verdict::NotRun { reason },
+                retry_after: None,
+            });
+        }
+    };
+    let heading = D::heading(&head.headers);
+    let passage = Passage {
+        host: host(&head),
+        path: head.uri.path(),
+        patience: heading.patience,
+        target: heading.target,
+        prompt: &heading.prompt,
+    };
+    let ticket = Ticket::open(&gateway, heading.id.unwrap_or("-"), passage);
+    carry(ticket, &head, &heading, body).await
+}
+
+/// The host that the client named, without the port.
+fn host(head: &Parts) -> &str {
+    let named = head.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let named = named.or_else(|| head.uri.host()).unwrap_or_default();
+    named.split(':').next().unwrap_or_default()
+}
+
+/// Carries out the machine's commands.
+async fn carry<C: Clock + 'static, D: Dialect>(
+    mut ticket: Ticket<C, D>,
+    head: &Parts,
+    heading: &Heading<'_>,
+    body: Bytes,
+) -> Response<Passed<C, D>> {
+    let parcel = Parcel {
+        head,
+        id: heading.id,
+        body,
+    };
+    let gateway = Rc::clone(ticket.gateway());
+    let mut failed = None;
+    let mut command = ticket.next().await;
+    loop {
+        let call = ticket.number();
+        command = match command {
+            Some(Command::Prepare {
+                endpoint,
+                model,
+                adapter,
+                slots,
+                ..
+            }) => {
+                let asked = gateway.prepare(&endpoint, &model, &adapter, slots);
+                let asked = compio::time::timeout(PREPARE_TIMEOUT, asked);
+                match race(&mut ticket, asked).await {
+                    Either::Left(adapters) => {
+                        let adapters = adapters.ok().flatten();
+                        let adapters = adapters.as_deref();
+                        ticket.feed(Input::Prepared { call, adapters });
+                        ticket.next().await
+                    }
+                    Either::Right(command) => command,
+                }
+            }
+            Some(Command::Dispatch {
+                endpoint,
+                patience,
+                rank,
+                streams,
+                ..
+            }) => {
+                ticket.attempt(&endpoint.id);
+                let choice = Choice {
+                    endpoint,
+                    patience,
+                    rank,
+                    streams,
+                };
+                let clock = gateway.driver().clock();
+                let running = attempt::run::<D>(clock, gateway.upstreams(), &parcel, &choice);
+                match race(&mut ticket, running).await {
+                    Either::Left(Ok(Answer::Whole { response })) => {
+                        ticket.settle(Verdict::Ran);
+                        return response.map(Passed::from);
+                    }
+                    Either::Left(Ok(Answer::Streamed {
+                        head,
+                        body,
+                        upstream,
+                        keep_alive,
+                    })) => {
+                        ticket.feed(Input::Begun { call });
+                        let body = Passed::streamed(ticket, body, upstream, keep_alive);
+                        return Response::from_parts(head, body);
+                    }
+                    Either::Left(Ok(Answer::Failed { response })) => {
+                        failed = Some(response);
+                        let reason = Reason::EndpointFailed;
+                        let verdict = Verdict::MayHaveRun { reason };
+                        ticket.feed(Input::Settled { call, verdict });
+                        ticket.next().await
+                    }
+                    Either::Left(Err(verdict)) => {
+                        ticket.feed(Input::Settled { call, verdict });
+                        ticket.next().await
+                    }
+                    Either::Right(command) => command,
+                }
+            }
+            Some(Command::Refuse { refusal, .. }) => {
+                ticket.close(refusal.verdict);
+                let own = refusal.verdict.reason() == Some(Reason::EndpointFailed);
+                // An endpoint's own account of its failure says more than ours.
+                return match failed.filter(|_| own) {
+                    Some(response) => response.map(Passed::from),
+                    None => refuse::<C, D>(refusal),
+                };
+            }
+            // The machine lives as long as the process and says nothing else here.
+            _ => std::future::pending().await,
+        };
+    }
+}
+
+/// Waits for `work`, or for a command that makes it pointless.
+async fn race<C: Clock + 'static, D: Dialect, F: Future>(
+    ticket: &mut Ticket<C, D>,
+    work: F,
+) -> Either<F::Output, Option<Command>> {
+    let command = ticket.next();
+    pin_mut!(work, command);
+    match select(work, command).await {
+        Either::Left((done, _)) => Either::Left(done),
+        Either::Right((command, _)) => Either::Right(command),
+    }
+}
+
+/// Statuses by which a client takes a request for not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+fn refuse<C: Clock + 'static, D: Dialect>(refusal: Refusal) -> Response<Passed<C, D>> {
+    let failure = Failure::new(refusal.verdict, "");
+    let promised = PROMISES.contains(&failure.status);
+    let status = match refusal.verdict {
+        Verdict::NotRun { .. } => failure.status,
+        _ if promised => StatusCode::BAD_GATEWAY.as_u16(),
+        _ => failure.status,
+    };
+    let bytes = Bytes::from(failure.encode());
+    let mut response = Response::new(Passed::from(bytes));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(after) = refusal.retry_after {
+        headers.insert(RETRY_AFTER, D::retry_after(after));
+    }
+    response
+}
--- a/crates/nutmegyoke-standin/src/desk.rs
+++ b/crates/nutmegyoke-standin/src/desk.rs
@@ -103,6 +103,8 @@
 }
 
 impl Handler for Desk {
+    type Body = Body;
+
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/bookings") => self.book().await,
--- a/crates/nutmegyoke-standin/src/engine.rs
+++ b/crates/nutmegyoke-standin/src/engine.rs
@@ -207,6 +207,8 @@
 }
 
 impl Handler for Engine {
+    type Body = Body;
+
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let orders = self.orders.clone();
         match (request.uri().path(), orders) {
--- a/crates/nutmegyoke-wire/schema/replica.capnp
+++ b/crates/nutmegyoke-wire/schema/replica.capnp
@@ -6,6 +6,7 @@
 struct Seed {
   name @0 :Text;
   address @1 :Text;
+  observer @2 :Bool;
 }
 
 struct Peer {
@@ -17,6 +18,7 @@
 struct Membership {
   names @0 :List(Text);
   peers @1 :List(Peer);
+  open @2 :Bool;
 }
 
 struct Position {
@@ -44,6 +46,11 @@
   vm @3 :Text;
 }
 
+struct Document {
+  number @0 :UInt64;
+  source @1 :Data;
+}
+
 struct Entry {
   position @0 :Position;
   union {
@@ -52,6 +59,8 @@
     configure @3 :Link.Lists;
     claim @4 :Wish;
     conclude @5 :Conclusion;
+    publish @6 :Document;
+    confirm @7 :Void;
   }
 }
 
@@ -84,6 +93,7 @@
   claims @4 :List(ClaimRow);
   vms @5 :List(Text);
   reasons @6 :List(Text);
+  document @7 :Document;  # null: none was published
 }
 
 struct Message {
@@ -125,6 +135,7 @@
     probed :group {
       name @24 :Text;
       fresh @25 :Bool;
+      founder @26 :Bool;
     }
   }
 }
@@ -158,4 +169,6 @@
   apply @1 (lists :Link.Lists) -> (acceptance :Acceptance);
   wish @2 (name :Text, remove :Bool) -> ();
   status @3 () -> (json :Data);
+  publish @4 (document :Document) -> (published :Bool, number :UInt64);
+  read @5 () -> (published :Bool, number :UInt64);
 }
--- a/crates/nutmegyoke-wire/src/connection/mod.rs
+++ b/crates/nutmegyoke-wire/src/connection/mod.rs
@@ -11,6 +11,16 @@
 )]
 #[rustfmt::skip]
 pub mod link_capnp;
+/// Generated from `schema/mesh.capnp`.
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    missing_docs,
+    unused_qualifications,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+pub mod mesh_capnp;
 /// Generated from `schema/order.capnp`.
 #[allow(
     clippy::all,
