--- a/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
@@ -82,11 +82,15 @@
         pub fn has_address(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_observer(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -168,6 +172,14 @@
         pub fn has_address(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_observer(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_observer(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -179,38 +191,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(56, 123, 247, 183, 148, 178, 90, 170),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 83, 101),
             ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -227,11 +246,21 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 98, 115, 101, 114, 118, 101, 114),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -245,9 +274,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xaa5a_b294_b7f7_7b38;
     }
 }
@@ -595,11 +624,15 @@
         pub fn has_peers(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_open(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -681,6 +714,14 @@
         pub fn has_peers(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_open(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_open(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -692,17 +733,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 71] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(181, 92, 30, 114, 53, 245, 228, 150),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
@@ -710,21 +751,28 @@
             ::capnp::word(109, 98, 101, 114, 115, 104, 105, 112),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 115, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -749,11 +797,20 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 112, 101, 110, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::struct_list::Owned<crate::replica_capnp::peer::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -767,9 +824,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
         pub(crate) const TYPE_ID: u64 = 0x96e4_f535_721e_5cb5;
     }
 }
@@ -1894,9 +1951,7 @@
     }
 }
 
-pub mod entry {
-    pub use self::Which::{Blank,Membership,Configure,Claim,Conclude};
-
+pub mod document {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1958,69 +2013,22 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_position(self) -> ::capnp::Result<crate::replica_capnp::position::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_position(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn has_membership(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 1 { return false; }
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn has_configure(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 2 { return false; }
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn has_claim(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 3 { return false; }
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_conclude(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 4 { return false; }
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_source(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(0) {
-                0 => {
-                    ::core::result::Result::Ok(Blank(
-                        ()
-                    ))
-                }
-                1 => {
-                    ::core::result::Result::Ok(Membership(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                2 => {
-                    ::core::result::Result::Ok(Configure(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                3 => {
-                    ::core::result::Result::Ok(Claim(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                4 => {
-                    ::core::result::Result::Ok(Conclude(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-            }
+        pub fn has_source(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2071,115 +2079,28 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_position(self) -> ::capnp::Result<crate::replica_capnp::position::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_position(&mut self, value: crate::replica_capnp::position::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-        }
-        #[inline]
-        pub fn init_position(self, ) -> crate::replica_capnp::position::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
-        }
-        #[inline]
-        pub fn has_position(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
-        pub fn set_blank(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(0, 0);
-        }
-        #[inline]
-        pub fn set_membership(&mut self, value: crate::replica_capnp::membership::Reader<'_>) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(0, 1);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_membership(self, ) -> crate::replica_capnp::membership::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 1);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
-        }
-        #[inline]
-        pub fn has_membership(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 1 { return false; }
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn set_configure(&mut self, value: crate::link_capnp::lists::Reader<'_>) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(0, 2);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_configure(self, ) -> crate::link_capnp::lists::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 2);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
-        }
-        #[inline]
-        pub fn has_configure(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 2 { return false; }
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn set_claim(&mut self, value: crate::replica_capnp::wish::Reader<'_>) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(0, 3);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_claim(self, ) -> crate::replica_capnp::wish::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 3);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_claim(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 3 { return false; }
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn set_conclude(&mut self, value: crate::replica_capnp::conclusion::Reader<'_>) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(0, 4);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn get_source(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn init_conclude(self, ) -> crate::replica_capnp::conclusion::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 4);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        pub fn set_source(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
         }
         #[inline]
-        pub fn has_conclude(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 4 { return false; }
-            !self.builder.is_pointer_field_null(1)
+        pub fn init_source(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(0) {
-                0 => {
-                    ::core::result::Result::Ok(Blank(
-                        ()
-                    ))
-                }
-                1 => {
-                    ::core::result::Result::Ok(Membership(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                2 => {
-                    ::core::result::Result::Ok(Configure(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                3 => {
-                    ::core::result::Result::Ok(Claim(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                4 => {
-                    ::core::result::Result::Ok(Conclude(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-            }
+        pub fn has_source(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
     }
 
@@ -2190,132 +2111,61 @@
         }
     }
     impl Pipeline  {
-        pub fn get_position(&self) -> crate::replica_capnp::position::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(22, 139, 151, 196, 32, 239, 88, 138),
+            ::capnp::word(166, 173, 179, 57, 246, 116, 69, 239),
             ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 5, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
-            ::capnp::word(99, 97, 112, 110, 112, 58, 69, 110),
-            ::capnp::word(116, 114, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 68, 111),
+            ::capnp::word(99, 117, 109, 101, 110, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 254, 255, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 253, 255, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 252, 255, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 251, 255, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 70, 193, 144, 138, 139, 212, 153),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 108, 97, 110, 107, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 104),
-            ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 92, 30, 114, 53, 245, 228, 150),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
-            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 186, 230, 45, 102, 125, 57, 150),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 108, 97, 105, 109, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(58, 43, 68, 252, 234, 198, 74, 218),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 110, 99, 108, 117, 100, 101),
+            ::capnp::word(115, 111, 117, 114, 99, 101, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 46, 228, 71, 42, 47, 132, 180),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::replica_capnp::position::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <() as ::capnp::introspect::Introspect>::introspect(),
-                2 => <crate::replica_capnp::membership::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <crate::link_capnp::lists::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <crate::replica_capnp::wish::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <crate::replica_capnp::conclusion::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2329,23 +2179,16 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,5,3,2,0];
-        pub(crate) const TYPE_ID: u64 = 0x8a58_ef20_c497_8b16;
-    }
-    pub enum Which<A0,A1,A2,A3> {
-        Blank(()),
-        Membership(A0),
-        Configure(A1),
-        Claim(A2),
-        Conclude(A3),
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xef45_74f6_39b3_ada6;
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::replica_capnp::membership::Reader<'a>>,::capnp::Result<crate::link_capnp::lists::Reader<'a>>,::capnp::Result<crate::replica_capnp::wish::Reader<'a>>,::capnp::Result<crate::replica_capnp::conclusion::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::replica_capnp::membership::Builder<'a>>,::capnp::Result<crate::link_capnp::lists::Builder<'a>>,::capnp::Result<crate::replica_capnp::wish::Builder<'a>>,::capnp::Result<crate::replica_capnp::conclusion::Builder<'a>>>;
 }
 
-pub mod claim_row {
+pub mod entry {
+    pub use self::Which::{Blank,Membership,Configure,Claim,Conclude,Publish,Confirm};
+
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2398,7 +2241,7 @@
         }
     }
 
-    impl <> Reader<'_,>  {
+    impl <'a,> Reader<'a,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -2407,50 +2250,84 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_high(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_low(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_born(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_position(self) -> ::capnp::Result<crate::replica_capnp::position::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_entry(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
+        pub fn has_position(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_number(self) -> u64 {
-            self.reader.get_data_field::<u64>(4)
+        pub fn has_membership(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 1 { return false; }
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_digest(self) -> u64 {
-            self.reader.get_data_field::<u64>(5)
+        pub fn has_configure(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 2 { return false; }
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_at(self) -> u64 {
-            self.reader.get_data_field::<u64>(6)
+        pub fn has_claim(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 3 { return false; }
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_vm(self) -> u32 {
-            self.reader.get_data_field::<u32>(14)
+        pub fn has_conclude(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 4 { return false; }
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_reason(self) -> u16 {
-            self.reader.get_data_field::<u16>(30)
+        pub fn has_publish(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 5 { return false; }
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_ended(self) -> ::core::result::Result<crate::replica_capnp::Ended,::capnp::NotInSchema> {
-            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(31))
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Blank(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Membership(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Configure(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                3 => {
+                    ::core::result::Result::Ok(Claim(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                4 => {
+                    ::core::result::Result::Ok(Conclude(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                5 => {
+                    ::core::result::Result::Ok(Publish(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                6 => {
+                    ::core::result::Result::Ok(Confirm(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2501,277 +2378,312 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_high(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_position(self) -> ::capnp::Result<crate::replica_capnp::position::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_high(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_position(&mut self, value: crate::replica_capnp::position::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn get_low(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn init_position(self, ) -> crate::replica_capnp::position::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn set_low(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn has_position(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_born(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn set_blank(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 0);
         }
         #[inline]
-        pub fn set_born(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_membership(&mut self, value: crate::replica_capnp::membership::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn get_entry(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
+        pub fn init_membership(self, ) -> crate::replica_capnp::membership::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn set_entry(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(3, value);
+        pub fn has_membership(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 1 { return false; }
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_number(self) -> u64 {
-            self.builder.get_data_field::<u64>(4)
+        pub fn set_configure(&mut self, value: crate::link_capnp::lists::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn set_number(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(4, value);
+        pub fn init_configure(self, ) -> crate::link_capnp::lists::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn get_digest(self) -> u64 {
-            self.builder.get_data_field::<u64>(5)
+        pub fn has_configure(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 2 { return false; }
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn set_digest(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(5, value);
+        pub fn set_claim(&mut self, value: crate::replica_capnp::wish::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 3);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn get_at(self) -> u64 {
-            self.builder.get_data_field::<u64>(6)
+        pub fn init_claim(self, ) -> crate::replica_capnp::wish::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 3);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn set_at(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(6, value);
+        pub fn has_claim(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 3 { return false; }
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_vm(self) -> u32 {
-            self.builder.get_data_field::<u32>(14)
+        pub fn set_conclude(&mut self, value: crate::replica_capnp::conclusion::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 4);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn set_vm(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(14, value);
+        pub fn init_conclude(self, ) -> crate::replica_capnp::conclusion::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 4);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn get_reason(self) -> u16 {
-            self.builder.get_data_field::<u16>(30)
+        pub fn has_conclude(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 4 { return false; }
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn set_reason(&mut self, value: u16)  {
-            self.builder.set_data_field::<u16>(30, value);
+        pub fn set_publish(&mut self, value: crate::replica_capnp::document::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 5);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn get_ended(self) -> ::core::result::Result<crate::replica_capnp::Ended,::capnp::NotInSchema> {
-            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(31))
+        pub fn init_publish(self, ) -> crate::replica_capnp::document::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 5);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn set_ended(&mut self, value: crate::replica_capnp::Ended)  {
-            self.builder.set_data_field::<u16>(31, value as u16);
+        pub fn has_publish(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 5 { return false; }
+            !self.builder.is_pointer_field_null(1)
         }
-    }
-
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        #[inline]
+        pub fn set_confirm(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 6);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Blank(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Membership(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Configure(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                3 => {
+                    ::core::result::Result::Ok(Claim(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                4 => {
+                    ::core::result::Result::Ok(Conclude(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                5 => {
+                    ::core::result::Result::Ok(Publish(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
+                6 => {
+                    ::core::result::Result::Ok(Confirm(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
     impl ::capnp::capability::FromTypelessPipeline for Pipeline {
         fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
             Self { _typeless: typeless,  }
         }
     }
     impl Pipeline  {
+        pub fn get_position(&self) -> crate::replica_capnp::position::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 167] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 141] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(56, 197, 102, 198, 187, 228, 148, 178),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(22, 139, 151, 196, 32, 239, 88, 138),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 7, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
-            ::capnp::word(99, 97, 112, 110, 112, 58, 67, 108),
-            ::capnp::word(97, 105, 109, 82, 111, 119, 0, 0),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 69, 110),
+            ::capnp::word(116, 114, 121, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 253, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 251, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 250, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 14, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 26, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 30, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 31, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(104, 105, 103, 104, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 111, 119, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 70, 193, 144, 138, 139, 212, 153),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 108, 97, 110, 107, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 104),
+            ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 92, 30, 114, 53, 245, 228, 150),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 186, 230, 45, 102, 125, 57, 150),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 97, 105, 109, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(58, 43, 68, 252, 234, 198, 74, 218),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 99, 108, 117, 100, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 46, 228, 71, 42, 47, 132, 180),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 117, 98, 108, 105, 115, 104, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(166, 173, 179, 57, 246, 116, 69, 239),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 97, 115, 111, 110, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 114, 109, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(178, 143, 48, 204, 159, 135, 176, 134),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                8 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                9 => <crate::replica_capnp::Ended as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::replica_capnp::position::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <() as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::replica_capnp::membership::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <crate::link_capnp::lists::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::replica_capnp::wish::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <crate::replica_capnp::conclusion::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::replica_capnp::document::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2785,110 +2697,44 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,2,5,9,3,0,1,4,8,7];
-        pub(crate) const TYPE_ID: u64 = 0xb294_e4bb_c666_c538;
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,5,3,7,2,0,6];
+        pub(crate) const TYPE_ID: u64 = 0x8a58_ef20_c497_8b16;
+    }
+    pub enum Which<A0,A1,A2,A3,A4> {
+        Blank(()),
+        Membership(A0),
+        Configure(A1),
+        Claim(A2),
+        Conclude(A3),
+        Publish(A4),
+        Confirm(()),
     }
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::replica_capnp::membership::Reader<'a>>,::capnp::Result<crate::link_capnp::lists::Reader<'a>>,::capnp::Result<crate::replica_capnp::wish::Reader<'a>>,::capnp::Result<crate::replica_capnp::conclusion::Reader<'a>>,::capnp::Result<crate::replica_capnp::document::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::replica_capnp::membership::Builder<'a>>,::capnp::Result<crate::link_capnp::lists::Builder<'a>>,::capnp::Result<crate::replica_capnp::wish::Builder<'a>>,::capnp::Result<crate::replica_capnp::conclusion::Builder<'a>>,::capnp::Result<crate::replica_capnp::document::Builder<'a>>>;
 }
 
-#[repr(u16)]
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    Running = 0,
-    Ran = 1,
-    MayHaveRun = 2,
-    NotRun = 3,
-}
+pub mod claim_row {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
 
-impl ::capnp::introspect::Introspect for Ended {
-    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&ended::ARENA, ended::get_annotation_types)).into() }
-}
-impl ::core::convert::From<Ended> for ::capnp::dynamic_value::Reader<'_> {
-    fn from(e: Ended) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&ended::ARENA, ended::get_annotation_types).into()).into() }
-}
-impl ::core::convert::TryFrom<u16> for Ended {
-    type Error = ::capnp::NotInSchema;
-    fn try_from(value: u16) -> ::core::result::Result<Self, <Ended as ::core::convert::TryFrom<u16>>::Error> {
-        match value {
-            0 => ::core::result::Result::Ok(Self::Running),
-            1 => ::core::result::Result::Ok(Self::Ran),
-            2 => ::core::result::Result::Ok(Self::MayHaveRun),
-            3 => ::core::result::Result::Ok(Self::NotRun),
-            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
-        }
-    }
-}
-impl From<Ended> for u16 {
-    #[inline]
-    fn from(x: Ended) -> u16 { x as u16 }
-}
-impl ::capnp::traits::HasTypeId for Ended {
-    const TYPE_ID: u64 = 0x86b0_879f_cc30_8fb2u64;
-}
-mod ended {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
-    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-    ::capnp::word(178, 143, 48, 204, 159, 135, 176, 134),
-    ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
-    ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
-    ::capnp::word(99, 97, 112, 110, 112, 58, 69, 110),
-    ::capnp::word(100, 101, 100, 0, 0, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(33, 0, 0, 0, 34, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 90, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 0, 0, 0, 58, 0, 0, 0),
-    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
-    ::capnp::word(114, 97, 110, 0, 0, 0, 0, 0),
-    ::capnp::word(109, 97, 121, 72, 97, 118, 101, 82),
-    ::capnp::word(117, 110, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(110, 111, 116, 82, 117, 110, 0, 0),
-];
-pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-}
-pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-}
-
-pub mod snapshot {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
-    }
-
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
         }
     }
 
@@ -2922,7 +2768,7 @@
         }
     }
 
-    impl <'a,> Reader<'a,>  {
+    impl <> Reader<'_,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -2931,62 +2777,50 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_position(self) -> ::capnp::Result<crate::replica_capnp::position::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_position(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn get_membership(self) -> ::capnp::Result<crate::replica_capnp::membership::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_membership(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_high(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_configuration(self) -> ::capnp::Result<crate::link_capnp::lists::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_low(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn has_configuration(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn get_born(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_time(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_entry(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn get_claims(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::replica_capnp::claim_row::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn has_claims(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+        pub fn get_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
         }
         #[inline]
-        pub fn get_vms(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        pub fn get_at(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn has_vms(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+        pub fn get_vm(self) -> u32 {
+            self.reader.get_data_field::<u32>(14)
         }
         #[inline]
-        pub fn get_reasons(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        pub fn get_reason(self) -> u16 {
+            self.reader.get_data_field::<u16>(30)
         }
         #[inline]
-        pub fn has_reasons(&self) -> bool {
-            !self.reader.get_pointer_field(5).is_null()
+        pub fn get_ended(self) -> ::core::result::Result<crate::replica_capnp::Ended,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(31))
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3037,108 +2871,84 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_position(self) -> ::capnp::Result<crate::replica_capnp::position::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_position(&mut self, value: crate::replica_capnp::position::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-        }
-        #[inline]
-        pub fn init_position(self, ) -> crate::replica_capnp::position::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
-        }
-        #[inline]
-        pub fn has_position(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
-        pub fn get_membership(self) -> ::capnp::Result<crate::replica_capnp::membership::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_membership(&mut self, value: crate::replica_capnp::membership::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_membership(self, ) -> crate::replica_capnp::membership::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        pub fn get_high(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_membership(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_high(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_configuration(self) -> ::capnp::Result<crate::link_capnp::lists::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_low(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_configuration(&mut self, value: crate::link_capnp::lists::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        pub fn set_low(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn init_configuration(self, ) -> crate::link_capnp::lists::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        pub fn get_born(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn has_configuration(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn set_born(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_time(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_entry(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn set_time(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_entry(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
-        pub fn get_claims(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::replica_capnp::claim_row::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn set_claims(&mut self, value: ::capnp::struct_list::Reader<'_,crate::replica_capnp::claim_row::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
         }
         #[inline]
-        pub fn init_claims(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::replica_capnp::claim_row::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        pub fn get_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
         }
         #[inline]
-        pub fn has_claims(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+        pub fn set_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
         }
         #[inline]
-        pub fn get_vms(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        pub fn get_at(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn set_vms(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        pub fn set_at(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(6, value);
         }
         #[inline]
-        pub fn init_vms(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        pub fn get_vm(self) -> u32 {
+            self.builder.get_data_field::<u32>(14)
         }
         #[inline]
-        pub fn has_vms(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+        pub fn set_vm(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(14, value);
         }
         #[inline]
-        pub fn get_reasons(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        pub fn get_reason(self) -> u16 {
+            self.builder.get_data_field::<u16>(30)
         }
         #[inline]
-        pub fn set_reasons(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        pub fn set_reason(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(30, value);
         }
         #[inline]
-        pub fn init_reasons(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        pub fn get_ended(self) -> ::core::result::Result<crate::replica_capnp::Ended,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(31))
         }
         #[inline]
-        pub fn has_reasons(&self) -> bool {
-            !self.builder.is_pointer_field_null(5)
+        pub fn set_ended(&mut self, value: crate::replica_capnp::Ended)  {
+            self.builder.set_data_field::<u16>(31, value as u16);
         }
     }
 
@@ -3149,112 +2959,113 @@
         }
     }
     impl Pipeline  {
-        pub fn get_position(&self) -> crate::replica_capnp::position::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
-        pub fn get_membership(&self) -> crate::replica_capnp::membership::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
-        }
-        pub fn get_configuration(&self) -> crate::link_capnp::lists::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 137] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 167] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(102, 103, 238, 10, 39, 141, 7, 237),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(56, 197, 102, 198, 187, 228, 148, 178),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
-            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 110),
-            ::capnp::word(97, 112, 115, 104, 111, 116, 0, 0),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 67, 108),
+            ::capnp::word(97, 105, 109, 82, 111, 119, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 70, 193, 144, 138, 139, 212, 153),
+            ::capnp::word(37, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 30, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 31, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 104),
-            ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 92, 30, 114, 53, 245, 228, 150),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 105, 103, 104, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
-            ::capnp::word(97, 116, 105, 111, 110, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 186, 230, 45, 102, 125, 57, 150),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 119, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 105, 109, 101, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3262,52 +3073,75 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 108, 97, 105, 109, 115, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 197, 102, 198, 187, 228, 148, 178),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 109, 115, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 97, 115, 111, 110, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 115, 111, 110, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(178, 143, 48, 204, 159, 135, 176, 134),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::replica_capnp::position::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <crate::replica_capnp::membership::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <crate::link_capnp::lists::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::replica_capnp::claim_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::replica_capnp::Ended as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3321,16 +3155,91 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,1,0,6,3,5];
-        pub(crate) const TYPE_ID: u64 = 0xed07_8d27_0aee_6766;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,2,5,9,3,0,1,4,8,7];
+        pub(crate) const TYPE_ID: u64 = 0xb294_e4bb_c666_c538;
     }
 }
 
-pub mod message {
-    pub use self::Which::{Poll,Polled,Solicit,Voted,Append,Appended,Diverged,Install,Handover,Outdated,Join,Probe,Probed};
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Running = 0,
+    Ran = 1,
+    MayHaveRun = 2,
+    NotRun = 3,
+}
+
+impl ::capnp::introspect::Introspect for Ended {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&ended::ARENA, ended::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Ended> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Ended) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&ended::ARENA, ended::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Ended {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Ended as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Running),
+            1 => ::core::result::Result::Ok(Self::Ran),
+            2 => ::core::result::Result::Ok(Self::MayHaveRun),
+            3 => ::core::result::Result::Ok(Self::NotRun),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Ended> for u16 {
+    #[inline]
+    fn from(x: Ended) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Ended {
+    const TYPE_ID: u64 = 0x86b0_879f_cc30_8fb2u64;
+}
+mod ended {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(178, 143, 48, 204, 159, 135, 176, 134),
+    ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
+    ::capnp::word(99, 97, 112, 110, 112, 58, 69, 110),
+    ::capnp::word(100, 101, 100, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 34, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+    ::capnp::word(114, 97, 110, 0, 0, 0, 0, 0),
+    ::capnp::word(109, 97, 121, 72, 97, 118, 101, 82),
+    ::capnp::word(117, 110, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(110, 111, 116, 82, 117, 110, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
 
+pub mod snapshot {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3392,111 +3301,70 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_from(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_reply(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_position(self) -> ::capnp::Result<crate::replica_capnp::position::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_reply(&self) -> bool {
+        pub fn has_position(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_to(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+        pub fn get_membership(self) -> ::capnp::Result<crate::replica_capnp::membership::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_term(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn has_membership(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn has_poll(&self) -> bool {
-            if self.reader.get_data_field::<u16>(12) != 0 { return false; }
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_configuration(self) -> ::capnp::Result<crate::link_capnp::lists::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_join(&self) -> bool {
-            if self.reader.get_data_field::<u16>(12) != 10 { return false; }
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn has_configuration(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(12) {
-                0 => {
-                    ::core::result::Result::Ok(Poll(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                1 => {
-                    ::core::result::Result::Ok(Polled(
-                        self.reader.get_bool_field(208)
-                    ))
-                }
-                2 => {
-                    ::core::result::Result::Ok(Solicit(
-                        self.reader.into()
-                    ))
-                }
-                3 => {
-                    ::core::result::Result::Ok(Voted(
-                        ()
-                    ))
-                }
-                4 => {
-                    ::core::result::Result::Ok(Append(
-                        self.reader.into()
-                    ))
-                }
-                5 => {
-                    ::core::result::Result::Ok(Appended(
-                        self.reader.into()
-                    ))
-                }
-                6 => {
-                    ::core::result::Result::Ok(Diverged(
-                        self.reader.into()
-                    ))
-                }
-                7 => {
-                    ::core::result::Result::Ok(Install(
-                        self.reader.into()
-                    ))
-                }
-                8 => {
-                    ::core::result::Result::Ok(Handover(
-                        ()
-                    ))
-                }
-                9 => {
-                    ::core::result::Result::Ok(Outdated(
-                        ()
-                    ))
-                }
-                10 => {
-                    ::core::result::Result::Ok(Join(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                11 => {
-                    ::core::result::Result::Ok(Probe(
-                        ()
-                    ))
-                }
-                12 => {
-                    ::core::result::Result::Ok(Probed(
-                        self.reader.into()
-                    ))
-                }
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-            }
+        pub fn get_time(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_claims(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::replica_capnp::claim_row::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_claims(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_vms(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_vms(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_reasons(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_reasons(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_document(self) -> ::capnp::Result<crate::replica_capnp::document::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_document(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3547,211 +3415,124 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_from(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_position(self) -> ::capnp::Result<crate::replica_capnp::position::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_from(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_position(&mut self, value: crate::replica_capnp::position::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn get_reply(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        pub fn init_position(self, ) -> crate::replica_capnp::position::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn set_reply(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn has_position(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn init_reply(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn get_membership(self) -> ::capnp::Result<crate::replica_capnp::membership::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_reply(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_membership(&mut self, value: crate::replica_capnp::membership::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn get_to(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn init_membership(self, ) -> crate::replica_capnp::membership::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn set_to(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn has_membership(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_term(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn get_configuration(self) -> ::capnp::Result<crate::link_capnp::lists::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_term(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_configuration(&mut self, value: crate::link_capnp::lists::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
-        pub fn set_poll(&mut self, value: crate::replica_capnp::position::Reader<'_>) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(12, 0);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn init_configuration(self, ) -> crate::link_capnp::lists::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
         }
         #[inline]
-        pub fn init_poll(self, ) -> crate::replica_capnp::position::Builder<'a> {
-            self.builder.set_data_field::<u16>(12, 0);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        pub fn has_configuration(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn has_poll(&self) -> bool {
-            if self.builder.get_data_field::<u16>(12) != 0 { return false; }
-            !self.builder.is_pointer_field_null(1)
+        pub fn get_time(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_polled(&mut self, value: bool)  {
-            self.builder.set_data_field::<u16>(12, 1);
-            self.builder.set_bool_field(208, value);
+        pub fn set_time(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_solicit(mut self, ) -> crate::replica_capnp::message::solicit::Builder<'a> {
-            self.builder.set_data_field::<u16>(12, 2);
-            self.builder.reborrow().get_pointer_field(1).clear();
-            self.builder.set_bool_field(208, false);
-            self.builder.into()
+        pub fn get_claims(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::replica_capnp::claim_row::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_voted(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(12, 3);
+        pub fn set_claims(&mut self, value: ::capnp::struct_list::Reader<'_,crate::replica_capnp::claim_row::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
         }
         #[inline]
-        pub fn init_append(mut self, ) -> crate::replica_capnp::message::append::Builder<'a> {
-            self.builder.set_data_field::<u16>(12, 4);
-            self.builder.reborrow().get_pointer_field(1).clear();
-            self.builder.reborrow().get_pointer_field(2).clear();
-            self.builder.set_data_field::<u64>(4, 0u64);
-            self.builder.set_data_field::<u64>(5, 0u64);
-            self.builder.into()
+        pub fn init_claims(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::replica_capnp::claim_row::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
         }
         #[inline]
-        pub fn init_appended(self, ) -> crate::replica_capnp::message::appended::Builder<'a> {
-            self.builder.set_data_field::<u16>(12, 5);
-            self.builder.set_data_field::<u64>(4, 0u64);
-            self.builder.set_data_field::<u64>(5, 0u64);
-            self.builder.into()
+        pub fn has_claims(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn init_diverged(self, ) -> crate::replica_capnp::message::diverged::Builder<'a> {
-            self.builder.set_data_field::<u16>(12, 6);
-            self.builder.set_data_field::<u64>(4, 0u64);
-            self.builder.set_data_field::<u64>(5, 0u64);
-            self.builder.set_data_field::<u64>(6, 0u64);
-            self.builder.into()
+        pub fn get_vms(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
-        pub fn init_install(mut self, ) -> crate::replica_capnp::message::install::Builder<'a> {
-            self.builder.set_data_field::<u16>(12, 7);
-            self.builder.reborrow().get_pointer_field(1).clear();
-            self.builder.set_data_field::<u64>(4, 0u64);
-            self.builder.into()
+        pub fn set_vms(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
         }
         #[inline]
-        pub fn set_handover(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(12, 8);
+        pub fn init_vms(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
         }
         #[inline]
-        pub fn set_outdated(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(12, 9);
+        pub fn has_vms(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
         }
         #[inline]
-        pub fn set_join(&mut self, value: crate::replica_capnp::seed::Reader<'_>) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(12, 10);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn get_reasons(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn init_join(self, ) -> crate::replica_capnp::seed::Builder<'a> {
-            self.builder.set_data_field::<u16>(12, 10);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        pub fn set_reasons(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
-        pub fn has_join(&self) -> bool {
-            if self.builder.get_data_field::<u16>(12) != 10 { return false; }
-            !self.builder.is_pointer_field_null(1)
+        pub fn init_reasons(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
         }
         #[inline]
-        pub fn set_probe(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(12, 11);
+        pub fn has_reasons(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
         }
         #[inline]
-        pub fn init_probed(mut self, ) -> crate::replica_capnp::message::probed::Builder<'a> {
-            self.builder.set_data_field::<u16>(12, 12);
-            self.builder.reborrow().get_pointer_field(1).clear();
-            self.builder.set_bool_field(208, false);
-            self.builder.into()
+        pub fn get_document(self) -> ::capnp::Result<crate::replica_capnp::document::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(12) {
-                0 => {
-                    ::core::result::Result::Ok(Poll(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                1 => {
-                    ::core::result::Result::Ok(Polled(
-                        self.builder.get_bool_field(208)
-                    ))
-                }
-                2 => {
-                    ::core::result::Result::Ok(Solicit(
-                        self.builder.into()
-                    ))
-                }
-                3 => {
-                    ::core::result::Result::Ok(Voted(
-                        ()
-                    ))
-                }
-                4 => {
-                    ::core::result::Result::Ok(Append(
-                        self.builder.into()
-                    ))
-                }
-                5 => {
-                    ::core::result::Result::Ok(Appended(
-                        self.builder.into()
-                    ))
-                }
-                6 => {
-                    ::core::result::Result::Ok(Diverged(
-                        self.builder.into()
-                    ))
-                }
-                7 => {
-                    ::core::result::Result::Ok(Install(
-                        self.builder.into()
-                    ))
-                }
-                8 => {
-                    ::core::result::Result::Ok(Handover(
-                        ()
-                    ))
-                }
-                9 => {
-                    ::core::result::Result::Ok(Outdated(
-                        ()
-                    ))
-                }
-                10 => {
-                    ::core::result::Result::Ok(Join(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-                    ))
-                }
-                11 => {
-                    ::core::result::Result::Ok(Probe(
-                        ()
-                    ))
-                }
-                12 => {
-                    ::core::result::Result::Ok(Probed(
-                        self.builder.into()
-                    ))
-                }
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-            }
+        pub fn set_document(&mut self, value: crate::replica_capnp::document::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_document(self, ) -> crate::replica_capnp::document::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), 0)
+        }
+        #[inline]
+        pub fn has_document(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
         }
     }
 
@@ -3762,170 +3543,122 @@
         }
     }
     impl Pipeline  {
+        pub fn get_position(&self) -> crate::replica_capnp::position::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+        pub fn get_membership(&self) -> crate::replica_capnp::membership::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
+        pub fn get_configuration(&self) -> crate::link_capnp::lists::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
+        pub fn get_document(&self) -> crate::replica_capnp::document::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(6))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 234] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 153] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(231, 66, 234, 217, 93, 35, 93, 164),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(102, 103, 238, 10, 39, 141, 7, 237),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 13, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
-            ::capnp::word(99, 97, 112, 110, 112, 58, 77, 101),
-            ::capnp::word(115, 115, 97, 103, 101, 0, 0, 0),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 110),
+            ::capnp::word(97, 112, 115, 104, 111, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 255, 255, 1, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 254, 255, 208, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 253, 255, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(90, 213, 193, 108, 202, 113, 0, 249),
-            ::capnp::word(229, 1, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 252, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 251, 255, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(50, 17, 116, 190, 42, 238, 146, 239),
-            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 250, 255, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 13, 174, 118, 125, 205, 210, 129),
-            ::capnp::word(185, 1, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(10, 0, 249, 255, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 118, 243, 154, 55, 77, 118, 152),
-            ::capnp::word(165, 1, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 248, 255, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(159, 253, 152, 204, 45, 222, 242, 236),
-            ::capnp::word(145, 1, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 247, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(13, 0, 246, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(14, 0, 245, 255, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(15, 0, 244, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(16, 0, 243, 255, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 134, 101, 253, 7, 26, 20, 198),
-            ::capnp::word(145, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 70, 193, 144, 138, 139, 212, 153),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 104),
+            ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 92, 30, 114, 53, 245, 228, 150),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 111, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
+            ::capnp::word(97, 116, 105, 111, 110, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 186, 230, 45, 102, 125, 57, 150),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(116, 105, 109, 101, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3933,92 +3666,62 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 111, 108, 108, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 70, 193, 144, 138, 139, 212, 153),
+            ::capnp::word(99, 108, 97, 105, 109, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 197, 102, 198, 187, 228, 148, 178),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 111, 108, 108, 101, 100, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 111, 108, 105, 99, 105, 116, 0),
-            ::capnp::word(118, 111, 116, 101, 100, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 112, 112, 101, 110, 100, 0, 0),
-            ::capnp::word(97, 112, 112, 101, 110, 100, 101, 100),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 105, 118, 101, 114, 103, 101, 100),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 115, 116, 97, 108, 108, 0),
-            ::capnp::word(104, 97, 110, 100, 111, 118, 101, 114),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 109, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(111, 117, 116, 100, 97, 116, 101, 100),
+            ::capnp::word(114, 101, 97, 115, 111, 110, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(106, 111, 105, 110, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 123, 247, 183, 148, 178, 90, 170),
+            ::capnp::word(166, 173, 179, 57, 246, 116, 69, 239),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 111, 98, 101, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 111, 98, 101, 100, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::replica_capnp::position::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::replica_capnp::membership::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::link_capnp::lists::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <crate::replica_capnp::position::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                6 => <crate::replica_capnp::message::solicit::Owned as ::capnp::introspect::Introspect>::introspect(),
-                7 => <() as ::capnp::introspect::Introspect>::introspect(),
-                8 => <crate::replica_capnp::message::append::Owned as ::capnp::introspect::Introspect>::introspect(),
-                9 => <crate::replica_capnp::message::appended::Owned as ::capnp::introspect::Introspect>::introspect(),
-                10 => <crate::replica_capnp::message::diverged::Owned as ::capnp::introspect::Introspect>::introspect(),
-                11 => <crate::replica_capnp::message::install::Owned as ::capnp::introspect::Introspect>::introspect(),
-                12 => <() as ::capnp::introspect::Introspect>::introspect(),
-                13 => <() as ::capnp::introspect::Introspect>::introspect(),
-                14 => <crate::replica_capnp::seed::Owned as ::capnp::introspect::Introspect>::introspect(),
-                15 => <() as ::capnp::introspect::Introspect>::introspect(),
-                16 => <crate::replica_capnp::message::probed::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::replica_capnp::claim_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::replica_capnp::document::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
