@@ -2020,164 +4122,70 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(20, 113, 182, 59, 13, 6, 89, 130),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 71, 97, 116, 101, 119),
-                ::capnp::word(97, 121, 46, 115, 112, 114, 101, 97),
-                ::capnp::word(100, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 139, 133, 215, 26, 88, 206, 137),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x8259_060d_3bb6_7114;
-        }
-    }
-}
-
-
-pub mod steward {
-    #![allow(unused_variables)]
-    pub type PrepareParams<> = ::capnp::capability::Params<crate::mesh_capnp::steward::prepare_params::Owned>;
-    pub type PrepareResults<> = ::capnp::capability::Results<crate::mesh_capnp::steward::prepare_results::Owned>;
-
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl  ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self { client: ::capnp::capability::Client::new(hook),  }
-        }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
-        }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
-        }
-    }
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
-        }
-    }
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
-        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            unimplemented!()
-        }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
-        }
-    }
-
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
-        }
-    }
-    impl  ::capnp::traits::HasTypeId for Client {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl  Clone for Client {
-        fn clone(&self) -> Self {
-            Self { client: self.client.clone(),  }
-        }
-    }
-    impl  Client {
-        pub fn prepare_request(&self) -> ::capnp::capability::Request<crate::mesh_capnp::steward::prepare_params::Owned,crate::mesh_capnp::steward::prepare_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
-        }
-    }
-    pub trait Server<> : 'static  {
-        fn prepare(self: ::capnp::capability::Rc<Self>, _: PrepareParams<>, _: PrepareResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method steward::Server::prepare not implemented".to_string()))) }
-    }
-    pub struct ServerDispatch<_T,> {
-        pub server: ::capnp::capability::Rc<_T>,
-    }
-    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
-        type Dispatch = ServerDispatch<_S, >;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
-            ServerDispatch { server: s,  }
-        }
-    }
-    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T { &self.server}
-    }
-    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
-    }
-    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
-                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 83, 116, 101, 119, 97),
+                ::capnp::word(114, 100, 46, 112, 114, 101, 112, 97),
+                ::capnp::word(114, 101, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(40, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 100, 97, 112, 116, 101, 114, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
-        }
-        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
-    }
-    impl <_T :Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::prepare(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x89ce_581a_d785_8b72;
         }
     }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xe3db_14fe_8a7a_f1ee;
-    }
 
-    pub mod prepare_params {
+    pub mod order_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2239,38 +4247,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_endpoint(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
-            pub fn get_model(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_model(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
-            #[inline]
-            pub fn get_adapter(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            pub fn get_term(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn has_adapter(&self) -> bool {
-                !self.reader.get_pointer_field(2).is_null()
+            pub fn get_directive(self) -> ::capnp::Result<crate::mesh_capnp::directive::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn get_slots(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
+            pub fn has_directive(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2321,60 +4313,28 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-            }
-            #[inline]
-            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
-            }
-            #[inline]
-            pub fn has_endpoint(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_model(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_model(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
-            }
-            #[inline]
-            pub fn init_model(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(1).init_text(size)
-            }
-            #[inline]
-            pub fn has_model(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
-            #[inline]
-            pub fn get_adapter(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            pub fn get_term(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_adapter(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+            pub fn set_term(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn init_adapter(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(2).init_text(size)
+            pub fn get_directive(self) -> ::capnp::Result<crate::mesh_capnp::directive::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_adapter(&self) -> bool {
-                !self.builder.is_pointer_field_null(2)
+            pub fn set_directive(&mut self, value: crate::mesh_capnp::directive::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn get_slots(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
+            pub fn init_directive(self, ) -> crate::mesh_capnp::directive::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn set_slots(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
+            pub fn has_directive(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -2385,95 +4345,65 @@
             }
         }
         impl Pipeline  {
+            pub fn get_directive(&self) -> crate::mesh_capnp::directive::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(230, 211, 121, 49, 96, 23, 230, 136),
+                ::capnp::word(131, 131, 134, 82, 153, 245, 61, 170),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 83, 116, 101, 119, 97),
-                ::capnp::word(114, 100, 46, 112, 114, 101, 112, 97),
-                ::capnp::word(114, 101, 36, 80, 97, 114, 97, 109),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(114, 100, 46, 111, 114, 100, 101, 114),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 111, 100, 101, 108, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 100, 97, 112, 116, 101, 114, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 105, 114, 101, 99, 116, 105, 118),
+                ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(248, 28, 165, 35, 151, 241, 239, 198),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::mesh_capnp::directive::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2487,14 +4417,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1,3];
-            pub(crate) const TYPE_ID: u64 = 0x88e6_1760_3179_d3e6;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xaa3d_f599_5286_8383;
         }
     }
 
-    pub mod prepare_results {
+    pub mod order_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2547,7 +4477,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -2556,18 +4486,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_adapters(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_adapters(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_accepted(self) -> bool {
+                self.reader.get_bool_field(0)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2618,20 +4544,12 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_adapters(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_adapters(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_adapters(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn get_accepted(self) -> bool {
+                self.builder.get_bool_field(0)
             }
             #[inline]
-            pub fn has_adapters(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_accepted(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
             }
         }
 
@@ -2644,14 +4562,14 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(114, 139, 133, 215, 26, 88, 206, 137),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(76, 220, 74, 120, 81, 220, 167, 167),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
@@ -2659,9 +4577,9 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 83, 116, 101, 119, 97),
-                ::capnp::word(114, 100, 46, 112, 114, 101, 112, 97),
-                ::capnp::word(114, 101, 36, 82, 101, 115, 117, 108),
-                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 100, 46, 111, 114, 100, 101, 114),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -2669,24 +4587,20 @@
                 ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(40, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(97, 100, 97, 112, 116, 101, 114, 115),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 99, 99, 101, 112, 116, 101, 100),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2703,7 +4617,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x89ce_581a_d785_8b72;
+            pub(crate) const TYPE_ID: u64 = 0xa7a7_dc51_784a_dc4c;
         }
     }
 }
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 pub mod status;
 pub mod withdrawal;
+pub mod work;
 
 pub use announcement::Announcement;
 pub use planner::Planner;
--- a/crates/nutmegyoke-wire/src/process/rumor.rs
+++ b/crates/nutmegyoke-wire/src/process/rumor.rs
@@ -94,6 +94,7 @@
         warming: Duration::from_millis(reader.get_warming_ms()),
         leaves_in: leaves_in.checked_sub(1).map(Duration::from_millis),
         models: texts(reader.get_models())?,
+        warm: texts(reader.get_warm())?,
     })
 }
 
@@ -109,6 +110,9 @@
     let leaves_in = announcement.leaves_in.map(milliseconds);
     builder.set_leaves_in_ms(leaves_in.map_or(0, |left| left.saturating_add(1)));
     let models = &announcement.models;
-    let list = builder.init_models(length(models.len()));
+    let list = builder.reborrow().init_models(length(models.len()));
     set_texts(list, models.iter().map(Model::as_str));
+    let warm = &announcement.warm;
+    let list = builder.init_warm(length(warm.len()));
+    set_texts(list, warm.iter().map(Model::as_str));
 }
--- /dev/null
+++ b/crates/nutmegyoke-wire/src/process/work.rs
@@ -0,0 +1,84 @@
+//! What work a gateway causes, and what it orders from stewards.
+
+use nutmegyoke_core::process::gateway::Work;
+use nutmegyoke_core::process::gateway::demand::Backlog;
+use nutmegyoke_core::process::steward::Directive;
+
+use crate::connection::link::{length, set_texts, text, texts};
+use crate::connection::mesh_capnp::{directive, work};
+
+/// Reads the work that a gateway causes.
+///
+/// # Errors
+///
+/// The peer's message is malformed.
+pub fn read(reader: work::Reader<'_>) -> capnp::Result<Work> {
+    let models = reader.get_models()?.iter().map(|row| {
+        let model = text(row.get_model())?.into();
+        capnp::Result::Ok((model, row.get_tokens_per_second()))
+    });
+    let endpoints = reader.get_endpoints()?.iter().map(|row| {
+        let backlog = Backlog {
+            ahead: row.get_ahead(),
+            in_flight: row.get_in_flight(),
+        };
+        capnp::Result::Ok((text(row.get_endpoint())?.to_owned(), backlog))
+    });
+    Ok(Work {
+        models: models.collect::<capnp::Result<_>>()?,
+        endpoints: endpoints.collect::<capnp::Result<_>>()?,
+    })
+}
+
+/// Writes the work that a gateway causes.
+pub fn write(work: &Work, mut builder: work::Builder<'_>) {
+    let mut list = builder.reborrow().init_models(length(work.models.len()));
+    for (index, (model, rate)) in (0..).zip(&work.models) {
+        let mut row = list.reborrow().get(index);
+        row.set_model(model.as_str());
+        row.set_tokens_per_second(*rate);
+    }
+    let mut list = builder.init_endpoints(length(work.endpoints.len()));
+    for (index, (id, backlog)) in (0..).zip(&work.endpoints) {
+        let mut row = list.reborrow().get(index);
+        row.set_endpoint(id);
+        row.set_ahead(backlog.ahead);
+        row.set_in_flight(backlog.in_flight);
+    }
+}
+
+/// Reads an order to a steward.
+///
+/// # Errors
+///
+/// The peer's message is malformed.
+pub fn read_directive(reader: directive::Reader<'_>) -> capnp::Result<Directive> {
+    let unload: Vec<Box<str>> = texts(reader.get_unload())?;
+    let sizes = reader.get_sizes()?.iter().map(|row| {
+        let model = text(row.get_model())?.to_owned();
+        capnp::Result::Ok((model, row.get_megabytes()))
+    });
+    Ok(Directive {
+        endpoint: text(reader.get_endpoint())?.to_owned(),
+        unload: unload.into_iter().map(String::from).collect(),
+        load: text(reader.get_load())?.to_owned(),
+        memory_mb: reader.get_memory_mb(),
+        sizes: sizes.collect::<capnp::Result<_>>()?,
+    })
+}
+
+/// Writes an order to a steward.
+pub fn write_directive(directive: &Directive, mut builder: directive::Builder<'_>) {
+    builder.set_endpoint(&directive.endpoint);
+    builder.set_load(&directive.load);
+    builder.set_memory_mb(directive.memory_mb);
+    let unload = &directive.unload;
+    let list = builder.reborrow().init_unload(length(unload.len()));
+    set_texts(list, unload.iter().map(String::as_str));
+    let mut list = builder.init_sizes(length(directive.sizes.len()));
+    for (index, (model, mb)) in (0..).zip(&directive.sizes) {
+        let mut row = list.reborrow().get(index);
+        row.set_model(model);
+        row.set_megabytes(*mb);
+    }
+}
--- a/src/bin/nutmegyoked/main.rs
+++ b/src/bin/nutmegyoked/main.rs
@@ -10,6 +10,7 @@
 
 mod demo;
 mod run;
+mod watch;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/src/bin/nutmegyoked/run.rs
+++ b/src/bin/nutmegyoked/run.rs
@@ -14,6 +14,7 @@
 use nutmegyoke_wire::process::{Settings, ini};
 use prometheus::Registry;
 
+use super::watch::Watch;
 use super::{EXIT_CUT_OFF, EXIT_START, EXIT_USAGE};
 
 /// Why the daemon ends with an error.
@@ -61,47 +62,74 @@
     })?;
     let settings = Settings::parse(&path.display().to_string(), &text)?;
     process::log::open(&settings.name);
+    let watch = Watch::open(path, text);
     let registry = Registry::new();
     let limit = settings.drain_limit;
     match &settings.own {
         Own::Entry(own) => {
             let entry = Entry::spawn(&settings, own, System, &registry).await?;
-            finish(shutdown::run(limit, || entry.in_flight(), entry.drain()).await?)
+            let running =
+                async { finish(shutdown::run(limit, || entry.in_flight(), entry.drain()).await?) };
+            beside(running, watch.run(|_| {})).await
         }
         Own::Agent => {
             let agent = Agent::spawn(&settings, System, &registry).await?;
-            finish(shutdown::run(limit, || agent.in_flight(), agent.leave()).await?)
+            let running =
+                async { finish(shutdown::run(limit, || agent.in_flight(), agent.leave()).await?) };
+            beside(running, watch.run(|_| {})).await
         }
         Own::Gateway(own) => {
             let spawned = Gateway::<_, Platform>::spawn(&settings, own, System, &registry);
             let gateway = spawned.await?;
-            let stopping = shutdown::run(limit, || gateway.in_flight(), gateway.drain());
-            let failed = gateway.control().failed();
-            pin_mut!(stopping, failed);
-            match select(stopping, failed).await {
-                Either::Left((stopped, _)) => finish(stopped?),
-                Either::Right((source, _)) => Err(process::Failure::Journal { source }.into()),
-            }
+            let running = async {
+                let stopping = shutdown::run(limit, || gateway.in_flight(), gateway.drain());
+                stop_or_fail(stopping, gateway.control()).await
+            };
+            beside(running, watch.run(|settings| gateway.reload(settings))).await
         }
         Own::Steward(own) => {
             let engine = Engine::open(own.engine, &settings.name);
             let engine = engine.map_err(|source| process::Failure::Client { source })?;
             let steward = Steward::spawn(&settings, engine, System, &registry).await?;
-            finish(shutdown::run(limit, || steward.in_flight(), steward.drain()).await?)
+            let running = async {
+                let stopping = shutdown::run(limit, || steward.in_flight(), steward.drain());
+                finish(stopping.await?)
+            };
+            beside(running, watch.run(|_| {})).await
         }
         Own::Control(own) => {
             let control = Control::spawn(&settings, own, System, &registry).await?;
-            let stopping = shutdown::run(limit, || control.in_flight(), control.drain());
-            let failed = control.failed();
-            pin_mut!(stopping, failed);
-            match select(stopping, failed).await {
-                Either::Left((stopped, _)) => finish(stopped?),
-                Either::Right((source, _)) => Err(process::Failure::Journal { source }.into()),
-            }
+            let running = async {
+                let stopping = shutdown::run(limit, || control.in_flight(), control.drain());
+                stop_or_fail(stopping, &control).await
+            };
+            beside(running, watch.run(|_| {})).await
         }
     }
 }
 
+/// Runs `main` to its end, with `other` beside it as long as it takes.
+async fn beside<T>(main: impl Future<Output = T>, other: impl Future<Output = ()>) -> T {
+    pin_mut!(main, other);
+    match select(main, other).await {
+        Either::Left((done, _)) => done,
+        Either::Right(((), main)) => main.await,
+    }
+}
+
+/// Stops gracefully, or at once if the journal fails.
+async fn stop_or_fail(
+    stopping: impl Future<Output = io::Result<Stop>>,
+    control: &Control<System>,
+) -> Result<(), Failure> {
+    let failed = control.failed();
+    pin_mut!(stopping, failed);
+    match select(stopping, failed).await {
+        Either::Left((stopped, _)) => finish(stopped?),
+        Either::Right((source, _)) => Err(process::Failure::Journal { source }.into()),
+    }
+}
+
 /// Turns the way a process stopped into its result.
 pub fn finish(stop: Stop) -> Result<(), Failure> {
     match stop {
