--- a/crates/nutmegyoke-core/src/process/placement/mod.rs
+++ b/crates/nutmegyoke-core/src/process/placement/mod.rs
@@ -190,7 +190,12 @@
         if missing <= 0.0 {
             return Some(unload);
         }
-        let urgent = self.copies(fleet, &weights.model) == 0;
+        let copies = self.copies(fleet, &weights.model);
+        let urgent = copies == 0;
+        // A spare copy is not worth another one: what is idle now may be asked for next.
+        if !urgent && fleet.share(&weights.model) / count(copies) <= BUSY {
+            return None;
+        }
         let mut idle: Vec<&Model> = host
             .models
             .iter()
