Load from an engine's own copies first, several steps ahead

Cause: after a loss of power 18 engines were empty, and the account of the store let 9 loads pass in 5 s, although engines load from their own disks without it. Ruled out: late discovery (all engines were heard of within 2 s). Change: such loads are not charged and are preferred; an engine is ordered up to three steps ahead; a new leader listens for one heartbeat first.

--- a/crates/nutmegyoke-core/src/process/placement/mod.rs
+++ b/crates/nutmegyoke-core/src/process/placement/mod.rs
@@ -33,10 +33,21 @@
 /// which the model gets another copy.
 const BUSY: f64 = 0.3;
 
+/// What a copy near the engine is worth: it loads several times as fast, and
+/// without the store.
+const WARM_GAIN: f64 = 1.0;
+
 /// The part below which a copy is one too many. Well under half of [`BUSY`], so
 /// that the copy that makes way isn't loaded again.
 const IDLE: f64 = 0.1;
 
+/// How long a new leader listens before it plans: every engine has sent a
+/// heartbeat by then, or is gone.
+const LISTEN: Duration = Duration::from_millis(1600);
+
+/// The steps that an engine is ordered ahead at most.
+const STEPS_AHEAD: usize = 3;
+
 /// Copies of a model that are kept for the loss of an engine, where they fit.
 const SPARE_COPIES: usize = 2;
 
@@ -57,8 +68,10 @@
 /// The steps under way and the account of the store.
 #[derive(Debug, Default)]
 pub struct Placement {
-    /// The step that each engine is carrying out, and when it is given up.
-    pending: BTreeMap<String, (Step, Instant)>,
+    /// The steps that each engine has been ordered, and when each is given up.
+    pending: BTreeMap<String, Vec<(Step, Instant)>>,
+    /// From when on enough is known of the engines to plan.
+    ready: Option<Instant>,
     /// When the latest loads were ordered.
     loads: VecDeque<Instant>,
     next: Option<Instant>,
@@ -85,6 +98,7 @@
             // What the leader before ordered within the window is not known here.
             let allowed = store_allowance(fleet) / 2.0;
             self.loads = std::iter::repeat_n(now, whole(allowed)).collect();
+            self.ready = Some(now + LISTEN);
         }
         self.next = Some(now + PERIOD);
         self.settle(now, fleet);
@@ -95,18 +109,21 @@
         {
             self.loads.pop_front();
         }
+        if self.ready.is_some_and(|ready| now < ready) {
+            return Vec::new();
+        }
         let mut steps = Vec::new();
         for weights in self.shortages(fleet) {
-            if !self.store_has_room(fleet) {
-                break;
-            }
-            let Some(step) = self.step(fleet, weights) else {
+            let store = self.store_has_room(fleet);
+            let Some((step, warm)) = self.step(fleet, weights, store) else {
                 continue;
             };
+            if !warm {
+                self.loads.push_back(now);
+            }
             let until = now + weights.load + ORDER_SLACK;
-            self.loads.push_back(now);
-            self.pending
-                .insert(step.endpoint.clone(), (step.clone(), until));
+            let pending = self.pending.entry(step.endpoint.clone()).or_default();
+            pending.push((step.clone(), until));
             steps.push(step);
         }
         steps
@@ -114,13 +131,22 @@
 
     /// Ends the steps that are done or have taken too long.
     fn settle(&mut self, now: Instant, fleet: &Fleet<'_>) {
-        self.pending.retain(|endpoint, (step, until)| {
+        self.pending.retain(|endpoint, steps| {
             let host = fleet.host(endpoint);
-            let done = host.is_none_or(|host| host.models.contains(&step.load));
-            !done && now < *until
+            steps.retain(|(step, until)| {
+                let done = host.is_none_or(|host| host.models.contains(&step.load));
+                !done && now < *until
+            });
+            !steps.is_empty()
         });
     }
 
+    /// The steps that an engine has been ordered.
+    fn pending(&self, host: &Host<'_>) -> impl Iterator<Item = &Step> {
+        let steps = self.pending.get(host.id).into_iter().flatten();
+        steps.map(|(step, _)| step)
+    }
+
     fn store_has_room(&self, fleet: &Fleet<'_>) -> bool {
         count(self.loads.len() + 1) <= store_allowance(fleet)
     }
@@ -143,39 +169,36 @@
     /// The copies of a model, those on their way included and those that make way not.
     fn copies(&self, fleet: &Fleet<'_>, model: &Model) -> usize {
         let held = fleet.hosts.iter().filter(|host| {
-            let leaving = self.pending.get(host.id);
-            let leaving = leaving.is_some_and(|(step, _)| step.unload.contains(model));
-            host.models.contains(model) && !leaving
+            let coming = self.pending(host).any(|step| step.load == *model);
+            let leaving = self.pending(host).any(|step| step.unload.contains(model));
+            coming || (host.models.contains(model) && !leaving)
         });
-        let coming = self.pending.values().filter(|(step, _)| {
-            let host = fleet.host(&step.endpoint);
-            step.load == *model && host.is_some_and(|host| !host.models.contains(model))
-        });
-        held.count() + coming.count()
+        held.count()
     }
 
-    /// The best way to one more copy of a model.
-    fn step(&self, fleet: &Fleet<'_>, weights: &Weights) -> Option<Step> {
+    /// The best way to one more copy of a model, and whether it spares the store.
+    fn step(&self, fleet: &Fleet<'_>, weights: &Weights, store: bool) -> Option<(Step, bool)> {
         let free = fleet.hosts.iter().filter(|host| {
-            !self.pending.contains_key(host.id) && !host.models.contains(&weights.model)
+            let coming = self.pending(host).any(|step| step.load == weights.model);
+            let idle = self.pending(host).count() < STEPS_AHEAD;
+            idle && !coming && !host.models.contains(&weights.model)
         });
         let ways = free.filter_map(|host| {
+            let warm = host.is_warm(&weights.model);
             let unload = self.make_room(fleet, host, weights)?;
-            let cost = host.load + count(unload.len()) * BUSY;
-            let cost = if host.is_warm(&weights.model) {
-                cost - BUSY
-            } else {
-                cost
-            };
-            Some((cost, host, unload))
+            let queued = count(self.pending(host).count());
+            let cost = host.load + (count(unload.len()) + queued) * BUSY;
+            let cost = if warm { cost - WARM_GAIN } else { cost };
+            (warm || store).then_some((cost, host, unload, warm))
         });
         let best = ways.min_by(|one, other| one.0.total_cmp(&other.0))?;
-        let (_, host, unload) = best;
-        Some(Step {
+        let (_, host, unload, warm) = best;
+        let step = Step {
             endpoint: host.id.to_owned(),
             unload,
             load: weights.model.clone(),
-        })
+        };
+        Some((step, warm))
     }
 
     /// The models of `host` that have to make way; `None` if not enough may.
@@ -185,7 +208,14 @@
         host: &Host<'_>,
         weights: &Weights,
     ) -> Option<Vec<Model>> {
-        let mut missing = weights.mb - fleet.room(host);
+        let coming = self
+            .pending(host)
+            .filter_map(|step| fleet.weights(&step.load));
+        let coming: f64 = coming.map(|weights| weights.mb).sum();
+        let leaving: Vec<&Model> = self.pending(host).flat_map(|step| &step.unload).collect();
+        let freed = leaving.iter().filter_map(|model| fleet.weights(model));
+        let freed: f64 = freed.map(|weights| weights.mb).sum();
+        let mut missing = weights.mb + coming - freed - fleet.room(host);
         let mut unload = Vec::new();
         if missing <= 0.0 {
             return Some(unload);
@@ -199,7 +229,7 @@
         let mut idle: Vec<&Model> = host
             .models
             .iter()
-            .filter(|model| self.is_spare(fleet, model, urgent))
+            .filter(|model| !leaving.contains(model) && self.is_spare(fleet, model, urgent))
             .collect();
         idle.sort_by(|one, other| fleet.share(one).total_cmp(&fleet.share(other)));
         for model in idle {
