Route by the adapters that heartbeats tell of, by adapter before prompt

Ruled out: the number of places (8 an engine, 245 adapters came from the store). Change: heartbeats and rumors carry the adapters held; the hash that makes gateways agree goes by the adapter where there is one; a load costs 2,000 tokens.

--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -26,7 +26,7 @@
 pub use event::{Command, Event, Refusal};
 pub use seat::Seat;
 
-use super::registry::{Announcement, Spread};
+use super::registry::{Announcement, Content, Spread};
 use super::{DataCentre, Machine, Placement, Registry, Sink};
 use crate::request::{Passage, Reason, Verdict};
 use crate::version::{Routing, Service};
@@ -231,7 +231,7 @@
         };
         let seat = self.seats.entry(endpoint.clone()).or_default();
         if let Some(adapters) = adapters {
-            seat.hold(now, adapters);
+            seat.prepared(now, adapters);
         }
         let held = seat.holds(model.as_str(), &adapter);
         let known = self.registry.row(&endpoint).filter(|row| row.takes_work());
@@ -315,8 +315,10 @@
             }
             if let Some(verdict) = verdict {
                 seat.judge(now, verdict);
-                if verdict.reason() == Some(Reason::NotHeld) {
-                    seat.doubt_adapters();
+                if verdict.reason() == Some(Reason::NotHeld)
+                    && let (Some(model), Some(adapter)) = (&call.model, &call.adapter)
+                {
+                    seat.miss(model.as_str(), adapter);
                 }
             }
         }
@@ -380,6 +382,15 @@
         }
     }
 
+    /// Takes in what an endpoint told of its adapters.
+    fn learn(&mut self, now: Instant, id: &str) {
+        if let Some(row) = self.registry.row(id) {
+            let seat = self.seats.entry(id.to_owned()).or_default();
+            seat.renew(row.announcement.stamp.born);
+            seat.learn(now, &row.announcement.adapters);
+        }
+    }
+
     /// Takes in a change of the registry.
     fn note(&mut self, now: Instant, changed: bool) {
         if changed {
@@ -431,6 +442,7 @@
             Event::Configured { routing } => self.routing = Some(Rc::clone(routing)),
             Event::Heard { announcement } => {
                 let changed = self.registry.hear(now, announcement);
+                self.learn(now, &announcement.id);
                 self.note(now, changed);
             }
             Event::SignedOff { id } => {
@@ -441,6 +453,9 @@
                 self.demand.learn(now, from, work);
                 for rumor in rumors {
                     let changed = self.registry.learn(now, rumor);
+                    if let Content::Told(announcement) = &rumor.content {
+                        self.learn(now, &announcement.id);
+                    }
                     self.note(now, changed);
                 }
             }
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -16,8 +16,9 @@
 /// What an engine that runs a request costs another one, in prompt tokens.
 const RUNNING_COST: u64 = 60;
 
-/// What a load of an adapter costs, in prompt tokens: about 10 ms.
-const ADAPTER_COST: u64 = 400;
+/// What a load of an adapter costs, in prompt tokens: 10 ms or more, two orders,
+/// and the adapter that makes way is loaded again later.
+const ADAPTER_COST: u64 = 2000;
 
 /// What an endpoint of another data centre costs, in prompt tokens: about 1 ms
 /// there and back, and bytes that are paid for.
@@ -112,7 +113,11 @@
 
 /// How much the prompt favours an endpoint. All gateways compute the same.
 fn affinity(call: &Call, id: &str) -> u64 {
-    let mut key = call.prompt.shared().to_le_bytes().to_vec();
+    // An adapter is worth more than what is kept of a prompt, and is kept along with it.
+    let mut key = match (&call.model, &call.adapter) {
+        (Some(model), Some(adapter)) => format!("{model}/{adapter}").into_bytes(),
+        _ => call.prompt.shared().to_le_bytes().to_vec(),
+    };
     key.extend_from_slice(id.as_bytes());
     rapidhash_v3(&key)
 }
--- a/crates/nutmegyoke-core/src/process/gateway/seat.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/seat.rs
@@ -15,6 +15,9 @@
 /// Failures in a row of an endpoint that can be reached, after which it is passed over.
 const TOLERATED: u32 = 3;
 
+/// How old a heartbeat may be that comes through another gateway.
+const HEARSAY: Duration = Duration::from_millis(1500);
+
 /// How long an adapter may be used before its steward is told again, so that it
 /// isn't taken for idle.
 const TOUCH_PERIOD: Duration = Duration::from_secs(1);
@@ -32,6 +35,8 @@
     pub cache: Cache,
     /// The adapters that it holds, by model and name, and when its steward was told last.
     adapters: BTreeMap<(String, String), Instant>,
+    /// When the steward answered last.
+    asked: Option<Instant>,
     failures: u32,
     avoided: Option<Instant>,
 }
@@ -43,6 +48,7 @@
             self.born = born;
             self.cache.clear();
             self.adapters.clear();
+            self.asked = None;
             self.failures = 0;
             self.avoided = None;
         }
@@ -92,8 +98,22 @@
         }
     }
 
+    /// Takes in what the endpoint itself told of its adapters, which is older than
+    /// what its steward answers.
+    pub fn learn(&mut self, now: Instant, adapters: &[String]) {
+        if self.asked.is_none_or(|asked| asked + HEARSAY <= now) {
+            self.hold(now, adapters);
+        }
+    }
+
+    /// Takes in which adapters its steward says that the endpoint holds.
+    pub fn prepared(&mut self, now: Instant, adapters: &[String]) {
+        self.asked = Some(now);
+        self.hold(now, adapters);
+    }
+
     /// Takes in which adapters the endpoint holds, each as MODEL/NAME.
-    pub fn hold(&mut self, now: Instant, adapters: &[String]) {
+    fn hold(&mut self, now: Instant, adapters: &[String]) {
         let names = adapters.iter().filter_map(|name| name.split_once('/'));
         let mut held = BTreeMap::new();
         for (model, adapter) in names {
@@ -104,8 +124,9 @@
         self.adapters = held;
     }
 
-    /// Forgets the adapters, because one was missing.
-    pub fn doubt_adapters(&mut self) {
-        self.adapters.clear();
+    /// Forgets an adapter that was missing.
+    pub fn miss(&mut self, model: &str, adapter: &str) {
+        let key = (model.to_owned(), adapter.to_owned());
+        self.adapters.remove(&key);
     }
 }
--- a/crates/nutmegyoke-core/src/process/registry/announcement.rs
+++ b/crates/nutmegyoke-core/src/process/registry/announcement.rs
@@ -30,6 +30,8 @@
     pub leaves_in: Option<Duration>,
     /// The models that it holds; empty for plain services.
     pub models: Vec<Model>,
+    /// The adapters that it holds, as MODEL/NAME.
+    pub adapters: Vec<String>,
     /// The models of which it has a copy outside of the accelerator.
     pub warm: Vec<Model>,
 }
@@ -54,6 +56,7 @@
             && self.slots == other.slots
             && self.phase == other.phase
             && self.models == other.models
+            && self.adapters == other.adapters
             && self.warm == other.warm
             && self.leaves_in.is_some() == other.leaves_in.is_some()
     }
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -29,7 +29,7 @@
 use nutmegyoke_core::request::Verdict;
 use nutmegyoke_core::version::routing::{Limits, Pool as Service};
 use nutmegyoke_core::version::{Document, Routing};
-use nutmegyoke_wire::connection::link::texts;
+use nutmegyoke_wire::connection::link::strings;
 use nutmegyoke_wire::connection::mesh_capnp::{gateway, steward};
 use nutmegyoke_wire::process::{Settings, settings, work};
 use prometheus::Registry;
@@ -263,11 +263,10 @@
             request.get().set_adapter(adapter);
             request.get().set_slots(slots);
             let response = request.send().promise.await?;
-            texts(response.get()?.get_adapters())
+            strings(response.get()?.get_adapters())
         };
-        let answer: capnp::Result<Vec<Box<str>>> = asked.await;
-        match answer {
-            Ok(adapters) => Some(adapters.into_iter().map(String::from).collect()),
+        match asked.await {
+            Ok(adapters) => Some(adapters),
             Err(error) => {
                 let why = error.to_string();
                 Event::StewardSilent {
--- a/crates/nutmegyoke-wire/schema/mesh.capnp
+++ b/crates/nutmegyoke-wire/schema/mesh.capnp
@@ -18,6 +18,7 @@
   leavesInMs @8 :UInt64;  # counted from 1; 0: not told
   models @9 :List(Text);
   warm @10 :List(Text);
+  adapters @11 :List(Text);  # as MODEL/NAME
 }
 
 struct Rumor {
--- a/crates/nutmegyoke-wire/src/connection/link.rs
+++ b/crates/nutmegyoke-wire/src/connection/link.rs
@@ -38,6 +38,18 @@
     list?.iter().map(|item| Ok(text(item)?.into())).collect()
 }
 
+/// Reads a list of texts.
+///
+/// # Errors
+///
+/// The peer's message is malformed or not UTF-8.
+pub fn strings(list: capnp::Result<text_list::Reader<'_>>) -> capnp::Result<Vec<String>> {
+    list?
+        .iter()
+        .map(|item| Ok(text(item)?.to_owned()))
+        .collect()
+}
+
 /// Writes a list of names.
 pub fn set_texts<'a>(mut list: text_list::Builder<'_>, names: impl Iterator<Item = &'a str>) {
     for (index, name) in (0..).zip(names) {
--- a/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
@@ -362,11 +362,19 @@
         pub fn has_warm(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_adapters(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_adapters(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -560,6 +568,22 @@
         pub fn has_warm(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_adapters(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_adapters(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_adapters(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_adapters(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -574,101 +598,108 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 194] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 214] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(182, 23, 183, 22, 203, 224, 232, 230),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(23, 61, 139, 74, 110, 31, 210, 201),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 110, 110, 111, 117),
             ::capnp::word(110, 99, 101, 109, 101, 110, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -769,6 +800,19 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 97, 112, 116, 101, 114, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -783,6 +827,7 @@
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -796,9 +841,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,6,0,8,9,1,5,4,10,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[11,2,3,6,0,8,9,1,5,4,10,7];
         pub(crate) const TYPE_ID: u64 = 0xe6e8_e0cb_16b7_17b6;
     }
 }
--- a/crates/nutmegyoke-wire/src/process/rumor.rs
+++ b/crates/nutmegyoke-wire/src/process/rumor.rs
@@ -8,7 +8,7 @@
 use nutmegyoke_core::process::registry::{Announcement, Content, Rumor, Stamp};
 use nutmegyoke_core::version::Model;
 
-use crate::connection::link::{length, milliseconds, parse, set_texts, text, texts};
+use crate::connection::link::{length, milliseconds, parse, set_texts, strings, text, texts};
 use crate::connection::mesh_capnp::{announcement, rumor, stamp};
 
 /// Reads rumors.
@@ -95,6 +95,7 @@
         leaves_in: leaves_in.checked_sub(1).map(Duration::from_millis),
         models: texts(reader.get_models())?,
         warm: texts(reader.get_warm())?,
+        adapters: strings(reader.get_adapters())?,
     })
 }
 
@@ -113,6 +114,9 @@
     let list = builder.reborrow().init_models(length(models.len()));
     set_texts(list, models.iter().map(Model::as_str));
     let warm = &announcement.warm;
-    let list = builder.init_warm(length(warm.len()));
+    let list = builder.reborrow().init_warm(length(warm.len()));
     set_texts(list, warm.iter().map(Model::as_str));
+    let adapters = &announcement.adapters;
+    let list = builder.init_adapters(length(adapters.len()));
+    set_texts(list, adapters.iter().map(String::as_str));
 }
--- a/crates/nutmegyoke-wire/src/process/work.rs
+++ b/crates/nutmegyoke-wire/src/process/work.rs
@@ -4,7 +4,7 @@
 use nutmegyoke_core::process::gateway::demand::Backlog;
 use nutmegyoke_core::process::steward::Directive;
 
-use crate::connection::link::{length, set_texts, text, texts};
+use crate::connection::link::{length, set_texts, strings, text};
 use crate::connection::mesh_capnp::{directive, work};
 
 /// Reads the work that a gateway causes.
@@ -53,14 +53,13 @@
 ///
 /// The peer's message is malformed.
 pub fn read_directive(reader: directive::Reader<'_>) -> capnp::Result<Directive> {
-    let unload: Vec<Box<str>> = texts(reader.get_unload())?;
     let sizes = reader.get_sizes()?.iter().map(|row| {
         let model = text(row.get_model())?.to_owned();
         capnp::Result::Ok((model, row.get_megabytes()))
     });
     Ok(Directive {
         endpoint: text(reader.get_endpoint())?.to_owned(),
-        unload: unload.into_iter().map(String::from).collect(),
+        unload: strings(reader.get_unload())?,
         load: text(reader.get_load())?.to_owned(),
         memory_mb: reader.get_memory_mb(),
         sizes: sizes.collect::<capnp::Result<_>>()?,
