Place copies in proportion to demand

Change: the copies that a model needs follow from its demand, several a round; of two averages of demand the higher counts; spare second copies make way.

--- a/crates/nutmegyoke-core/src/process/gateway/demand.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/demand.rs
@@ -7,9 +7,9 @@
 
 use crate::version::Model;
 
-/// The time over which demand is averaged. Demand moves within seconds, and a
-/// load of weights takes about as long.
-const AVERAGE: Duration = Duration::from_secs(4);
+/// The times over which demand is averaged; the higher average counts. Demand
+/// that rises is followed within seconds, demand that falls may come back.
+const AVERAGES: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(6)];
 
 /// How long what another gateway told counts: five of its messages.
 const LEASE: Duration = Duration::from_millis(1500);
@@ -49,18 +49,26 @@
 #[derive(Clone, Copy, Debug)]
 struct Rate {
     at: Instant,
-    /// What came, with what is older counted for less.
-    sum: f64,
+    /// What came, with what is older counted for less, for each of [`AVERAGES`].
+    sums: [f64; 2],
 }
 
 impl Rate {
-    fn decayed(self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at);
-        self.sum * (-age.as_secs_f64() / AVERAGE.as_secs_f64()).exp()
+    fn open(now: Instant) -> Self {
+        let sums = [0.0; 2];
+        Self { at: now, sums }
+    }
+
+    fn decayed(self, now: Instant) -> [f64; 2] {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        let [fast, slow] = AVERAGES.map(|average| (-age / average.as_secs_f64()).exp());
+        [self.sums[0] * fast, self.sums[1] * slow]
     }
 
     fn per_second(self, now: Instant) -> f64 {
-        self.decayed(now) / AVERAGE.as_secs_f64()
+        let [fast, slow] = self.decayed(now);
+        let [fast_average, slow_average] = AVERAGES.map(|average| average.as_secs_f64());
+        (fast / fast_average).max(slow / slow_average)
     }
 }
 
@@ -68,14 +76,9 @@
     /// Counts prompt tokens that have to be read for `model`.
     pub fn count(&mut self, now: Instant, model: &Model, tokens: u64) {
         let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
-        let rate = self
-            .own
-            .entry(model.clone())
-            .or_insert(Rate { at: now, sum: 0.0 });
-        *rate = Rate {
-            at: now,
-            sum: rate.decayed(now) + tokens,
-        };
+        let rate = self.own.entry(model.clone()).or_insert(Rate::open(now));
+        let sums = rate.decayed(now).map(|sum| sum + tokens);
+        *rate = Rate { at: now, sums };
     }
 
     /// The own demand for each model, in prompt tokens per second.
--- a/crates/nutmegyoke-core/src/process/placement/mod.rs
+++ b/crates/nutmegyoke-core/src/process/placement/mod.rs
@@ -29,17 +29,30 @@
 /// heartbeat that tells of it, and a slow store.
 const ORDER_SLACK: Duration = Duration::from_secs(5);
 
-/// The part of its reading speed that an engine should spend on one model, above
-/// which the model gets another copy.
+/// The part of its reading speed that an engine spends on one model, above which
+/// the model gets more copies. Beyond a third, prompts that are read slow down
+/// the answers of all other requests on the engine.
 const BUSY: f64 = 0.3;
 
+/// The part that each copy has once there are enough.
+const ENOUGH: f64 = 0.22;
+
+/// The part below which the copies that stay can take over that of one that makes
+/// way. Below [`ENOUGH`], so that it isn't loaded again at once.
+const SPARE: f64 = 0.18;
+
 /// What a copy near the engine is worth: it loads several times as fast, and
 /// without the store.
 const WARM_GAIN: f64 = 1.0;
 
-/// The part below which a copy is one too many. Well under half of [`BUSY`], so
-/// that the copy that makes way isn't loaded again.
-const IDLE: f64 = 0.1;
+/// Copies of one model that are ordered in one round at most.
+const COPIES_A_ROUND: usize = 4;
+
+/// Copies of a model that are kept for the loss of an engine, where they fit.
+const SPARE_COPIES: usize = 2;
+
+/// The part of all memory that spare copies may take.
+const SPARE_SHARE: f64 = 0.8;
 
 /// How long a new leader listens before it plans: every engine has sent a
 /// heartbeat by then, or is gone.
@@ -48,12 +61,6 @@
 /// The steps that an engine is ordered ahead at most.
 const STEPS_AHEAD: usize = 3;
 
-/// Copies of a model that are kept for the loss of an engine, where they fit.
-const SPARE_COPIES: usize = 2;
-
-/// The part of all memory that spare copies may take.
-const SPARE_SHARE: f64 = 0.8;
-
 /// A step of the placement: models that make way, and one that is loaded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Step {
@@ -114,21 +121,32 @@
         }
         let mut steps = Vec::new();
         for weights in self.shortages(fleet) {
-            let store = self.store_has_room(fleet);
-            let Some((step, warm)) = self.step(fleet, weights, store) else {
-                continue;
-            };
-            if !warm {
-                self.loads.push_back(now);
+            let missing = self.missing(fleet, weights);
+            for _ in 0..missing.min(COPIES_A_ROUND) {
+                let store = self.store_has_room(fleet);
+                let Some((step, warm)) = self.step(fleet, weights, store) else {
+                    break;
+                };
+                if !warm {
+                    self.loads.push_back(now);
+                }
+                let until = now + weights.load + ORDER_SLACK;
+                let pending = self.pending.entry(step.endpoint.clone()).or_default();
+                pending.push((step.clone(), until));
+                steps.push(step);
             }
-            let until = now + weights.load + ORDER_SLACK;
-            let pending = self.pending.entry(step.endpoint.clone()).or_default();
-            pending.push((step.clone(), until));
-            steps.push(step);
         }
         steps
     }
 
+    /// How many copies a model that is short of them lacks.
+    fn missing(&self, fleet: &Fleet<'_>, weights: &Weights) -> usize {
+        let spare = fleet.spare_copies(SPARE_COPIES, SPARE_SHARE);
+        let copies = self.copies(fleet, &weights.model);
+        let wanted = needed(fleet.share(&weights.model)).max(spare);
+        wanted.saturating_sub(copies)
+    }
+
     /// Ends the steps that are done or have taken too long.
     fn settle(&mut self, now: Instant, fleet: &Fleet<'_>) {
         self.pending.retain(|endpoint, steps| {
@@ -231,7 +249,12 @@
             .iter()
             .filter(|model| !leaving.contains(model) && self.is_spare(fleet, model, urgent))
             .collect();
-        idle.sort_by(|one, other| fleet.share(one).total_cmp(&fleet.share(other)));
+        // Rather one of many copies than the second of two.
+        idle.sort_by(|one, other| {
+            let last = |model: &Model| self.copies(fleet, model) <= SPARE_COPIES;
+            let by_share = fleet.share(one).total_cmp(&fleet.share(other));
+            last(one).cmp(&last(other)).then(by_share)
+        });
         for model in idle {
             missing -= fleet.weights(model).map_or(0.0, |weights| weights.mb);
             unload.push(model.clone());
@@ -245,14 +268,16 @@
     /// Whether one copy of a model may make way; more readily if `urgent`.
     fn is_spare(&self, fleet: &Fleet<'_>, model: &Model, urgent: bool) -> bool {
         let copies = self.copies(fleet, model);
-        let share = fleet.share(model);
-        if urgent {
-            return copies > 1 && share / count(copies - 1) < BUSY;
-        }
-        copies > SPARE_COPIES && share / count(copies - 1) < IDLE
+        let limit = if urgent { BUSY } else { SPARE };
+        copies > 1 && fleet.share(model) / count(copies - 1) < limit
     }
 }
 
+/// The copies that a model needs whose demand takes `share` of an engine.
+fn needed(share: f64) -> usize {
+    whole(share / ENOUGH) + 1
+}
+
 /// Loads from the store that may be ordered within its window.
 fn store_allowance(fleet: &Fleet<'_>) -> f64 {
     fleet.engine.loads_per_second * STORE_WINDOW.as_secs_f64() * STORE_SHARE
