--- a/crates/nutmegyoke-core/src/process/registry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/registry/mod.rs
@@ -102,7 +102,12 @@
                 self.renew(heard, id, *stamp);
                 false
             }
-            Content::Left { id, stamp } => self.sign_off(heard, id, *stamp),
+            Content::Left(announcement) => {
+                let known = self.rows.get(&announcement.id).map(|row| row.stamp.born);
+                let newer = known.is_none_or(|born| born < announcement.stamp.born);
+                let changed = newer && self.take(heard, announcement);
+                self.sign_off(heard, &announcement.id, announcement.stamp) || changed
+            }
         }
     }
 
@@ -111,12 +116,12 @@
     pub fn since(&self, now: Instant, revision: u64) -> Vec<Rumor> {
         let rows = self.rows.iter();
         let news = rows.filter_map(|(id, row)| {
-            let (id, stamp) = (id.clone(), row.stamp);
             let content = if row.changed > revision && row.left {
-                Content::Left { id, stamp }
+                Content::Left(Rc::clone(&row.announcement))
             } else if row.changed > revision {
                 Content::Told(Rc::clone(&row.announcement))
             } else if row.renewed > revision {
+                let (id, stamp) = (id.clone(), row.stamp);
                 Content::Renewed { id, stamp }
             } else {
                 return None;
--- a/crates/nutmegyoke-core/src/process/registry/rumor.rs
+++ b/crates/nutmegyoke-core/src/process/registry/rumor.rs
@@ -21,6 +21,6 @@
     Told(Rc<Announcement>),
     /// A heartbeat that repeats the one before.
     Renewed { id: String, stamp: Stamp },
-    /// The endpoint signed off.
-    Left { id: String, stamp: Stamp },
+    /// The endpoint signed off; its latest heartbeat, for those who never heard of it.
+    Left(Rc<Announcement>),
 }
--- /dev/null
+++ b/crates/nutmegyoke-core/tests/fleet/mod.rs
@@ -0,0 +1,122 @@
+//! Endpoints, routes and documents for the tests of the gateway.
+
+#![allow(dead_code, reason = "not every test file uses every helper")]
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegyoke_core::process::endpoint::Phase;
+use nutmegyoke_core::process::registry::{Announcement, Stamp};
+use nutmegyoke_core::version::Routing;
+use nutmegyoke_core::version::routing::{
+    Conduct, Draft, Engine, Limits, Pool, Route, Share, Weights,
+};
+
+/// The service with model engines.
+pub const ENGINES: &str = "engines";
+
+/// The plain service.
+pub const DESK: &str = "desk";
+
+pub fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 80))
+}
+
+/// A plain endpoint that is ready.
+pub fn desk(host: u8) -> Announcement {
+    Announcement {
+        id: format!("desk-{host}"),
+        service: DESK.into(),
+        address: address(host),
+        data_centre: "alp-a".into(),
+        stamp: Stamp {
+            born: 1,
+            sequence: 1,
+        },
+        slots: 6,
+        phase: Phase::Ready,
+        warming: Duration::ZERO,
+        leaves_in: None,
+        models: Vec::new(),
+        adapters: Vec::new(),
+        warm: Vec::new(),
+    }
+}
+
+/// A model engine that is ready and holds `models`.
+pub fn engine(host: u8, models: &[&str]) -> Announcement {
+    Announcement {
+        id: format!("engine-{host}"),
+        service: ENGINES.into(),
+        slots: 64,
+        models: models.iter().map(|&model| model.into()).collect(),
+        ..desk(host)
+    }
+}
+
+pub fn route(prefix: &str, service: &str, conduct: Conduct, attempts: u32) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: "desk.example".to_owned(),
+        prefix: prefix.to_owned(),
+        conduct,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_secs(1),
+        gap: None,
+        rank: 1,
+        attempts,
+        shares: vec![Share {
+            service: service.into(),
+            weight: 1,
+        }],
+    }
+}
+
+pub fn weights(model: &str, mb: f64) -> Weights {
+    Weights {
+        model: model.into(),
+        mb,
+        load: Duration::from_secs(4),
+        adapters: 4,
+        adapter_mb: 10.0,
+    }
+}
+
+/// Engines of 200 MB with two places for adapters and models of 60 MB.
+pub fn capability(models: &[&str]) -> Engine {
+    Engine {
+        slots: 64,
+        cache_tokens: 200_000,
+        weights_mb: 200.0,
+        adapter_slots: 2,
+        loads_per_second: 2.0,
+        models: models.iter().map(|model| weights(model, 60.0)).collect(),
+    }
+}
+
+pub fn draft() -> Draft {
+    let pool = |service: &str, engine| Pool {
+        service: service.into(),
+        health_path: "/health".to_owned(),
+        connections: 100,
+        engine,
+    };
+    Draft {
+        number: 1,
+        routes: vec![
+            route("/book/", DESK, Conduct::Once, 1),
+            route("/look/", DESK, Conduct::Repeatable, 2),
+            route("/chat/", ENGINES, Conduct::Stream { resumable: false }, 1),
+        ],
+        pools: vec![
+            pool(DESK, None),
+            pool(ENGINES, Some(capability(&["grade", "price"]))),
+        ],
+        limits: Limits::default(),
+    }
+}
+
+pub fn routing() -> Rc<Routing> {
+    Routing::open(draft()).unwrap()
+}
--- /dev/null
+++ b/crates/nutmegyoke-core/tests/placement.rs
@@ -0,0 +1,145 @@
+//! The placement: which steps it orders.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use fleet::capability;
+use nutmegyoke_cases::cases;
+use nutmegyoke_core::process::Placement;
+use nutmegyoke_core::process::placement::{Fleet, Host, Step};
+use nutmegyoke_core::version::Model;
+use nutmegyoke_core::version::routing::Engine;
+
+const MODELS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+/// Engines with the models that they hold and those that they have copies of.
+type Rows<'a> = &'a [(&'a str, &'a str, &'a str)];
+
+fn models(names: &str) -> Vec<Model> {
+    names.split_whitespace().map(Model::from).collect()
+}
+
+/// The first steps over engines with `rows`, with demand in parts of an engine.
+fn plan(engine: &Engine, rows: Rows<'_>, demand: &[(&str, f64)]) -> Vec<Step> {
+    let rows: Vec<(&str, Vec<Model>, Vec<Model>)> = rows
+        .iter()
+        .map(|(id, held, warm)| (*id, models(held), models(warm)))
+        .collect();
+    let demand: BTreeMap<Model, f64> = demand
+        .iter()
+        .map(|&(name, share)| (name.into(), share * 38_700.0))
+        .collect();
+    let hosts = rows.iter().map(|(id, held, warm)| Host {
+        id,
+        models: held,
+        warm,
+        load: 0.0,
+    });
+    let mut fleet = Fleet {
+        engine,
+        hosts: hosts.collect(),
+        demand: &demand,
+    };
+    fleet.weigh();
+    let now = Instant::now();
+    let mut placement = Placement::default();
+    assert!(
+        placement.plan(now, &fleet).is_empty(),
+        "a new leader listens first"
+    );
+    placement.plan(now + Duration::from_secs(4), &fleet)
+}
+
+fn orders(known: &[&str], rows: Rows<'_>, demand: &[(&str, f64)], expected: &[(&str, &str, &str)]) {
+    let steps = plan(&capability(known), rows, demand);
+    let steps: Vec<(String, Vec<Model>, String)> = steps
+        .into_iter()
+        .map(|step| (step.endpoint, step.unload, step.load.to_string()))
+        .collect();
+    let expected: Vec<(String, Vec<Model>, String)> = expected
+        .iter()
+        .map(|&(id, unload, load)| (id.to_owned(), models(unload), load.to_owned()))
+        .collect();
+    assert_eq!(steps, expected);
+}
+
+// An engine has 200 MB, of which 20 are for adapters; a model takes 60.
+cases!(orders {
+    nothing_where_all_is_held_twice: (&["a", "b"], &[("1", "a b", ""), ("2", "a b", "")], &[], &[]),
+    spare_copy_where_there_is_room: (
+        &["a", "b"],
+        &[("1", "a b", ""), ("2", "a", "")],
+        &[],
+        &[("2", "", "b")]
+    ),
+    model_that_nothing_holds_comes_first: (
+        &["a", "b"],
+        &[("1", "a", ""), ("2", "a", "")],
+        &[("a", 2.0)],
+        &[("1", "", "b"), ("2", "", "b")]
+    ),
+    no_copy_makes_way_for_a_spare_one: (
+        &["a", "b", "c", "d"],
+        &[("1", "a b c", ""), ("2", "a b d", "")],
+        &[],
+        &[]
+    ),
+    one_of_two_makes_way_for_what_nothing_holds: (
+        &["a", "b", "c", "d"],
+        &[("1", "a b c", ""), ("2", "a b c", "")],
+        &[],
+        &[("1", "a", "d")]
+    ),
+    last_copy_never_makes_way: (
+        &["a", "b", "c", "d"],
+        &[("1", "a b c", "")],
+        &[("d", 3.0)],
+        &[]
+    ),
+    copy_near_the_engine_is_preferred: (
+        &["a"],
+        &[("1", "a", ""), ("2", "", ""), ("3", "", "a")],
+        &[],
+        &[("3", "", "a")]
+    ),
+});
+
+#[test]
+fn copies_follow_demand() {
+    let rows = [
+        ("1", "a", ""),
+        ("2", "a", ""),
+        ("3", "", ""),
+        ("4", "", ""),
+        ("5", "", ""),
+        ("6", "", ""),
+    ];
+    // A whole engine's work needs five copies at 0.22 of an engine each.
+    let steps = plan(&capability(&["a"]), &rows, &[("a", 1.0)]);
+    assert_eq!(steps.len(), 3);
+}
+
+#[test]
+fn store_bounds_loads_that_need_it() {
+    let rows: Vec<(String, String)> = (0..30).map(|id| (id.to_string(), String::new())).collect();
+    let rows: Vec<(&str, &str, &str)> = rows
+        .iter()
+        .map(|(id, held)| (id.as_str(), held.as_str(), ""))
+        .collect();
+    // 2 loads a second, nine tenths of 5 s, and half of it for the leader before.
+    let steps = plan(&capability(&MODELS), &rows, &[]);
+    assert_eq!(steps.len(), 5);
+}
+
+#[test]
+fn loads_from_near_copies_need_no_store() {
+    let rows: Vec<(String, &str)> = (0..30).map(|id| (id.to_string(), "a b c d e f")).collect();
+    let rows: Vec<(&str, &str, &str)> = rows
+        .iter()
+        .map(|(id, warm)| (id.as_str(), "", *warm))
+        .collect();
+    let steps = plan(&capability(&MODELS), &rows, &[]);
+    assert_eq!(steps.len(), MODELS.len() * 2);
+}
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -72,6 +72,8 @@
     pub lost: BTreeSet<u64>,
     random: fastrand::Rng,
     seeds: Vec<Seed>,
+    /// Whether any VM may join by way of the first three.
+    open: bool,
     mail: Vec<(Instant, SocketAddr, Message<S>)>,
     /// The committed log as first seen, which must never change.
     pub committed: BTreeMap<u64, (u64, String)>,
@@ -85,10 +87,31 @@
 
 impl<S: State + 'static> Simulation<S> {
     pub fn open(count: usize, seed: u64, weather: Weather) -> Self {
+        let observer = |_| false;
+        Self::launch(count, seed, weather, observer, false)
+    }
+
+    /// VMs that know only the first three, and of which some only observe.
+    pub fn open_roster(
+        count: usize,
+        seed: u64,
+        weather: Weather,
+        observer: impl Fn(usize) -> bool,
+    ) -> Self {
+        Self::launch(count, seed, weather, observer, true)
+    }
+
+    fn launch(
+        count: usize,
+        seed: u64,
+        weather: Weather,
+        observer: impl Fn(usize) -> bool,
+        open: bool,
+    ) -> Self {
         let seeds = (0..count).map(|vm| Seed {
             name: format!("control-{vm}"),
             address: address(vm),
-            observer: false,
+            observer: observer(vm),
         });
         let mut simulation = Self {
             now: Instant::now(),
@@ -99,6 +122,7 @@
             lost: BTreeSet::new(),
             random: fastrand::Rng::with_seed(seed),
             seeds: seeds.collect(),
+            open,
             mail: Vec::new(),
             committed: BTreeMap::new(),
             membership: Membership::default(),
@@ -131,9 +155,7 @@
         let setup = Setup {
             id: self.vms[vm].id,
             seed: self.seeds[vm].clone(),
-            roster: Roster::Listed {
-                seeds: self.seeds.clone(),
-            },
+            roster: self.roster(),
             election: ELECTION,
             random: self.random.u64(..),
         };
@@ -146,6 +168,20 @@
         self.vms[vm].replica = Some(Replica::open(self.now, setup, recovered));
     }
 
+    fn roster(&self) -> Roster {
+        if self.open {
+            let contacts = self.seeds.iter().take(3).map(|seed| seed.address);
+            Roster::Open {
+                contacts: contacts.collect(),
+                found: true,
+            }
+        } else {
+            Roster::Listed {
+                seeds: self.seeds.clone(),
+            }
+        }
+    }
+
     /// Kills a VM's process; the batch in flight may or may not have reached the disk.
     pub fn kill(&mut self, vm: usize) {
         self.vms[vm].replica = None;
--- a/crates/nutmegyoke-wire/schema/mesh.capnp
+++ b/crates/nutmegyoke-wire/schema/mesh.capnp
@@ -29,10 +29,7 @@
       id @2 :Text;
       stamp @3 :Stamp;
     }
-    left :group {
-      id @4 :Text;
-      stamp @5 :Stamp;
-    }
+    left @4 :Announcement;
   }
 }
 
--- a/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
@@ -921,6 +921,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_left(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 2 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => {
@@ -935,7 +940,7 @@
                 }
                 2 => {
                     ::core::result::Result::Ok(Left(
-                        self.reader.into()
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
@@ -1026,11 +1031,19 @@
             self.builder.into()
         }
         #[inline]
-        pub fn init_left(mut self, ) -> crate::mesh_capnp::rumor::left::Builder<'a> {
+        pub fn set_left(&mut self, value: crate::mesh_capnp::announcement::Reader<'_>) -> ::capnp::Result<()> {
             self.builder.set_data_field::<u16>(4, 2);
-            self.builder.reborrow().get_pointer_field(0).clear();
-            self.builder.reborrow().get_pointer_field(1).clear();
-            self.builder.into()
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_left(self, ) -> crate::mesh_capnp::announcement::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 2);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_left(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 2 { return false; }
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
@@ -1047,7 +1060,7 @@
                 }
                 2 => {
                     ::core::result::Result::Ok(Left(
-                        self.builder.into()
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
@@ -1064,7 +1077,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 70] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(75, 34, 205, 4, 5, 58, 214, 198),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -1104,12 +1117,12 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(218, 244, 151, 90, 171, 211, 65, 149),
-            ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1128,13 +1141,20 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 110, 101, 119, 101, 100, 0),
             ::capnp::word(108, 101, 102, 116, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(182, 23, 183, 22, 203, 224, 232, 230),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::mesh_capnp::announcement::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::mesh_capnp::rumor::renewed::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <crate::mesh_capnp::rumor::left::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <crate::mesh_capnp::announcement::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1158,8 +1178,8 @@
         Renewed(A1),
         Left(A2),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::mesh_capnp::announcement::Reader<'a>>,crate::mesh_capnp::rumor::renewed::Reader<'a>,crate::mesh_capnp::rumor::left::Reader<'a>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::mesh_capnp::announcement::Builder<'a>>,crate::mesh_capnp::rumor::renewed::Builder<'a>,crate::mesh_capnp::rumor::left::Builder<'a>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::mesh_capnp::announcement::Reader<'a>>,crate::mesh_capnp::rumor::renewed::Reader<'a>,::capnp::Result<crate::mesh_capnp::announcement::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::mesh_capnp::announcement::Builder<'a>>,crate::mesh_capnp::rumor::renewed::Builder<'a>,::capnp::Result<crate::mesh_capnp::announcement::Builder<'a>>>;
 
     pub mod renewed {
         #[derive(Copy, Clone)]
@@ -1410,255 +1430,6 @@
             pub(crate) const TYPE_ID: u64 = 0x9b4d_1bf1_f503_fc6f;
         }
     }
-
-    pub mod left {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_id(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
-            pub fn get_stamp(self) -> ::capnp::Result<crate::mesh_capnp::stamp::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_stamp(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-            }
-            #[inline]
-            pub fn init_id(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
-            }
-            #[inline]
-            pub fn has_id(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_stamp(self) -> ::capnp::Result<crate::mesh_capnp::stamp::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_stamp(&mut self, value: crate::mesh_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-            }
-            #[inline]
-            pub fn init_stamp(self, ) -> crate::mesh_capnp::stamp::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
-            }
-            #[inline]
-            pub fn has_stamp(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-            pub fn get_stamp(&self) -> crate::mesh_capnp::stamp::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
-            }
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 46] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(218, 244, 151, 90, 171, 211, 65, 149),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
-                ::capnp::word(75, 34, 205, 4, 5, 58, 214, 198),
-                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 82, 117, 109, 111, 114),
-                ::capnp::word(46, 108, 101, 102, 116, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 37, 252, 81, 36, 205, 74, 129),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::mesh_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0x9541_d3ab_5a97_f4da;
-        }
-    }
 }
 
 pub mod demand {
--- a/crates/nutmegyoke-wire/src/process/rumor.rs
+++ b/crates/nutmegyoke-wire/src/process/rumor.rs
@@ -40,10 +40,7 @@
                 id: text(group.get_id())?.to_owned(),
                 stamp: read_stamp(group.get_stamp()?),
             },
-            rumor::Left(group) => Content::Left {
-                id: text(group.get_id())?.to_owned(),
-                stamp: read_stamp(group.get_stamp()?),
-            },
+            rumor::Left(announcement) => Content::Left(Rc::new(read_announcement(announcement?)?)),
         },
     })
 }
@@ -57,11 +54,7 @@
             group.set_id(id);
             write_stamp(*stamp, group.init_stamp());
         }
-        Content::Left { id, stamp } => {
-            let mut group = builder.init_left();
-            group.set_id(id);
-            write_stamp(*stamp, group.init_stamp());
-        }
+        Content::Left(announcement) => write_announcement(announcement, builder.init_left()),
     }
 }
 
