--- a/crates/nutmegyoke-core/src/process/gateway/call.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -17,6 +17,8 @@
     pub model: Option<Model>,
     pub adapter: Option<String>,
     pub prompt: Prompt,
+    /// A random number that spreads requests which nothing else tells apart.
+    pub point: u64,
     /// When the client or the route gives up.
     pub deadline: Instant,
     /// The endpoints tried, by id.
@@ -41,7 +43,13 @@
 }
 
 impl Call {
-    pub fn open(now: Instant, route: &Rc<Route>, service: &Service, passage: &Passage<'_>) -> Self {
+    pub fn open(
+        now: Instant,
+        route: &Rc<Route>,
+        service: &Service,
+        point: u64,
+        passage: &Passage<'_>,
+    ) -> Self {
         let (model, adapter) = match passage.target {
             Some(Target::Model { model, adapter }) => (Some(model), adapter),
             _ => (None, None),
@@ -53,6 +61,7 @@
             model: model.map(Model::from),
             adapter: adapter.map(str::to_owned),
             prompt: Prompt::open(passage.target, passage.prompt),
+            point,
             deadline: now + patience.min(route.timeout),
             tried: Vec::new(),
             runs: 0,
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -120,10 +120,11 @@
         let Some(route) = routing.route(passage.host, passage.path) else {
             return refuse(number, not_run(Reason::UnknownPath), out);
         };
-        let Some(service) = route.destination(self.random.u64(..)) else {
+        let point = self.random.u64(..);
+        let Some(service) = route.destination(point) else {
             return refuse(number, not_run(Reason::UnknownService), out);
         };
-        let call = Call::open(now, route, service, passage);
+        let call = Call::open(now, route, service, point, passage);
         let budget = self.budgets.entry(service.clone()).or_default();
         budget.count(now, &self.setup.bound);
         self.deadlines.insert((call.deadline, number));
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -116,7 +116,8 @@
     // An adapter is worth more than what is kept of a prompt, and is kept along with it.
     let mut key = match (&call.model, &call.adapter) {
         (Some(model), Some(adapter)) => format!("{model}/{adapter}").into_bytes(),
-        _ => call.prompt.shared().to_le_bytes().to_vec(),
+        (Some(_), None) => call.prompt.shared().to_le_bytes().to_vec(),
+        _ => call.point.to_le_bytes().to_vec(),
     };
     key.extend_from_slice(id.as_bytes());
     rapidhash_v3(&key)
--- a/crates/nutmegyoke-core/tests/registry.rs
+++ b/crates/nutmegyoke-core/tests/registry.rs
@@ -116,7 +116,7 @@
 enum Step {
     Hear {
         at: usize,
-        announcement: Announcement,
+        announcement: Box<Announcement>,
     },
     Leave {
         at: usize,
@@ -134,7 +134,7 @@
     prop_oneof![
         heard.prop_map(|(at, host, born, sequence)| Step::Hear {
             at,
-            announcement: Announcement {
+            announcement: Box::new(Announcement {
                 stamp: Stamp { born, sequence },
                 // A heartbeat says one thing, wherever it is heard.
                 phase: if (born + sequence) % 2 == 0 {
@@ -143,7 +143,7 @@
                     Phase::Draining
                 },
                 ..desk(host)
-            },
+            }),
         }),
         (0..2_usize, 1..3_u8).prop_map(|(at, host)| Step::Leave { at, host }),
         (0..2_usize, any::<bool>(), any::<bool>()).prop_map(|(from, arrives, acknowledged)| {
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A group of replicas over a fake network and fake disks, on a fake clock.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
--- a/crates/nutmegyoke-host/src/request/pass/mod.rs
+++ b/crates/nutmegyoke-host/src/request/pass/mod.rs
@@ -160,8 +160,12 @@
             Some(Command::Refuse { refusal, .. }) => {
                 ticket.close(refusal.verdict);
                 let own = refusal.verdict.reason() == Some(Reason::EndpointFailed);
-                // An endpoint's own account of its failure says more than ours.
-                return match failed.filter(|_| own) {
+                // An endpoint's own account of its failure says more than ours, unless
+                // it would promise that the request did not run.
+                let honest = |response: &Response<Bytes>| {
+                    own && !PROMISES.contains(&response.status().as_u16())
+                };
+                return match failed.filter(honest) {
                     Some(response) => response.map(Passed::from),
                     None => refuse::<C, D>(refusal),
                 };
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod pair;
 pub mod replicas;
+pub mod upstream;
 
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -102,8 +103,14 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends the signal called `name`, without `SIG`.
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        let mut command = Command::new("kill");
+        let status = command.arg(format!("-{name}")).arg(id).status().unwrap();
         assert!(status.success());
     }
 
