--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -146,16 +146,13 @@
     let mut bed = Bed::open(&[desk(1), desk(2)]);
     let first = sent(&bed.arrive(1, path)).unwrap();
     let out = bed.settle(1, verdict);
-    match sent(&out) {
-        Some(second) => {
-            assert!(again);
-            assert_ne!(first, second);
-        }
-        None => {
-            assert!(!again);
-            let expected = (verdict != Verdict::Ran).then_some(verdict);
-            assert_eq!(refused(&out), expected);
-        }
+    if let Some(second) = sent(&out) {
+        assert!(again);
+        assert_ne!(first, second);
+    } else {
+        assert!(!again);
+        let expected = (verdict != Verdict::Ran).then_some(verdict);
+        assert_eq!(refused(&out), expected);
     }
 }
 
@@ -360,7 +357,7 @@
 fn silent_steward_sends_the_request_elsewhere() {
     let mut bed = Bed::open(&[engine(1, &["price"]), engine(2, &["price"])]);
     let passage = chat("price", Some("a1"), &[]);
-    let chosen = |out: &[Command]| match &out[..] {
+    let chosen = |out: &[Command]| match out {
         [.., Command::Prepare { endpoint, .. }] => endpoint.id.clone(),
         other => panic!("{other:?}"),
     };
