--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -7,10 +7,12 @@
 
 use super::Gateway;
 use super::call::Call;
-use crate::process::registry::{Announcement, Row};
+use crate::process::registry::spread::PERIOD;
+use crate::process::registry::{Announcement, RENEWAL, Row};
 
 /// How long an endpoint that isn't heard of counts as alive: three heartbeats
-/// and a half, so that one lost heartbeat and a slow one change nothing.
+/// and a half, so that one lost heartbeat and a slow one change nothing. Those that
+/// came through another gateway are older by the time it keeps them.
 const LEASE_BEATS: f64 = 3.5;
 
 /// What an engine that runs a request costs another one, in prompt tokens.
@@ -61,7 +63,7 @@
     }
 
     pub(super) fn is_sound(&self, now: Instant, row: &Row) -> bool {
-        let lease = self.setup.heartbeat.mul_f64(LEASE_BEATS);
+        let lease = self.setup.heartbeat.mul_f64(LEASE_BEATS) + RENEWAL + PERIOD;
         let seat = self.seats.get(&row.announcement.id);
         now < row.heard + lease && !seat.is_some_and(|seat| seat.is_avoided(now))
     }
--- a/crates/nutmegyoke-core/src/process/registry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/registry/mod.rs
@@ -22,6 +22,9 @@
 /// heartbeat can be under way.
 const RETENTION: Duration = Duration::from_mins(1);
 
+/// How long a gateway keeps to itself that an endpoint said the same again.
+pub const RENEWAL: Duration = Duration::from_secs(2);
+
 /// The endpoints that a gateway knows.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -42,8 +45,10 @@
     pub left: bool,
     /// The revision of the latest change.
     changed: u64,
-    /// The revision of the latest heartbeat that came here directly.
+    /// The revision of the latest heartbeat that the other gateways are told of.
     renewed: u64,
+    /// When they were told.
+    told: Option<Instant>,
 }
 
 impl Row {
@@ -77,9 +82,11 @@
         let changed = self.take(now, announcement);
         if let Some(row) = self.rows.get_mut(&announcement.id)
             && row.stamp == announcement.stamp
+            && row.told.is_none_or(|told| told + RENEWAL <= now)
         {
             self.revision += 1;
             row.renewed = self.revision;
+            row.told = Some(now);
         }
         changed
     }
@@ -158,6 +165,7 @@
             left: false,
             changed: self.revision,
             renewed: 0,
+            told: None,
         };
         self.rows.insert(announcement.id.clone(), row);
         self.supersede(announcement);
--- a/crates/nutmegyoke-core/src/process/registry/spread.rs
+++ b/crates/nutmegyoke-core/src/process/registry/spread.rs
@@ -7,9 +7,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How often renewals are sent. Well under the heartbeat period, so that an
-/// endpoint's age differs little between gateways.
-const PERIOD: Duration = Duration::from_millis(300);
+/// How often what is not urgent is sent. Half a second is as old as the work at an
+/// endpoint may be told, and twice as often costs twice the bytes between data centres.
+pub const PERIOD: Duration = Duration::from_millis(500);
 
 /// The pause before a gateway that did not answer is tried again.
 const PAUSE: Duration = Duration::from_millis(200);
