--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -22,9 +22,12 @@
 /// and the adapter that makes way is loaded again later.
 const ADAPTER_COST: u64 = 2000;
 
-/// What an endpoint of another data centre costs, in prompt tokens: about 1 ms
-/// there and back, and bytes that are paid for.
-const FAR_COST: u64 = 80;
+/// What an endpoint of another data centre costs, in prompt tokens: 1 to 3 ms there
+/// and back, and the bytes of prompt and answer, which are paid for.
+const FAR_COST: u64 = 1500;
+
+/// What a plain endpoint of another data centre costs, as a part of its slots.
+const FAR_SLOT_COST: u64 = 150;
 
 /// What an engine costs that the hash of the prompt does not favour, in prompt
 /// tokens. It makes gateways that know nothing of each other agree.
@@ -51,10 +54,11 @@
             .collect();
         // Where none is known to work, one that is suspected is better than none.
         let rows = if sound.is_empty() { rows } else { sound };
-        let favourite = rows
-            .iter()
-            .map(|row| affinity(call, &row.announcement.id))
-            .max()?;
+        let favourite = rows.iter().max_by_key(|row| {
+            let near = row.announcement.data_centre == self.setup.data_centre;
+            (near, affinity(call, &row.announcement.id))
+        })?;
+        let favourite = affinity(call, &favourite.announcement.id);
         let best = rows.into_iter().min_by_key(|row| {
             let hash = affinity(call, &row.announcement.id);
             (self.cost(now, call, row, hash == favourite), hash)
@@ -76,16 +80,18 @@
         let in_flight = seat.map_or(0, |seat| seat.in_flight) + others.in_flight;
         let in_flight = u64::from(in_flight);
         let slots = u64::from(announcement.slots.max(1));
+        let far = announcement.data_centre != self.setup.data_centre;
         let mut cost = 0;
-        if announcement.data_centre != self.setup.data_centre {
-            cost += FAR_COST;
-        }
         if announcement.warming > Duration::ZERO {
             cost += WARMING_COST;
         }
         let Some(model) = &call.model else {
-            return cost + in_flight * SLOT_COST / slots;
+            let distance = if far { FAR_SLOT_COST } else { 0 };
+            return cost + distance + in_flight * SLOT_COST / slots;
         };
+        if far {
+            cost += FAR_COST;
+        }
         let kept = seat.map_or(0, |seat| seat.cache.kept(now, &call.prompt));
         cost += seat.map_or(0, |seat| seat.ahead) + others.ahead + in_flight * RUNNING_COST;
         cost += u64::from(call.prompt.tokens - kept);
