Tell other gateways only what is new to them

Every change was passed on by every gateway that learned of it, and heartbeats of the log went to observers as often as to voters. Ruled out: the requests themselves (preferring near engines changed little). Change: learned rows are passed on only if they keep requests away; adapters are told every 2 s; nothing is sent where nothing is new; observers get a heartbeat once an election timeout, and what is committed at once.

--- a/crates/nutmegyoke-core/src/process/control/replica/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/mod.rs
@@ -314,7 +314,9 @@
             self.count_own_vote(now, out);
         }
         if self.leads() {
-            self.advance(out);
+            if self.advance(out) {
+                self.replicate(now, true, out);
+            }
         } else {
             self.acknowledge(out);
         }
--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -24,6 +24,8 @@
     pub answered: Instant,
     /// Until when a snapshot is taken to be on its way.
     installing: Option<Instant>,
+    /// When the latest message was sent, and the commit that it told.
+    told: Option<(Instant, u64)>,
 }
 
 impl<S: State> Replica<S> {
@@ -41,6 +43,7 @@
                 matched: 0,
                 answered: now,
                 installing: None,
+                told: None,
             });
         }
     }
@@ -85,7 +88,12 @@
         K: Sink<Command = Command<S>>,
     {
         let stamp = self.stamp(now);
-        let resend = now + self.setup.election;
+        let election = self.setup.election;
+        let resend = now + election;
+        let observer = self
+            .membership
+            .peer(id)
+            .is_some_and(|peer| peer.seed.observer);
         let Role::Leader { progress, .. } = &mut self.role else {
             return;
         };
@@ -107,9 +115,14 @@
         } else {
             Vec::new()
         };
-        if entries.is_empty() && !heartbeat {
+        let quiet = row.told.is_some_and(|(at, commit)| {
+            // Nobody counts on an observer's answer.
+            observer && commit == self.commit && now < at + election
+        });
+        if entries.is_empty() && (!heartbeat || quiet) {
             return;
         }
+        row.told = Some((now, self.commit));
         let index = row.next - 1;
         let term = self.log.term(index).unwrap_or_default();
         row.next += entries.len() as u64;
@@ -152,7 +165,10 @@
         };
         row.matched = row.matched.max(matched);
         row.next = row.next.max(matched + 1);
-        self.advance(out);
+        if self.advance(out) {
+            // The others apply what is committed without waiting for a heartbeat.
+            self.replicate(now, true, out);
+        }
         self.tend(now, from, out);
         self.feed(now, from, false, out);
     }
@@ -178,12 +194,14 @@
     }
 
     /// Commits what a majority has synced.
-    pub(super) fn advance<K>(&mut self, out: &mut K)
+    ///
+    /// Returns whether anything was.
+    pub(super) fn advance<K>(&mut self, out: &mut K) -> bool
     where
         K: Sink<Command = Command<S>>,
     {
         let Role::Leader { progress, .. } = &self.role else {
-            return;
+            return false;
         };
         let matched = |id| match progress.get(&id) {
             _ if id == self.setup.id => self.disk.synced,
@@ -197,13 +215,15 @@
             .collect();
         synced.sort_unstable_by(|one, other| other.cmp(one));
         let Some(&index) = synced.get(self.membership.quorum() - 1) else {
-            return;
+            return false;
         };
         // Entries of earlier terms are committed only along with one of this term.
-        if index > self.commit && self.log.term(index) == Some(self.vote.term) {
+        let committed = index > self.commit && self.log.term(index) == Some(self.vote.term);
+        if committed {
             self.commit = index;
             self.apply(out);
         }
+        committed
     }
 }
 
--- a/crates/nutmegyoke-core/src/process/gateway/demand.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/demand.rs
@@ -11,8 +11,8 @@
 /// that rises is followed within seconds, demand that falls may come back.
 const AVERAGES: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(6)];
 
-/// How long what another gateway told counts: five of its messages.
-const LEASE: Duration = Duration::from_millis(1500);
+/// How long what another gateway told counts: two of its messages and a slow one.
+const LEASE: Duration = Duration::from_millis(2500);
 
 /// Demand below this, in prompt tokens per second, is not worth telling.
 const LEAST_RATE: f64 = 1.0;
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -371,11 +371,12 @@
     where
         S: Sink<Command = Command>,
     {
-        let due = self.spread.due(now, self.registry.revision());
-        if due.is_empty() {
+        if self.spread.deadline().is_none_or(|due| now < due) {
             return;
         }
         let work = self.work(now);
+        let busy = work != Work::default();
+        let due = self.spread.due(now, self.registry.revision(), busy);
         for (to, acknowledged) in due {
             let rumors = self.registry.since(now, acknowledged);
             let work = work.clone();
--- a/crates/nutmegyoke-core/src/process/registry/announcement.rs
+++ b/crates/nutmegyoke-core/src/process/registry/announcement.rs
@@ -46,7 +46,7 @@
 }
 
 impl Announcement {
-    /// Whether `other` says the same, but for the time at which it was said.
+    /// Whether `other` offers the same, apart from adapters, which come and go.
     #[must_use]
     pub fn repeats(&self, other: &Self) -> bool {
         self.id == other.id
@@ -56,7 +56,6 @@
             && self.slots == other.slots
             && self.phase == other.phase
             && self.models == other.models
-            && self.adapters == other.adapters
             && self.warm == other.warm
             && self.leaves_in.is_some() == other.leaves_in.is_some()
     }
--- a/crates/nutmegyoke-core/src/process/registry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/registry/mod.rs
@@ -49,6 +49,8 @@
     renewed: u64,
     /// When they were told.
     told: Option<Instant>,
+    /// Whether they were not told yet of other adapters.
+    unshared: bool,
 }
 
 impl Row {
@@ -79,13 +81,17 @@
 
     /// Takes in a heartbeat that came directly. Returns whether it said something new.
     pub fn hear(&mut self, now: Instant, announcement: &Announcement) -> bool {
-        let changed = self.take(now, announcement);
+        let changed = self.take(now, announcement, true);
         if let Some(row) = self.rows.get_mut(&announcement.id)
             && row.stamp == announcement.stamp
             && row.told.is_none_or(|told| told + RENEWAL <= now)
         {
             self.revision += 1;
             row.renewed = self.revision;
+            if row.unshared {
+                row.changed = self.revision;
+                row.unshared = false;
+            }
             row.told = Some(now);
         }
         changed
@@ -104,7 +110,7 @@
     pub fn learn(&mut self, now: Instant, rumor: &Rumor) -> bool {
         let heard = now.checked_sub(rumor.age).unwrap_or(now);
         match &rumor.content {
-            Content::Told(announcement) => self.take(heard, announcement),
+            Content::Told(announcement) => self.take(heard, announcement, false),
             Content::Renewed { id, stamp } => {
                 self.renew(heard, id, *stamp);
                 false
@@ -112,7 +118,7 @@
             Content::Left(announcement) => {
                 let known = self.rows.get(&announcement.id).map(|row| row.stamp.born);
                 let newer = known.is_none_or(|born| born < announcement.stamp.born);
-                let changed = newer && self.take(heard, announcement);
+                let changed = newer && self.take(heard, announcement, false);
                 self.sign_off(heard, &announcement.id, announcement.stamp) || changed
             }
         }
@@ -144,7 +150,12 @@
         self.rows.retain(|_, row| now < row.heard + RETENTION);
     }
 
-    fn take(&mut self, heard: Instant, announcement: &Announcement) -> bool {
+    /// Takes in a heartbeat, which came `direct` or by way of another gateway.
+    ///
+    /// What came by way of another gateway is passed on only if it keeps requests
+    /// away from the endpoint: the other one tells everybody itself, and all of it
+    /// would be told as often as there are pairs of gateways.
+    fn take(&mut self, heard: Instant, announcement: &Announcement, direct: bool) -> bool {
         let known = self.rows.get(&announcement.id);
         let changed = match known {
             Some(row) if announcement.stamp <= row.stamp => return false,
@@ -155,17 +166,28 @@
         };
         if !changed {
             self.renew(heard, &announcement.id, announcement.stamp);
+            if let Some(row) = self.rows.get_mut(&announcement.id)
+                && row.stamp == announcement.stamp
+                && row.announcement.adapters != announcement.adapters
+            {
+                row.announcement = Rc::new(announcement.clone());
+                row.unshared |= direct;
+            }
             return false;
         }
-        self.revision += 1;
+        let shared = direct || announcement.phase == Phase::Draining;
+        if shared {
+            self.revision += 1;
+        }
         let row = Row {
             announcement: Rc::new(announcement.clone()),
             stamp: announcement.stamp,
             heard,
             left: false,
-            changed: self.revision,
+            changed: if shared { self.revision } else { 0 },
             renewed: 0,
             told: None,
+            unshared: false,
         };
         self.rows.insert(announcement.id.clone(), row);
         self.supersede(announcement);
--- a/crates/nutmegyoke-core/src/process/registry/spread.rs
+++ b/crates/nutmegyoke-core/src/process/registry/spread.rs
@@ -7,9 +7,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How often what is not urgent is sent. Half a second is as old as the work at an
-/// endpoint may be told, and twice as often costs twice the bytes between data centres.
-pub const PERIOD: Duration = Duration::from_millis(500);
+/// How often what is not urgent is sent. A second is as old as the work at an endpoint
+/// may be told, and twice as often costs twice the bytes between data centres.
+pub const PERIOD: Duration = Duration::from_secs(1);
 
 /// The pause before a gateway that did not answer is tried again.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -67,18 +67,22 @@
         }
     }
 
-    /// The gateways that are due a message, with the revision that each acknowledged.
+    /// The gateways that are due a message, with the revision that each acknowledged;
+    /// where nothing has changed, only if this gateway is `busy` with work to tell of.
     ///
     /// `revision` is taken to be on its way to them from now on.
-    pub fn due(&mut self, now: Instant, revision: u64) -> Vec<(SocketAddr, u64)> {
+    pub fn due(&mut self, now: Instant, revision: u64, busy: bool) -> Vec<(SocketAddr, u64)> {
         let mut due = Vec::new();
         for (&address, peer) in &mut self.peers {
             if peer.sent.is_some() || peer.due > now {
                 continue;
             }
             peer.due = now + PERIOD;
-            peer.sent = Some(revision);
-            due.push((address, peer.acknowledged));
+            let news = peer.acknowledged < revision || peer.run.is_none();
+            if news || busy {
+                peer.sent = Some(revision);
+                due.push((address, peer.acknowledged));
+            }
         }
         due
     }
--- a/crates/nutmegyoke-core/tests/registry.rs
+++ b/crates/nutmegyoke-core/tests/registry.rs
@@ -208,11 +208,11 @@
     let peer = fleet::address(9);
     let mut spread = Spread::default();
     spread.list(now, &[peer]);
-    assert_eq!(spread.due(now, 4), [(peer, 0)]);
+    assert_eq!(spread.due(now, 4, false), [(peer, 0)]);
     spread.settle(now, peer, Some(1));
-    assert_eq!(spread.due(now + SECOND, 6), [(peer, 4)]);
+    assert_eq!(spread.due(now + SECOND, 6, false), [(peer, 4)]);
     spread.settle(now + SECOND, peer, Some(2));
-    assert_eq!(spread.due(now + SECOND, 6), [(peer, 0)]);
+    assert_eq!(spread.due(now + SECOND, 6, false), [(peer, 0)]);
 }
 
 #[test]
@@ -221,8 +221,8 @@
     let peer = fleet::address(9);
     let mut spread = Spread::default();
     spread.list(now, &[peer]);
-    spread.due(now, 4);
-    assert!(spread.due(now + SECOND, 6).is_empty());
+    spread.due(now, 4, false);
+    assert!(spread.due(now + SECOND, 6, false).is_empty());
     spread.settle(now + SECOND, peer, None);
-    assert_eq!(spread.due(now + SECOND * 2, 6), [(peer, 0)]);
+    assert_eq!(spread.due(now + SECOND * 2, 6, false), [(peer, 0)]);
 }
