Let requests wait up to a second for an endpoint; elect faster

Ruled out: the restart itself (gateways are up within 0.1 s). Change: a request without an endpoint or document waits, a quarter of its time and one second at most; elections after 0.7 s in place of 1.2 s. The request's way is split from the machine into attempts.rs and wait.rs. Tests of a refusal for want of an endpoint now ask for the wait, and for the refusal at its end.

--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -0,0 +1,313 @@
+//! A request from its arrival to its end: which attempts are made, and what its
+//! client is told.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::call::{Call, Stage};
+use super::{Command, Gateway, Refusal, Sink};
+use crate::process::registry::Announcement;
+use crate::request::{Passage, Reason, Verdict};
+
+/// When a client may try again that was refused for want of an endpoint.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// The most endpoints that are asked for one request, those that refuse included.
+const TRIES: usize = 3;
+
+/// Less time than this is no chance for an endpoint to answer.
+const LEAST_PATIENCE: Duration = Duration::from_millis(5);
+
+impl Gateway {
+    /// Takes in a request that arrived at `arrived`.
+    pub(super) fn arrive<S>(
+        &mut self,
+        now: Instant,
+        arrived: Instant,
+        number: u64,
+        passage: &Passage<'_>,
+        out: &mut S,
+    ) where
+        S: Sink<Command = Command>,
+    {
+        let Some(routing) = &self.routing else {
+            self.waiting.keep(now, number, passage);
+            return;
+        };
+        let Some(route) = routing.route(passage.host, passage.path) else {
+            return refuse(number, not_run(Reason::UnknownPath), out);
+        };
+        let point = self.random.u64(..);
+        let Some(service) = route.destination(point) else {
+            return refuse(number, not_run(Reason::UnknownService), out);
+        };
+        let call = Call::open(arrived, route, service, point, passage);
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.count(now, &self.setup.bound);
+        self.deadlines.insert((call.deadline, number));
+        self.calls.insert(number, call);
+        self.attempt(now, number, out);
+    }
+
+    /// Sends the request to the best endpoint, or refuses it.
+    pub(super) fn attempt<S>(&mut self, now: Instant, number: u64, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let Some(call) = self.calls.get(&number) else {
+            return;
+        };
+        let Some(endpoint) = self.pick(now, call) else {
+            return self.put_off(now, number, out);
+        };
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let id = endpoint.id.clone();
+        let pool = self.routing.as_ref();
+        let pool = pool.and_then(|routing| routing.pool(call.service.as_str()));
+        let engine = pool.and_then(|pool| pool.engine.as_ref());
+        let slots = engine.map_or(0, |engine| engine.adapters_beside(&endpoint.models));
+        let seat = self.seats.entry(id.clone()).or_default();
+        seat.renew(endpoint.stamp.born);
+        if let (Some(model), Some(adapter)) = (&call.model, &call.adapter) {
+            let (model, adapter) = (model.as_str().to_owned(), adapter.clone());
+            if !seat.holds(&model, &adapter) {
+                seat.in_flight += 1;
+                call.stage = Stage::Preparing { endpoint: id };
+                out.push(Command::Prepare {
+                    call: number,
+                    endpoint,
+                    model,
+                    adapter,
+                    slots,
+                });
+                return;
+            }
+            if seat.touch(now, &model, &adapter) {
+                out.push(Command::Touch {
+                    endpoint: Rc::clone(&endpoint),
+                    model,
+                    adapter,
+                    slots,
+                });
+            }
+        }
+        seat.in_flight += 1;
+        self.dispatch(now, number, endpoint, out);
+    }
+
+    pub(super) fn dispatch<S>(
+        &mut self,
+        now: Instant,
+        number: u64,
+        endpoint: Rc<Announcement>,
+        out: &mut S,
+    ) where
+        S: Sink<Command = Command>,
+    {
+        let (Some(call), Some(seat)) = (
+            self.calls.get_mut(&number),
+            self.seats.get_mut(&endpoint.id),
+        ) else {
+            return;
+        };
+        let kept = seat.cache.kept(now, &call.prompt);
+        let ahead = u64::from(call.prompt.tokens - kept);
+        seat.cache.note(now, &call.prompt);
+        seat.ahead += ahead;
+        if let Some(model) = &call.model {
+            self.demand.count(now, model, ahead);
+        }
+        call.stage = Stage::Running {
+            endpoint: endpoint.id.clone(),
+            ahead,
+        };
+        out.push(Command::Dispatch {
+            call: number,
+            endpoint,
+            patience: call.deadline.saturating_duration_since(now),
+            rank: call.route.rank,
+            streams: call.route.streams(),
+        });
+    }
+
+    pub(super) fn prepare<S>(
+        &mut self,
+        now: Instant,
+        number: u64,
+        adapters: Option<&[String]>,
+        out: &mut S,
+    ) where
+        S: Sink<Command = Command>,
+    {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let Stage::Preparing { endpoint } = call.stage.clone() else {
+            return;
+        };
+        let (Some(model), Some(adapter)) = (call.model.clone(), call.adapter.clone()) else {
+            return;
+        };
+        let seat = self.seats.entry(endpoint.clone()).or_default();
+        if let Some(adapters) = adapters {
+            seat.prepared(now, adapters);
+        }
+        let held = seat.holds(model.as_str(), &adapter);
+        let known = self.registry.row(&endpoint).filter(|row| row.takes_work());
+        let known = known.map(|row| Rc::clone(&row.announcement));
+        match known.filter(|_| held) {
+            Some(endpoint) => self.dispatch(now, number, endpoint, out),
+            None => self.settle(now, number, not_run(Reason::NotHeld), out),
+        }
+    }
+
+    pub(super) fn begin(&mut self, now: Instant, number: u64) {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let Stage::Running { endpoint, ahead } = call.stage.clone() else {
+            return;
+        };
+        if let Some(seat) = self.seats.get_mut(&endpoint) {
+            seat.ahead = seat.ahead.saturating_sub(ahead);
+            seat.judge(now, Verdict::Ran);
+        }
+        call.stage = Stage::Begun { endpoint };
+    }
+
+    /// Takes in how an attempt ended, and sends the request elsewhere if that is
+    /// allowed and promises anything.
+    pub(super) fn settle<S>(&mut self, now: Instant, number: u64, verdict: Verdict, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let begun = matches!(
+            self.calls.get(&number).map(|call| &call.stage),
+            Some(Stage::Begun { .. })
+        );
+        self.vacate(now, number, Some(verdict));
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        if begun || verdict == Verdict::Ran {
+            self.forget(number);
+            return;
+        }
+        if let Verdict::MayHaveRun { reason } = verdict {
+            call.runs += 1;
+            call.suspect = Some(reason);
+        }
+        let elsewhere = match verdict {
+            Verdict::NotRun { .. } => true,
+            _ => call.route.repeatable() && call.runs < call.route.attempts,
+        };
+        let worthwhile =
+            call.tried.len() < TRIES && now + LEAST_PATIENCE < call.deadline && elsewhere;
+        if !worthwhile {
+            let verdict = call.suspect.map_or(verdict, may_have_run);
+            return self.give_up(number, verdict, out);
+        }
+        let gateways = self.spread.len() + 1;
+        let budget = self.budgets.entry(call.service.clone()).or_default();
+        let allowed = budget.take(now, &self.setup.bound, gateways);
+        out.push(Command::Retried { verdict, allowed });
+        if allowed {
+            self.attempt(now, number, out);
+        } else {
+            let verdict = call.suspect.map_or(verdict, may_have_run);
+            self.give_up(number, verdict, out);
+        }
+    }
+
+    /// Takes the request off the endpoint that it is at.
+    pub(super) fn vacate(&mut self, now: Instant, number: u64, verdict: Option<Verdict>) {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let Some(endpoint) = call.endpoint().map(str::to_owned) else {
+            return;
+        };
+        if let Some(seat) = self.seats.get_mut(&endpoint) {
+            seat.in_flight = seat.in_flight.saturating_sub(1);
+            if let Stage::Running { ahead, .. } = call.stage {
+                seat.ahead = seat.ahead.saturating_sub(ahead);
+            }
+            if let Some(verdict) = verdict {
+                seat.judge(now, verdict);
+                if verdict.reason() == Some(Reason::NotHeld)
+                    && let (Some(model), Some(adapter)) = (&call.model, &call.adapter)
+                {
+                    seat.miss(model.as_str(), adapter);
+                }
+            }
+        }
+        call.stage = Stage::Idle;
+        call.tried.push(endpoint);
+    }
+
+    pub(super) fn give_up<S>(&mut self, number: u64, verdict: Verdict, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        self.forget(number);
+        refuse(number, verdict, out);
+    }
+
+    pub(super) fn forget(&mut self, number: u64) {
+        self.waiting.remove(number);
+        if let Some(call) = self.calls.remove(&number) {
+            self.deadlines.remove(&(call.deadline, number));
+        }
+    }
+
+    /// Ends the requests whose time is over.
+    pub(super) fn expire<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        while let Some(&(at, number)) = self.deadlines.first() {
+            if at > now {
+                return;
+            }
+            let stage = self.calls.get(&number).map(|call| call.stage.clone());
+            self.vacate(now, number, None);
+            let suspect = self.calls.get(&number).and_then(|call| call.suspect);
+            self.forget(number);
+            match stage {
+                Some(Stage::Begun { .. }) => out.push(Command::Cancel { call: number }),
+                Some(Stage::Running { .. }) => {
+                    refuse(number, may_have_run(Reason::DeadlinePassed), out);
+                }
+                _ => {
+                    let late = not_run(Reason::DeadlinePassed);
+                    refuse(number, suspect.map_or(late, may_have_run), out);
+                }
+            }
+        }
+    }
+}
+
+pub(super) fn not_run(reason: Reason) -> Verdict {
+    Verdict::NotRun { reason }
+}
+
+pub(super) fn may_have_run(reason: Reason) -> Verdict {
+    Verdict::MayHaveRun { reason }
+}
+
+pub(super) fn refuse<S>(call: u64, verdict: Verdict, out: &mut S)
+where
+    S: Sink<Command = Command>,
+{
+    let retry_after = match verdict {
+        Verdict::NotRun { reason } if reason != Reason::UnknownPath => Some(RETRY_AFTER),
+        _ => None,
+    };
+    let refusal = Refusal {
+        verdict,
+        retry_after,
+    };
+    out.push(Command::Refuse { call, refusal });
+}
--- a/crates/nutmegyoke-core/src/process/gateway/call.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -19,6 +19,8 @@
     pub prompt: Prompt,
     /// A random number that spreads requests which nothing else tells apart.
     pub point: u64,
+    /// When it arrived.
+    pub arrived: Instant,
     /// When the client or the route gives up.
     pub deadline: Instant,
     /// The endpoints tried, by id.
@@ -44,7 +46,7 @@
 
 impl Call {
     pub fn open(
-        now: Instant,
+        arrived: Instant,
         route: &Rc<Route>,
         service: &Service,
         point: u64,
@@ -62,7 +64,8 @@
             adapter: adapter.map(str::to_owned),
             prompt: Prompt::open(passage.target, passage.prompt),
             point,
-            deadline: now + patience.min(route.timeout),
+            arrived,
+            deadline: arrived + patience.min(route.timeout),
             tried: Vec::new(),
             runs: 0,
             suspect: None,
