--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -17,7 +17,7 @@
 
 /// What a request costs that an engine is running already, in prompt tokens: it takes
 /// cache from kept prompts, and its context slows every step by 0.2 ms.
-const RUNNING_COST: u64 = 400;
+const RUNNING_COST: u64 = 60;
 
 /// What a load of an adapter costs, in prompt tokens: 10 ms or more, two orders,
 /// and the adapter that makes way is loaded again later.
