Plan at once where all engines are empty; name the event's code in the log

In the log lines of configurations the field number stood twice. Ruled out: discovery (all engines were heard of 1.2 s after their start).

--- a/crates/nutmegyoke-core/src/process/placement/mod.rs
+++ b/crates/nutmegyoke-core/src/process/placement/mod.rs
@@ -105,7 +105,9 @@
             // What the leader before ordered within the window is not known here.
             let allowed = store_allowance(fleet) / 2.0;
             self.loads = std::iter::repeat_n(now, whole(allowed)).collect();
-            self.ready = Some(now + LISTEN);
+            // Engines that hold nothing have all just started, so nothing is missed.
+            let empty = fleet.hosts.iter().all(|host| host.models.is_empty());
+            self.ready = Some(now + if empty { LISTEN / 4 } else { LISTEN });
         }
         self.next = Some(now + PERIOD);
         self.settle(now, fleet);
--- a/crates/nutmegyoke-core/tests/placement.rs
+++ b/crates/nutmegyoke-core/tests/placement.rs
@@ -143,3 +143,40 @@
     let steps = plan(&capability(&MODELS), &rows, &[]);
     assert_eq!(steps.len(), MODELS.len() * 2);
 }
+
+/// How long a new leader listens before it orders anything.
+fn listens(rows: Rows<'_>, span: Duration) {
+    let rows: Vec<(&str, Vec<Model>)> = rows
+        .iter()
+        .map(|(id, held, _)| (*id, models(held)))
+        .collect();
+    let engine = capability(&["a"]);
+    let demand = BTreeMap::new();
+    let hosts = rows.iter().map(|(id, held)| Host {
+        id,
+        models: held,
+        warm: &[],
+        load: 0.0,
+    });
+    let fleet = Fleet {
+        engine: &engine,
+        hosts: hosts.collect(),
+        demand: &demand,
+    };
+    let now = Instant::now();
+    let mut placement = Placement::default();
+    let first = (0..40_u32).map(|step| Duration::from_millis(400) * step);
+    let mut busy = first.filter(|&span| !placement.plan(now + span, &fleet).is_empty());
+    assert_eq!(busy.next(), Some(span));
+}
+
+cases!(listens {
+    for_a_heartbeat_where_models_are_held: (
+        &[("1", "a", ""), ("2", "", "")],
+        Duration::from_millis(1600)
+    ),
+    briefly_where_all_engines_are_empty: (
+        &[("1", "", ""), ("2", "", "")],
+        Duration::from_millis(400)
+    ),
+});
--- a/crates/nutmegyoke-host/src/process/log.rs
+++ b/crates/nutmegyoke-host/src/process/log.rs
@@ -48,7 +48,8 @@
     at: u128,
     process: &'a str,
     level: &'static str,
-    number: String,
+    /// The number of the event in the catalogue.
+    code: String,
     #[serde(flatten)]
     event: &'a Event<'a>,
 }
@@ -160,7 +161,7 @@
             at: at.unwrap_or_default().as_millis(),
             process: &outlet.origin,
             level: event.level().as_str(),
-            number: format!("NY{:04}", event.number()),
+            code: format!("NY{:04}", event.number()),
             event,
         };
         serde_json::to_string(&line).unwrap_or_else(|error| error.to_string())
