--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod history;
 pub mod planner;
+mod relay;
 pub mod replica;
 pub mod store;
 
@@ -20,8 +21,9 @@
 pub use planner::{Planner, Scheduler};
 pub use store::Store;
 
+use self::relay::Relay;
 use self::replica::{Recovered, Replica, Setup};
-use self::store::{Change, Outcome};
+use self::store::Change;
 use super::directory::{Delta, LEASE, Mark};
 use super::news::{Known, News};
 use super::{Directory, Machine, Member, Sink};
@@ -194,30 +196,6 @@
     }
 }
 
-/// Turns a replica's commands into those of the process.
-struct Relay<'a, S> {
-    out: &'a mut S,
-}
-
-impl<S: Sink<Command = Command>> Sink for Relay<'_, S> {
-    type Command = replica::Command<Store>;
-
-    fn push(&mut self, command: replica::Command<Store>) {
-        self.out.push(match command {
-            replica::Command::Send { address, message } => Command::Send { address, message },
-            replica::Command::Persist { batch } => Command::Persist { batch },
-            replica::Command::Granted { call } => Command::Grant { call },
-            replica::Command::Lost { call } => Command::Redirect { call },
-            replica::Command::Outcome { call, outcome } => match outcome {
-                Outcome::Answered { acceptance } => Command::Answer { call, acceptance },
-                Outcome::Judged { outcome } => Command::Judge { call, outcome },
-                Outcome::Published { number } => Command::Tell { call, number },
-                Outcome::Recorded => Command::Record { call },
-            },
-        });
-    }
-}
-
 impl Machine for Control {
     type Event<'a> = Event<'a>;
     type Command = Command;
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! elsewhere, and when it is given up.
 //!
 //! * [`attempts`]: a request from its arrival to its end;
+//! * [`refusal`]: how a request ends without an answer;
 //! * [`wait`]: requests that wait for an endpoint;
 //! * [`pick`]: which endpoint an attempt goes to;
 //! * [`seat`], [`prompt`]: what the own requests tell of an endpoint;
@@ -17,6 +18,7 @@
 mod pick;
 mod place;
 pub mod prompt;
+mod refusal;
 pub mod seat;
 mod wait;
 
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/gateway/refusal.rs
@@ -0,0 +1,77 @@
+//! How a request ends without an answer.
+
+use std::time::{Duration, Instant};
+
+use super::call::Stage;
+use super::{Command, Gateway, Refusal, Sink};
+use crate::request::{Reason, Verdict};
+
+/// When a client may try again that was refused for want of an endpoint.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+impl Gateway {
+    /// Gives the request up and tells its client.
+    pub(super) fn give_up<S>(&mut self, number: u64, verdict: Verdict, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        self.forget(number);
+        refuse(number, verdict, out);
+    }
+
+    pub(super) fn forget(&mut self, number: u64) {
+        self.waiting.remove(number);
+        if let Some(call) = self.calls.remove(&number) {
+            self.deadlines.remove(&(call.deadline, number));
+        }
+    }
+
+    /// Ends the requests whose time is over.
+    pub(super) fn expire<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        while let Some(&(at, number)) = self.deadlines.first() {
+            if at > now {
+                return;
+            }
+            let stage = self.calls.get(&number).map(|call| call.stage.clone());
+            self.vacate(now, number, None);
+            let suspect = self.calls.get(&number).and_then(|call| call.suspect);
+            self.forget(number);
+            match stage {
+                Some(Stage::Begun { .. }) => out.push(Command::Cancel { call: number }),
+                Some(Stage::Running { .. }) => {
+                    refuse(number, may_have_run(Reason::DeadlinePassed), out);
+                }
+                _ => {
+                    let late = not_run(Reason::DeadlinePassed);
+                    refuse(number, suspect.map_or(late, may_have_run), out);
+                }
+            }
+        }
+    }
+}
+
+pub(super) fn not_run(reason: Reason) -> Verdict {
+    Verdict::NotRun { reason }
+}
+
+pub(super) fn may_have_run(reason: Reason) -> Verdict {
+    Verdict::MayHaveRun { reason }
+}
+
+pub(super) fn refuse<S>(call: u64, verdict: Verdict, out: &mut S)
+where
+    S: Sink<Command = Command>,
+{
+    let retry_after = match verdict {
+        Verdict::NotRun { reason } if reason != Reason::UnknownPath => Some(RETRY_AFTER),
+        _ => None,
+    };
+    let refusal = Refusal {
+        verdict,
+        retry_after,
+    };
+    out.push(Command::Refuse { call, refusal });
+}
--- a/crates/nutmegyoke-core/src/process/gateway/wait.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/wait.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use super::attempts::{may_have_run, not_run, refuse};
+use super::refusal::{may_have_run, not_run, refuse};
 use super::{Command, Gateway, Sink};
 use crate::process::endpoint::Target;
 use crate::request::passage::Part;
--- a/crates/nutmegyoke-core/src/process/steward/mod.rs
+++ b/crates/nutmegyoke-core/src/process/steward/mod.rs
@@ -5,11 +5,13 @@
 //! count, so an order that was lost and turns up later changes nothing, and
 //! the engine is never ordered to hold more than fits.
 
+pub mod directive;
 pub mod event;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+pub use directive::{Directive, View};
 pub use event::{Action, Command, Event, Order, Outcome};
 
 use super::{Machine, Sink};
@@ -21,36 +23,6 @@
 /// The pause after an order that was refused or lost, or an inspection that failed.
 const PAUSE: Duration = Duration::from_millis(40);
 
-/// What an engine holds.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct View {
-    /// Orders that it has accepted since its start.
-    pub accepted: u64,
-    /// Whether it is loading or unloading a model.
-    pub busy: bool,
-    /// The models that it holds.
-    pub models: Vec<String>,
-    /// The adapters that it holds, as MODEL/NAME.
-    pub adapters: Vec<String>,
-    /// The adapters that are on their way to it, as MODEL/NAME.
-    pub incoming: Vec<String>,
-}
-
-/// A change of the models that the engine holds.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Directive {
-    /// The engine as the gateway knows it.
-    pub endpoint: String,
-    /// The models to unload first.
-    pub unload: Vec<String>,
-    /// The model to load then.
-    pub load: String,
-    /// Memory for models, in megabytes.
-    pub memory_mb: f64,
-    /// The size of every model that the engine may hold, in megabytes.
-    pub sizes: Vec<(String, f64)>,
-}
-
 /// A steward's decision state.
 #[derive(Debug, Default)]
 pub struct Steward {
@@ -206,39 +178,6 @@
     }
 }
 
-impl Directive {
-    /// Whether the model fits once the others have made way.
-    fn fits(&self, view: &View) -> bool {
-        let stays = view
-            .models
-            .iter()
-            .filter(|model| !self.unload.contains(model));
-        let held: f64 = stays.map(|model| self.size(model)).sum();
-        held + self.size(&self.load) <= self.memory_mb
-    }
-
-    /// The size of a model; one that isn't listed takes all there is.
-    fn size(&self, model: &str) -> f64 {
-        let listed = self.sizes.iter().find(|(name, _)| name == model);
-        listed.map_or(self.memory_mb, |&(_, mb)| mb)
-    }
-
-    /// The next order: an unload as long as there is one to do.
-    fn next(&self, view: &View) -> Order {
-        let leaving = self.unload.iter().find(|model| view.models.contains(model));
-        Order {
-            endpoint: self.endpoint.clone(),
-            action: if leaving.is_some() {
-                Action::Unload
-            } else {
-                Action::Load
-            },
-            model: leaving.unwrap_or(&self.load).clone(),
-            adapter: None,
-        }
-    }
-}
-
 impl Ask {
     fn name(&self) -> String {
         format!("{}/{}", self.model, self.adapter)
--- a/crates/nutmegyoke-host/src/process/control/ask.rs
+++ b/crates/nutmegyoke-host/src/process/control/ask.rs
@@ -14,9 +14,8 @@
 use nutmegyoke_core::request::{Id, Verdict, claim};
 use nutmegyoke_core::version::{Configuration, Document};
 use nutmegyoke_wire::connection::replica_capnp::replica;
-use nutmegyoke_wire::process::record;
 use nutmegyoke_wire::request as wire;
-use nutmegyoke_wire::version::{acceptance, lists};
+use nutmegyoke_wire::version::{acceptance, document, lists};
 
 use super::{Control, wall};
 
@@ -141,7 +140,7 @@
 
     async fn pass(&self, leader: &replica::Client) -> capnp::Result<Option<u64>> {
         let mut request = leader.publish_request();
-        record::write_document(self.0, request.get().init_document());
+        document::write(self.0, request.get().init_document());
         let response = request.send().promise.await?;
         let response = response.get()?;
         Ok(response.get_published().then_some(response.get_number()))
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -3,26 +3,26 @@
 mod ask;
 mod carrier;
 mod offer;
+mod routing;
+pub mod seat;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, UNIX_EPOCH};
 
 use compio::net::TcpStream;
 use futures_channel::{mpsc, oneshot};
-use futures_util::StreamExt;
 use futures_util::future::OptionFuture;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use nutmegyoke_core::process as decision;
-use nutmegyoke_core::process::control::replica::{Id, Roster, Seed, Setup, Wish};
-use nutmegyoke_core::process::control::{Acceptance, Command, Event as Input};
+use nutmegyoke_core::process::control::replica::{Id, Seed, Setup, Wish};
+use nutmegyoke_core::process::control::{Acceptance, Command};
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::{Clock, Member};
-use nutmegyoke_core::version::{Configuration, Document};
+use nutmegyoke_core::version::Configuration;
 use nutmegyoke_wire::connection::link_capnp::agent;
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::process::{Settings, Status, settings, status};
@@ -30,6 +30,7 @@
 use prometheus::Registry;
 
 use self::offer::Offer;
+pub use self::seat::Seat;
 use super::driver::Addressed;
 use super::journal::medium::Memory;
 use super::journal::{self, Folder, Journal, Medium};
@@ -64,32 +65,6 @@
     changes: RefCell<mpsc::Receiver<()>>,
 }
 
-/// A replica's place among the others.
-#[derive(Clone, Debug)]
-pub struct Seat {
-    /// The data folder; without one the state ends with the process.
-    pub data: Option<PathBuf>,
-    /// The other control processes.
-    pub roster: Roster,
-    /// Whether it only ever receives the log.
-    pub observer: bool,
-    /// How long a leader is missed before another is elected.
-    pub election: Duration,
-}
-
-impl From<&settings::Control> for Seat {
-    fn from(own: &settings::Control) -> Self {
-        Self {
-            data: own.data.clone(),
-            roster: Roster::Listed {
-                seeds: own.peers.clone(),
-            },
-            observer: false,
-            election: own.election,
-        }
-    }
-}
-
 impl Addressed for Command {
     fn addressee(&self) -> Option<u64> {
         match self {
@@ -224,60 +199,6 @@
         self.ask(&ask::Apply(configuration)).await
     }
 
-    /// Publishes a routing document. Returns the number of the one that is in
-    /// force then, `None` if no leader answered.
-    pub async fn publish(&self, document: &Rc<Document>) -> Option<u64> {
-        self.ask(&ask::Publish(document)).await.flatten()
-    }
-
-    /// The number of the newest routing document, confirmed by the leader;
-    /// `None` if no leader answered.
-    pub async fn newest(&self) -> Option<Option<u64>> {
-        self.ask(&ask::Newest).await
-    }
-
-    /// The routing document that this replica knows of.
-    #[must_use]
-    pub fn document(&self) -> Option<Rc<Document>> {
-        self.driver.machine().document().cloned()
-    }
-
-    /// The term in which this replica leads, if it does.
-    #[must_use]
-    pub fn leading(&self) -> Option<u64> {
-        self.driver.machine().leading()
-    }
-
-    /// Where the processes that hold a replica are reached.
-    #[must_use]
-    pub fn peers(&self) -> Vec<SocketAddr> {
-        let machine = self.driver.machine();
-        let peers = machine.replica().membership().peers.iter();
-        peers.map(|peer| peer.seed.address).collect()
-    }
-
-    /// Waits until the routing document, the membership or the own leadership has changed.
-    pub async fn changed(&self) {
-        let next =
-            std::future::poll_fn(|context| self.changes.borrow_mut().poll_next_unpin(context));
-        if next.await.is_none() {
-            // The carrier runs as long as the process.
-            std::future::pending::<()>().await;
-        }
-    }
-
-    /// Takes over the VMs by which to join the fleet.
-    pub fn contact(&self, contacts: &[SocketAddr]) {
-        self.driver.feed(Input::Contacted { contacts });
-    }
-
-    /// Hands leadership over.
-    pub async fn resign(&self) {
-        self.driver.feed(Input::Resigned);
-        // The message that hands over has to leave first.
-        compio::time::sleep(HAND_OVER).await;
-    }
-
     /// Waits until the disk fails.
     pub async fn failed(&self) -> journal::Failure {
         let failed = self.failed.borrow_mut().take();
--- a/crates/nutmegyoke-host/src/process/control/offer.rs
+++ b/crates/nutmegyoke-host/src/process/control/offer.rs
@@ -11,9 +11,9 @@
 use nutmegyoke_wire::connection::link_capnp::control;
 use nutmegyoke_wire::connection::order_capnp::scheduler;
 use nutmegyoke_wire::connection::replica_capnp::replica;
-use nutmegyoke_wire::process::{member, news, record, replica as message};
+use nutmegyoke_wire::process::{member, news, replica as message};
 use nutmegyoke_wire::request as wire;
-use nutmegyoke_wire::version::{acceptance, lists};
+use nutmegyoke_wire::version::{acceptance, document, lists};
 
 use super::{Control, ask};
 
@@ -141,8 +141,8 @@
         params: replica::PublishParams,
         mut results: replica::PublishResults,
     ) -> capnp::Result<()> {
-        let document = record::read_document(params.get()?.get_document()?)?;
-        let number = self.0.ask(&ask::Publish(&document)).await;
+        let published = document::read(params.get()?.get_document()?)?;
+        let number = self.0.ask(&ask::Publish(&published)).await;
         let number = number.ok_or_else(unavailable)?;
         results.get().set_published(number.is_some());
         results.get().set_number(number.unwrap_or(0));
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! * [`registrar`]: where endpoints announce themselves and operators publish;
 //! * [`exchange`]: what gateways tell each other of endpoints;
+//! * [`orders`]: what stewards are asked for;
 //! * [`health`]: whether the gateway takes clients' connections;
 //! * [`crate::request::pass`]: one request of a client.
 
 mod exchange;
 mod health;
+mod orders;
 mod registrar;
 
 use std::cell::{Cell, OnceCell};
@@ -22,16 +24,13 @@
 use nutmegyoke_core::process::control::replica::Roster;
 use nutmegyoke_core::process::gateway::{Command, Event as Input, Setup};
 use nutmegyoke_core::process::member::Role;
-use nutmegyoke_core::process::placement::Step;
-use nutmegyoke_core::process::registry::{Announcement, Row};
-use nutmegyoke_core::process::steward::Directive;
+use nutmegyoke_core::process::registry::Row;
 use nutmegyoke_core::process::{Clock, Member};
 use nutmegyoke_core::request::Verdict;
-use nutmegyoke_core::version::routing::{Limits, Pool as Service};
+use nutmegyoke_core::version::routing::Limits;
 use nutmegyoke_core::version::{Document, Routing};
-use nutmegyoke_wire::connection::link::strings;
 use nutmegyoke_wire::connection::mesh_capnp::{gateway, steward};
-use nutmegyoke_wire::process::{Settings, settings, work};
+use nutmegyoke_wire::process::{Settings, settings};
 use prometheus::Registry;
 
 use super::control::Seat;
@@ -50,10 +49,6 @@
 /// which asks once a second and believes the second answer, has turned away.
 const TURN_AWAY: Duration = Duration::from_millis(2500);
 
-/// How long a steward may take until it has begun to load a model: the models
-/// that make way wait for the requests that use them.
-const PLACE_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// A running gateway.
 pub struct Gateway<C: Clock + 'static, D: Dialect> {
     driver: Rc<Driver<decision::Gateway, C>>,
@@ -244,83 +239,6 @@
         }
         event.log();
     }
-
-    /// Has the steward beside `endpoint` see to it that the engine holds an adapter. Returns the
-    /// adapters that the engine holds then, `None` if the steward didn't answer.
-    pub async fn prepare(
-        &self,
-        endpoint: &Announcement,
-        model: &str,
-        adapter: &str,
-        slots: u32,
-    ) -> Option<Vec<String>> {
-        let steward = SocketAddr::new(endpoint.address.ip(), self.steward_port);
-        let asked = async {
-            let client = self.stewards.get(steward).await?;
-            let mut request = client.prepare_request();
-            request.get().set_endpoint(&endpoint.id);
-            request.get().set_model(model);
-            request.get().set_adapter(adapter);
-            request.get().set_slots(slots);
-            let response = request.send().promise.await?;
-            strings(response.get()?.get_adapters())
-        };
-        match asked.await {
-            Ok(adapters) => Some(adapters),
-            Err(error) => {
-                let why = error.to_string();
-                Event::StewardSilent {
-                    address: steward,
-                    why: &why,
-                }
-                .log();
-                None
-            }
-        }
-    }
-}
-
-impl<C: Clock + 'static, D: Dialect> Gateway<C, D> {
-    /// Has the steward beside `endpoint` change which models its engine holds.
-    /// Returns whether it does.
-    async fn place(&self, endpoint: &Announcement, term: u64, step: &Step, pool: &Service) -> bool {
-        let Some(engine) = &pool.engine else {
-            return false;
-        };
-        let sizes = engine.models.iter();
-        let directive = Directive {
-            endpoint: endpoint.id.clone(),
-            unload: step.unload.iter().map(ToString::to_string).collect(),
-            load: step.load.to_string(),
-            memory_mb: engine.weights_mb - engine.adapter_reserve_mb(),
-            sizes: sizes.map(|row| (row.model.to_string(), row.mb)).collect(),
-        };
-        let steward = SocketAddr::new(endpoint.address.ip(), self.steward_port);
-        let asked = async {
-            let client = self.stewards.get(steward).await?;
-            let mut request = client.order_request();
-            request.get().set_term(term);
-            work::write_directive(&directive, request.get().init_directive());
-            let response = request.send().promise.await?;
-            capnp::Result::Ok(response.get()?.get_accepted())
-        };
-        let answer = compio::time::timeout(PLACE_TIMEOUT, asked).await;
-        let (accepted, why) = match answer {
-            Ok(Ok(accepted)) => (accepted, String::new()),
-            Ok(Err(error)) => (false, error.to_string()),
-            Err(elapsed) => (false, elapsed.to_string()),
-        };
-        Event::Placed {
-            endpoint: &endpoint.id,
-            term,
-            load: step.load.as_str(),
-            unload: &directive.unload,
-            accepted,
-            why: &why,
-        }
-        .log();
-        accepted
-    }
 }
 
 /// The replica's part of the settings.
--- a/crates/nutmegyoke-wire/src/process/record.rs
+++ b/crates/nutmegyoke-wire/src/process/record.rs
@@ -12,15 +12,15 @@
 };
 use nutmegyoke_core::process::control::store::Change;
 use nutmegyoke_core::request::claim::Key;
-use nutmegyoke_core::version::{Configuration, Document};
+use nutmegyoke_core::version::Configuration;
 
 use super::claims;
 use crate::connection::link::{length, parse, set_texts, text, texts};
 use crate::connection::replica_capnp::{
-    document, entry, key, membership, peer, position, record, seed, snapshot, wish,
+    entry, key, membership, peer, position, record, seed, snapshot, wish,
 };
 use crate::request::{id, verdict};
-use crate::version::lists;
+use crate::version::{document, lists};
 
 /// The longest record, in words of 8 bytes.
 const RECORD_WORDS: usize = 128 * 1024 * 1024;
@@ -195,8 +195,8 @@
         entry::Configure(lists) => Content::Change(Change::Configure {
             configuration: read_configuration(lists?)?,
         }),
-        entry::Publish(document) => Content::Change(Change::Publish {
-            document: read_document(document?)?,
+        entry::Publish(published) => Content::Change(Change::Publish {
+            document: document::read(published?)?,
         }),
         entry::Confirm(()) => Content::Change(Change::Confirm),
         entry::Claim(wish) => Content::Change(Change::Claim {
@@ -228,8 +228,10 @@
         Content::Change(Change::Configure { configuration }) => {
             lists::write(configuration.lists(), builder.init_configure());
         }
-        Content::Change(Change::Publish { document }) => {
-            write_document(document, builder.init_publish());
+        Content::Change(Change::Publish {
+            document: published,
+        }) => {
+            document::write(published, builder.init_publish());
         }
         Content::Change(Change::Confirm) => builder.set_confirm(()),
         Content::Change(Change::Claim { wish }) => write_wish(wish, builder.init_claim()),
@@ -248,24 +250,6 @@
     }
 }
 
-/// Reads a routing document.
-///
-/// # Errors
-///
-/// The peer's message is malformed.
-pub fn read_document(reader: document::Reader<'_>) -> capnp::Result<Rc<Document>> {
-    Ok(Rc::new(Document {
-        number: reader.get_number(),
-        source: reader.get_source()?.into(),
-    }))
-}
-
-/// Writes a routing document.
-pub fn write_document(document: &Document, mut builder: document::Builder<'_>) {
-    builder.set_number(document.number);
-    builder.set_source(&document.source);
-}
-
 fn read_configuration(
     reader: crate::connection::link_capnp::lists::Reader<'_>,
 ) -> capnp::Result<Rc<Configuration>> {
@@ -280,7 +264,7 @@
         state: Store {
             configuration: read_configuration(reader.get_configuration()?)?,
             document: if reader.has_document() {
-                Some(read_document(reader.get_document()?)?)
+                Some(document::read(reader.get_document()?)?)
             } else {
                 None
             },
@@ -294,8 +278,8 @@
     write_membership(&snapshot.membership, builder.reborrow().init_membership());
     let configuration = snapshot.state.configuration.lists();
     lists::write(configuration, builder.reborrow().init_configuration());
-    if let Some(document) = &snapshot.state.document {
-        write_document(document, builder.reborrow().init_document());
+    if let Some(published) = &snapshot.state.document {
+        document::write(published, builder.reborrow().init_document());
     }
     claims::write(&snapshot.state.claims, builder);
 }
--- a/crates/nutmegyoke-wire/src/version/mod.rs
+++ b/crates/nutmegyoke-wire/src/version/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod acceptance;
 pub mod diff;
+pub mod document;
 pub mod ini;
 pub mod json;
 pub mod lists;
