--- a/crates/nutmegyoke-host/src/process/journal/failure.rs
+++ b/crates/nutmegyoke-host/src/process/journal/failure.rs
@@ -24,7 +24,7 @@
     #[display(
         "the journal is damaged at byte {offset}, and records follow: the disk lost data that was \
          acknowledged. Move the data folder away and start again with an empty one; the replica \
-         then joins anew, see docs/OPERATING.md"
+         then joins anew, see docs/OPERATIONS.md"
     )]
     Damaged { offset: u64 },
     /// A frame is whole but holds no record of this version.
--- a/crates/nutmegyoke-wire/schema/link.capnp
+++ b/crates/nutmegyoke-wire/schema/link.capnp
@@ -1,7 +1,7 @@
 @0xd2c7a5e1f0b34a96;
 # Messages between nutmegyoke's own processes.
 # src/connection/link_capnp.rs is generated from this file and committed;
-# docs/DEVELOPING.md gives the command.
+# DEVELOPERS.md gives the command.
 
 using Order = import "order.capnp";
 
