--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -3,6 +3,8 @@
 use std::process::Command;
 
 use nutmegyoke_cases::cases;
+use nutmegyoke_wire::process::Settings;
+use nutmegyoke_wire::process::settings::Own;
 use tempfile::TempDir;
 
 const ENTRY: &str = "[process]\nrole = entry\nname = entry-1\ndata-centre = alp-a\n\
@@ -50,6 +52,96 @@
     ),
 });
 
+/// A template of the users' platform with its placeholders filled in.
+fn render(template: &str) -> String {
+    let fields = [
+        ("node-name", "front-alp-a-1"),
+        ("zone", "alp-a"),
+        ("ip", "10.1.0.38"),
+        ("port-range.0", "7380"),
+        ("port-range.1", "7395"),
+        ("listen.front", "10.1.0.38:8149"),
+        ("listen.ready", "10.1.0.38:8141"),
+        ("listen.control", "10.1.0.38:8144"),
+        ("seeds", "10.1.0.38:8144,10.2.0.40:8144,10.3.0.6:8144"),
+        ("loss-counts", "true"),
+        ("bootstrap", "false"),
+        ("data-dir", ""),
+        ("heartbeat-ms", "1200"),
+        ("bounds.retry-budget-ratio", "0.2"),
+        ("bounds.retry-slack", "60"),
+        ("bounds.budget-window-s", "10"),
+        ("app", "10.1.0.41:8145"),
+    ];
+    let mut text = template.to_owned();
+    for (name, value) in fields {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    text
+}
+
+const GATEWAY: &str = include_str!("../deploy/gateway.ini");
+
+const STEWARD: &str = include_str!("../deploy/steward.ini");
+
+#[test]
+fn templates_of_the_platform_are_accepted() {
+    let gateway = Settings::parse("gateway.ini", &render(GATEWAY)).unwrap();
+    let Own::Gateway(own) = gateway.own else {
+        panic!("{:?}", gateway.own);
+    };
+    assert!(own.voter && !own.found);
+    assert_eq!(own.data, None, "an empty path is no folder");
+    assert_eq!(
+        own.exchange.port(),
+        7381,
+        "the port after that of the links"
+    );
+    assert_eq!(own.contacts.len(), 3);
+    let steward = Settings::parse("steward.ini", &render(STEWARD)).unwrap();
+    assert!(matches!(steward.own, Own::Steward(_)));
+}
+
+fn gateway_complains(from: &str, to: &str, expected: &str) {
+    let text = render(GATEWAY).replace(from, to);
+    let fault = Settings::parse("gateway.ini", &text).unwrap_err();
+    assert_eq!(fault.to_string(), format!("gateway.ini: {expected}"));
+}
+
+cases!(gateway_complains {
+    missing_registrar: (
+        "registrar = 10.1.0.38:8144\n",
+        "",
+        "[gateway] registrar: is missing: add an IP address and port, such as 127.0.0.1:8470"
+    ),
+    vote_in_words: (
+        "voter = true",
+        "voter = perhaps",
+        "[gateway] voter: `perhaps` is not valid: write true or false"
+    ),
+    contact_without_an_address: (
+        "10.2.0.40:8144",
+        "klm-b",
+        "[gateway] contacts: `klm-b` is not valid: write an IP address and port, such as 127.0.0.1:8470"
+    ),
+    no_heartbeats: (
+        "heartbeat-ms = 1200",
+        "heartbeat-ms = 0",
+        "[gateway] heartbeat-ms: is 0: write the period of endpoints' heartbeats"
+    ),
+    negative_bound: (
+        "repeat-slack = 60",
+        "repeat-slack = -1",
+        "[gateway] repeat-slack: is negative: write 0 or more"
+    ),
+    unknown_section: (
+        "[gateway]",
+        "[gate]",
+        "[gateway]: is missing: add the section"
+    ),
+});
+
 #[test]
 fn missing_file_is_named() {
     let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegyoked"));
