One place for what stood twice; drop what nothing reads

A document is decoded and checked in one function, memory for models worked out in one, connections are made in one, verdicts are built by constructors, and a whole body that is passed on is the host's own Body. The hash that favours an endpoint is computed once a row in place of three times. Removed: whether a connection was used, why it broke, an alias. Two comments told what was no longer so.

--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::call::{Call, Stage};
-use super::refusal::{may_have_run, not_run, refuse};
+use super::refusal::refuse;
 use super::{Command, Gateway, Sink};
 use crate::process::registry::Announcement;
 use crate::request::{Passage, Reason, Verdict};
@@ -33,11 +33,11 @@
             return;
         };
         let Some(route) = routing.route(passage.host, passage.path) else {
-            return refuse(number, not_run(Reason::UnknownPath), out);
+            return refuse(number, Verdict::not_run(Reason::UnknownPath), out);
         };
         let point = self.random.u64(..);
         let Some(service) = route.destination(point) else {
-            return refuse(number, not_run(Reason::UnknownService), out);
+            return refuse(number, Verdict::not_run(Reason::UnknownService), out);
         };
         let call = Call::open(arrived, route, service, point, passage);
         let budget = self.budgets.entry(service.clone()).or_default();
@@ -157,7 +157,7 @@
         let known = known.map(|row| Rc::clone(&row.announcement));
         match known.filter(|_| held) {
             Some(endpoint) => self.dispatch(now, number, endpoint, out),
-            None => self.settle(now, number, not_run(Reason::NotHeld), out),
+            None => self.settle(now, number, Verdict::not_run(Reason::NotHeld), out),
         }
     }
 
@@ -204,7 +204,7 @@
         let worthwhile =
             call.tried.len() < TRIES && now + LEAST_PATIENCE < call.deadline && elsewhere;
         if !worthwhile {
-            let verdict = call.suspect.map_or(verdict, may_have_run);
+            let verdict = call.suspect.map_or(verdict, Verdict::may_have_run);
             return self.give_up(number, verdict, out);
         }
         let gateways = self.spread.len() + 1;
@@ -214,7 +214,7 @@
         if allowed {
             self.attempt(now, number, out);
         } else {
-            let verdict = call.suspect.map_or(verdict, may_have_run);
+            let verdict = call.suspect.map_or(verdict, Verdict::may_have_run);
             self.give_up(number, verdict, out);
         }
     }
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -15,8 +15,8 @@
 /// came through another gateway are older by the time it keeps them.
 const LEASE_BEATS: f64 = 3.5;
 
-/// What a request costs that an engine is running already, in prompt tokens: it takes
-/// cache from kept prompts, and its context slows every step by 0.2 ms.
+/// What a request costs that an engine is running already, in prompt tokens. From
+/// days played at 60 and 400, see docs/MEASURES.md.
 const RUNNING_COST: u64 = 60;
 
 /// What a load of an adapter costs, in prompt tokens: 10 ms or more, two orders,
@@ -55,16 +55,18 @@
             .collect();
         // Where none is known to work, one that is suspected is better than none.
         let rows = if sound.is_empty() { rows } else { sound };
-        let favourite = rows.iter().max_by_key(|row| {
+        let key = affinity(call);
+        let hashed = rows.into_iter().map(|row| (favour(&key, row), row));
+        let hashed: Vec<(u64, &Row)> = hashed.collect();
+        let &(favourite, _) = hashed.iter().max_by_key(|(hash, row)| {
             let near = row.announcement.data_centre == self.setup.data_centre;
-            (near, affinity(call, &row.announcement.id))
+            (near, *hash)
         })?;
-        let favourite = affinity(call, &favourite.announcement.id);
-        let best = rows.into_iter().min_by_key(|row| {
-            let hash = affinity(call, &row.announcement.id);
-            (self.cost(now, call, row, hash == favourite), hash)
+        let best = hashed.into_iter().min_by_key(|&(hash, row)| {
+            let cost = self.cost(now, call, row, hash == favourite);
+            (cost, hash)
         })?;
-        Some(Rc::clone(&best.announcement))
+        Some(Rc::clone(&best.1.announcement))
     }
 
     pub(super) fn is_sound(&self, now: Instant, row: &Row) -> bool {
@@ -120,14 +122,17 @@
         && call.model.as_ref().is_none_or(held)
 }
 
-/// How much the prompt favours an endpoint. All gateways compute the same.
-fn affinity(call: &Call, id: &str) -> u64 {
+/// What the request has in common with others that had better go to the same endpoint.
+fn affinity(call: &Call) -> Vec<u8> {
     // An adapter is worth more than what is kept of a prompt, and is kept along with it.
-    let mut key = match (&call.model, &call.adapter) {
+    match (&call.model, &call.adapter) {
         (Some(model), Some(adapter)) => format!("{model}/{adapter}").into_bytes(),
         (Some(_), None) => call.prompt.shared().to_le_bytes().to_vec(),
         _ => call.point.to_le_bytes().to_vec(),
-    };
-    key.extend_from_slice(id.as_bytes());
-    rapidhash_v3(&key)
+    }
+}
+
+/// How much an affinity favours an endpoint. All gateways compute the same.
+fn favour(affinity: &[u8], row: &Row) -> u64 {
+    rapidhash_v3(&[affinity, row.announcement.id.as_bytes()].concat())
 }
--- a/crates/nutmegyoke-core/src/process/gateway/refusal.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/refusal.rs
@@ -42,25 +42,17 @@
             match stage {
                 Some(Stage::Begun { .. }) => out.push(Command::Cancel { call: number }),
                 Some(Stage::Running { .. }) => {
-                    refuse(number, may_have_run(Reason::DeadlinePassed), out);
+                    refuse(number, Verdict::may_have_run(Reason::DeadlinePassed), out);
                 }
                 _ => {
-                    let late = not_run(Reason::DeadlinePassed);
-                    refuse(number, suspect.map_or(late, may_have_run), out);
+                    let late = Verdict::not_run(Reason::DeadlinePassed);
+                    refuse(number, suspect.map_or(late, Verdict::may_have_run), out);
                 }
             }
         }
     }
 }
 
-pub(super) fn not_run(reason: Reason) -> Verdict {
-    Verdict::NotRun { reason }
-}
-
-pub(super) fn may_have_run(reason: Reason) -> Verdict {
-    Verdict::MayHaveRun { reason }
-}
-
 pub(super) fn refuse<S>(call: u64, verdict: Verdict, out: &mut S)
 where
     S: Sink<Command = Command>,
--- a/crates/nutmegyoke-core/src/process/gateway/wait.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/wait.rs
@@ -6,11 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use super::refusal::{may_have_run, not_run, refuse};
+use super::refusal::refuse;
 use super::{Command, Gateway, Sink};
 use crate::process::endpoint::Target;
 use crate::request::passage::Part;
-use crate::request::{Passage, Reason};
+use crate::request::{Passage, Reason, Verdict};
 
 /// The longest time that a request waits: somewhat less than a heartbeat.
 const LONGEST: Duration = Duration::from_secs(1);
@@ -123,8 +123,8 @@
             }
             return;
         }
-        let none = not_run(Reason::NoEndpoint);
-        let verdict = call.suspect.map_or(none, may_have_run);
+        let none = Verdict::not_run(Reason::NoEndpoint);
+        let verdict = call.suspect.map_or(none, Verdict::may_have_run);
         if let Some(model) = call.model.clone() {
             let tokens = u64::from(call.prompt.tokens);
             self.demand.count(now, &model, tokens);
@@ -160,7 +160,7 @@
             let early = self.waiting.early.contains_key(&number);
             self.waiting.remove(number);
             if early {
-                refuse(number, not_run(Reason::NoConfiguration), out);
+                refuse(number, Verdict::not_run(Reason::NoConfiguration), out);
             } else {
                 self.attempt(now, number, out);
             }
--- a/crates/nutmegyoke-core/src/process/placement/fleet.rs
+++ b/crates/nutmegyoke-core/src/process/placement/fleet.rs
@@ -66,13 +66,7 @@
     pub fn room(&self, host: &Host<'_>) -> f64 {
         let held = host.models.iter().filter_map(|model| self.weights(model));
         let held: f64 = held.map(|weights| weights.mb).sum();
-        self.engine.weights_mb - self.adapter_reserve() - held
-    }
-
-    /// Memory that the largest adapters take in all places, in megabytes.
-    #[must_use]
-    pub fn adapter_reserve(&self) -> f64 {
-        self.engine.adapter_reserve_mb()
+        self.engine.models_mb() - held
     }
 
     /// How many copies of every model fit, `most` at most, within `share` of all memory.
--- a/crates/nutmegyoke-core/src/process/placement/mod.rs
+++ b/crates/nutmegyoke-core/src/process/placement/mod.rs
@@ -85,7 +85,7 @@
 }
 
 impl Placement {
-    /// When the next round is due; at once if there was none yet.
+    /// When the next round is due; `None` before the first, which is due at once.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
         self.next
--- a/crates/nutmegyoke-core/src/process/steward/mod.rs
+++ b/crates/nutmegyoke-core/src/process/steward/mod.rs
@@ -127,8 +127,8 @@
             return false;
         };
         let (call, expected) = (*call, view.accepted);
-        if view.models.contains(&directive.load) || !directive.fits(view) {
-            let accepted = view.models.contains(&directive.load);
+        let accepted = view.models.contains(&directive.load);
+        if accepted || !directive.fits(view) {
             out.push(Command::Conclude { call, accepted });
             self.directives.pop_front();
             return self.direct(now, view, out);
--- a/crates/nutmegyoke-core/src/request/verdict.rs
+++ b/crates/nutmegyoke-core/src/request/verdict.rs
@@ -17,6 +17,18 @@
 }
 
 impl Verdict {
+    /// The request did not run and will not.
+    #[must_use]
+    pub fn not_run(reason: Reason) -> Self {
+        Self::NotRun { reason }
+    }
+
+    /// The request may have run.
+    #[must_use]
+    pub fn may_have_run(reason: Reason) -> Self {
+        Self::MayHaveRun { reason }
+    }
+
     /// Why the attempt failed, unless it ran.
     #[must_use]
     pub fn reason(self) -> Option<Reason> {
--- a/crates/nutmegyoke-core/src/version/routing/pool.rs
+++ b/crates/nutmegyoke-core/src/version/routing/pool.rs
@@ -35,10 +35,10 @@
 }
 
 impl Engine {
-    /// Memory that the largest adapters take in all places, in megabytes.
+    /// Memory for models with all places for adapters taken, in megabytes.
     #[must_use]
-    pub fn adapter_reserve_mb(&self) -> f64 {
-        f64::from(self.adapter_slots) * self.largest_adapter_mb()
+    pub fn models_mb(&self) -> f64 {
+        self.weights_mb - f64::from(self.adapter_slots) * self.largest_adapter_mb()
     }
 
     /// The adapters for which `models` leave room, at most as many as there are places.
--- a/crates/nutmegyoke-host/src/connection/link.rs
+++ b/crates/nutmegyoke-host/src/connection/link.rs
@@ -24,15 +24,25 @@
     pub lost: oneshot::Receiver<()>,
 }
 
+/// Connects to `address`, with small messages sent at once.
+///
+/// # Errors
+///
+/// The connection is refused or not made within `timeout`; nothing was sent then.
+pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    let connected = compio::time::timeout(timeout, TcpStream::connect(address)).await;
+    let stream = connected.map_err(|_| io::ErrorKind::TimedOut)??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
 /// Dials the process at `address`.
 ///
 /// # Errors
 ///
 /// The connection is refused or not made in time; nothing was sent then.
 pub async fn dial<T: FromClientHook>(address: SocketAddr) -> io::Result<Link<T>> {
-    let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = connected.map_err(|_| io::ErrorKind::TimedOut)??;
-    stream.set_nodelay(true)?;
+    let stream = connect(address, CONNECT_TIMEOUT).await?;
     let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
     let client = system.bootstrap(Side::Server);
     let (over, lost) = oneshot::channel();
--- a/crates/nutmegyoke-host/src/connection/upstream.rs
+++ b/crates/nutmegyoke-host/src/connection/upstream.rs
@@ -4,17 +4,17 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 
+use super::link;
+
 /// How long connecting to an endpoint may take. Endpoints take about 1 ms for a
 /// new connection, so this allows for one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -45,8 +45,6 @@
 pub struct Upstream {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
-    /// Whether it has carried a request before.
-    pub used: bool,
 }
 
 impl Upstreams {
@@ -86,9 +84,7 @@
     ///
     /// The endpoint can't be reached in time; nothing was sent.
     pub async fn dial(address: SocketAddr) -> io::Result<Self> {
-        let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let stream = connected.map_err(|_| io::ErrorKind::TimedOut)??;
-        stream.set_nodelay(true)?;
+        let stream = link::connect(address, CONNECT_TIMEOUT).await?;
         let io = HyperStream::new_plain(stream);
         let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
         compio::runtime::spawn(async move {
@@ -96,11 +92,7 @@
             let _ = connection.await;
         })
         .detach();
-        Ok(Self {
-            address,
-            sender,
-            used: false,
-        })
+        Ok(Self { address, sender })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -112,23 +104,16 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Broken> {
-        self.used = true;
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| Broken {
             sent: error.take_message().is_none(),
-            why: error.into_error(),
         })
     }
 }
 
 /// A connection broke before the head of the response was there.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Broken {
     /// Whether any of the request may have left.
     pub sent: bool,
-    /// What went wrong.
-    pub why: hyper::Error,
 }
-
-/// The connections of a process, shared by its requests.
-pub type Shared = Rc<Upstreams>;
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -157,10 +157,7 @@
     /// Puts a committed document in force.
     fn adopt(&self, document: &Document) {
         let number = document.number;
-        let draft = D::routing(&document.source).map_err(|fault| fault.to_string());
-        let opened =
-            draft.and_then(|draft| Routing::open(draft).map_err(|fault| fault.to_string()));
-        match opened {
+        match decode::<D>(&document.source) {
             Ok(routing) => {
                 self.driver.feed(Input::Configured { routing: &routing });
                 let gauge = i64::try_from(number).unwrap_or(i64::MAX);
@@ -241,6 +238,12 @@
     }
 }
 
+/// Decodes and checks a routing document; the error says what is wrong with it.
+fn decode<D: Dialect>(source: &[u8]) -> Result<Rc<Routing>, String> {
+    let draft = D::routing(source).map_err(|fault| fault.to_string())?;
+    Routing::open(draft).map_err(|fault| fault.to_string())
+}
+
 /// The replica's part of the settings.
 fn seat(settings: &Settings, own: &settings::Gateway) -> Seat {
     Seat {
--- a/crates/nutmegyoke-host/src/process/gateway/orders.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/orders.rs
@@ -36,7 +36,7 @@
             endpoint: endpoint.id.clone(),
             unload: step.unload.iter().map(ToString::to_string).collect(),
             load: step.load.to_string(),
-            memory_mb: engine.weights_mb - engine.adapter_reserve_mb(),
+            memory_mb: engine.models_mb(),
             sizes: sizes.map(|row| (row.model.to_string(), row.mb)).collect(),
         };
         let steward = SocketAddr::new(endpoint.address.ip(), self.steward_port);
--- a/crates/nutmegyoke-host/src/process/gateway/registrar.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/registrar.rs
@@ -11,10 +11,9 @@
 use hyper::{Request, Response, StatusCode};
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::gateway::Event as Input;
-use nutmegyoke_core::version::routing::Draft;
-use nutmegyoke_core::version::{Document, Routing};
+use nutmegyoke_core::version::Document;
 
-use super::Gateway;
+use super::{Gateway, decode};
 use crate::connection::http::{self, Handler};
 use crate::connection::listener::Serve;
 use crate::process::dialect::Call;
@@ -109,14 +108,8 @@
     }
 
     async fn publish(&self, body: &Bytes) -> Response<Body> {
-        let draft = D::routing(body).map_err(|fault| fault.to_string());
-        let checked = draft.and_then(|draft: Draft| {
-            let number = draft.number;
-            let opened = Routing::open(draft);
-            opened.map(|_| number).map_err(|fault| fault.to_string())
-        });
-        let number = match checked {
-            Ok(number) => number,
+        let number = match decode::<D>(body) {
+            Ok(routing) => routing.number(),
             Err(why) => {
                 Event::Rejected {
                     number: 0,
--- a/crates/nutmegyoke-host/src/request/pass/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/pass/attempt.rs
@@ -87,9 +87,9 @@
     }
     let response = sent.map_err(|broken| {
         if broken.sent {
-            may_have_run(Reason::LinkLost)
+            Verdict::may_have_run(Reason::LinkLost)
         } else {
-            not_run(Reason::Unreachable)
+            Verdict::not_run(Reason::Unreachable)
         }
     })?;
     judge::<D>(clock, upstreams, parcel, choice, response, upstream).await
@@ -97,7 +97,7 @@
 
 async fn dial(address: std::net::SocketAddr) -> Result<Upstream, Verdict> {
     let dialled = Upstream::dial(address).await;
-    dialled.map_err(|_| not_run(Reason::Unreachable))
+    dialled.map_err(|_| Verdict::not_run(Reason::Unreachable))
 }
 
 fn build<D: Dialect>(parcel: &Parcel<'_>, delivery: &Delivery<'_>) -> Request<Full<Bytes>> {
@@ -128,7 +128,7 @@
     let fate = reply.fate;
     // An answer to an earlier request on the connection; what became of this one is unknown.
     if reply.id.is_some() && parcel.id.is_some() && reply.id != parcel.id {
-        return Err(may_have_run(Reason::Duplicate));
+        return Err(Verdict::may_have_run(Reason::Duplicate));
     }
     headers::strip(&mut head.headers);
     if fate == Fate::Answered && choice.streams {
@@ -154,9 +154,9 @@
         upstreams.keep(clock.now(), upstream, keep_alive);
     }
     match (fate, whole) {
-        (Fate::Declined, _) => Err(not_run(Reason::QueueFull)),
-        (Fate::NotHeld, _) => Err(not_run(Reason::NotHeld)),
-        (_, Err(_)) => Err(may_have_run(Reason::Truncated)),
+        (Fate::Declined, _) => Err(Verdict::not_run(Reason::QueueFull)),
+        (Fate::NotHeld, _) => Err(Verdict::not_run(Reason::NotHeld)),
+        (_, Err(_)) => Err(Verdict::may_have_run(Reason::Truncated)),
         (Fate::Failed, Ok(body)) => Ok(Answer::Failed {
             response: Response::from_parts(head, body.to_bytes()),
         }),
@@ -165,11 +165,3 @@
         }),
     }
 }
-
-fn not_run(reason: Reason) -> Verdict {
-    Verdict::NotRun { reason }
-}
-
-fn may_have_run(reason: Reason) -> Verdict {
-    Verdict::MayHaveRun { reason }
-}
--- a/crates/nutmegyoke-host/src/request/pass/body.rs
+++ b/crates/nutmegyoke-host/src/request/pass/body.rs
@@ -13,12 +13,13 @@
 use super::ticket::Ticket;
 use crate::connection::upstream::Upstream;
 use crate::process::Dialect;
+use crate::request::Body;
 use crate::request::body::Truncated;
 
 /// The body of a response to a client.
 pub enum Passed<C: Clock + 'static, D: Dialect> {
     /// It is there in whole.
-    Whole { bytes: Bytes },
+    Whole { body: Body },
     /// It is read from the endpoint as the client takes it.
     Streamed { stream: Box<Stream<C, D>> },
 }
@@ -53,7 +54,9 @@
 
 impl<C: Clock + 'static, D: Dialect> From<Bytes> for Passed<C, D> {
     fn from(bytes: Bytes) -> Self {
-        Self::Whole { bytes }
+        Self::Whole {
+            body: Body::Whole { bytes },
+        }
     }
 }
 
@@ -90,19 +93,21 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
-            Self::Whole { bytes } if bytes.is_empty() => Poll::Ready(None),
-            Self::Whole { bytes } => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Whole { body } => hyper::body::Body::poll_frame(Pin::new(body), context),
             Self::Streamed { stream } => stream.poll(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole { bytes } if bytes.is_empty())
+        match self {
+            Self::Whole { body } => hyper::body::Body::is_end_stream(body),
+            Self::Streamed { .. } => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole { bytes } => SizeHint::with_exact(bytes.len() as u64),
+            Self::Whole { body } => hyper::body::Body::size_hint(body),
             Self::Streamed { stream } => hyper::body::Body::size_hint(&stream.body),
         }
     }
