Let restarted observers be found by the leader

The observers came back with empty logs and knew only each other; the voters knew the leader, but not the observers' new lives.

Ruled out: a slow election (the voters had the configuration at 36.2 s, 0.9 s after their start), membership changes queued behind each other (no join ever reached a leader).

Change: a replica without state that is sent entries meant for an earlier life of its disk asks the sender, which leads, for a place. Test: `observers_that_know_only_each_other_are_found_by_the_leader`, failed before.

--- a/crates/nutmegyoke-core/src/process/control/replica/follower.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/follower.rs
@@ -9,9 +9,8 @@
     where
         K: Sink<Command = Command<S>>,
     {
-        // A message for an earlier life of this disk is not for this one.
         if message.to.is_some_and(|id| id != self.setup.id) {
-            return;
+            return self.take_stray(message, out);
         }
         self.addresses.insert(message.from, message.reply);
         match &message.body {
--- a/crates/nutmegyoke-core/src/process/control/replica/join.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/join.rs
@@ -197,6 +197,21 @@
         self.emit(leader, message, out);
     }
 
+    /// Takes in a message for an earlier life of this disk.
+    ///
+    /// It has no effect, but its sender leads a fleet that this replica belongs to
+    /// and perhaps can't find by its contacts, which may all have been restarted too.
+    pub(super) fn take_stray<K>(&self, message: &Message<S>, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let leads = matches!(message.body, Body::Append { .. } | Body::Install { .. });
+        if leads && self.is_fresh() && self.leader.is_none() {
+            let seed = self.setup.seed.clone();
+            self.call(message.reply, None, Body::Join { seed }, out);
+        }
+    }
+
     /// Whether the membership may change: one change at a time, and only after
     /// an entry of the present term is committed.
     fn may_change(&self) -> bool {
--- a/crates/nutmegyoke-core/tests/roster.rs
+++ b/crates/nutmegyoke-core/tests/roster.rs
@@ -95,6 +95,29 @@
     assert!(simulation.membership.peer(id).is_some());
 }
 
+#[test]
+fn observers_that_know_only_each_other_are_found_by_the_leader() {
+    let mut simulation = group(CALM, 9);
+    simulation.run(JOIN);
+    for vm in 0..5 {
+        simulation.kill(vm);
+    }
+    for vm in 3..5 {
+        simulation.wipe(vm);
+    }
+    let contacts = [simulation.address(3), simulation.address(4)];
+    for vm in 0..5 {
+        simulation.start(vm);
+        let contacts = contacts.as_slice();
+        simulation.feed(vm, Event::Contacted { contacts });
+    }
+    simulation.run(Duration::from_secs(4));
+    for vm in 3..5 {
+        let id = simulation.vms[vm].id;
+        assert!(simulation.membership.peer(id).is_some(), "vm {vm}");
+    }
+}
+
 #[test]
 fn observers_receive_what_is_committed() {
     let mut simulation = group(CALM, 8);
