Log every attempt of a request with what it was based on

Before, a request left one line at its end, which named the last endpoint only. Now each choice of an endpoint, failed attempt, wait and question to a steward has a line with its inputs and their age, and the end tells why nothing more was tried (`halt`) and, where it failed or was slow, all attempts.

--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -6,7 +6,7 @@
 
 use super::call::{Call, Stage};
 use super::refusal::refuse;
-use super::{Command, Gateway, Sink};
+use super::{Command, Gateway, Halt, Sink};
 use crate::process::registry::Announcement;
 use crate::request::{Passage, Reason, Verdict};
 
@@ -33,11 +33,13 @@
             return;
         };
         let Some(route) = routing.route(passage.host, passage.path) else {
-            return refuse(number, Verdict::not_run(Reason::UnknownPath), out);
+            let verdict = Verdict::not_run(Reason::UnknownPath);
+            return refuse(number, verdict, Halt::Untried, out);
         };
         let point = self.random.u64(..);
         let Some(service) = route.destination(point) else {
-            return refuse(number, Verdict::not_run(Reason::UnknownService), out);
+            let verdict = Verdict::not_run(Reason::UnknownService);
+            return refuse(number, verdict, Halt::Untried, out);
         };
         let call = Call::open(arrived, route, service, point, passage);
         let budget = self.budgets.entry(service.clone()).or_default();
@@ -55,12 +57,13 @@
         let Some(call) = self.calls.get(&number) else {
             return;
         };
-        let Some(endpoint) = self.pick(now, call) else {
+        let Some((endpoint, candidates)) = self.pick(now, call) else {
             return self.put_off(now, number, out);
         };
         let Some(call) = self.calls.get_mut(&number) else {
             return;
         };
+        call.candidates = candidates;
         let id = endpoint.id.clone();
         let pool = self.routing.as_ref();
         let pool = pool.and_then(|routing| routing.pool(call.service.as_str()));
@@ -104,14 +107,17 @@
     ) where
         S: Sink<Command = Command>,
     {
+        let Some(call) = self.calls.get(&number) else {
+            return;
+        };
+        let basis = self.basis(now, call, &endpoint.id);
         let (Some(call), Some(seat)) = (
             self.calls.get_mut(&number),
             self.seats.get_mut(&endpoint.id),
         ) else {
             return;
         };
-        let kept = seat.cache.kept(now, &call.prompt);
-        let ahead = u64::from(call.prompt.tokens - kept);
+        let ahead = u64::from(basis.tokens - basis.kept);
         seat.cache.note(now, &call.prompt);
         seat.ahead += ahead;
         if let Some(model) = &call.model {
@@ -127,6 +133,8 @@
             patience: call.deadline.saturating_duration_since(now),
             rank: call.route.rank,
             streams: call.route.streams(),
+            objective: call.route.objective,
+            basis,
         });
     }
 
@@ -197,15 +205,19 @@
             call.runs += 1;
             call.suspect = Some(reason);
         }
-        let elsewhere = match verdict {
-            Verdict::NotRun { .. } => true,
-            _ => call.route.repeatable() && call.runs < call.route.attempts,
-        };
-        let worthwhile =
-            call.tried.len() < TRIES && now + LEAST_PATIENCE < call.deadline && elsewhere;
-        if !worthwhile {
-            let verdict = call.suspect.map_or(verdict, Verdict::may_have_run);
-            return self.give_up(number, verdict, out);
+        let ran = matches!(verdict, Verdict::MayHaveRun { .. });
+        let halt = if ran && !call.route.repeatable() {
+            Some(Halt::OnceOnly)
+        } else if call.tried.len() >= TRIES || (ran && call.runs >= call.route.attempts) {
+            Some(Halt::TriesUsed)
+        } else if now + LEAST_PATIENCE >= call.deadline {
+            Some(Halt::OutOfTime)
+        } else {
+            None
+        };
+        let final_verdict = call.suspect.map_or(verdict, Verdict::may_have_run);
+        if let Some(halt) = halt {
+            return self.give_up(number, final_verdict, halt, out);
         }
         let gateways = self.spread.len() + 1;
         let budget = self.budgets.entry(call.service.clone()).or_default();
@@ -214,8 +226,7 @@
         if allowed {
             self.attempt(now, number, out);
         } else {
-            let verdict = call.suspect.map_or(verdict, Verdict::may_have_run);
-            self.give_up(number, verdict, out);
+            self.give_up(number, final_verdict, Halt::BudgetUsed, out);
         }
     }
 
--- a/crates/nutmegyoke-core/src/process/gateway/call.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -23,6 +23,10 @@
     pub arrived: Instant,
     /// When the client or the route gives up.
     pub deadline: Instant,
+    /// Whether it had to wait for an endpoint.
+    pub put_off: bool,
+    /// How many endpoints the latest choice was made from.
+    pub candidates: usize,
     /// The endpoints tried, by id.
     pub tried: Vec<String>,
     /// Attempts that may have run, with the reason of the latest.
@@ -66,6 +70,8 @@
             point,
             arrived,
             deadline: arrived + patience.min(route.timeout),
+            put_off: false,
+            candidates: 0,
             tried: Vec::new(),
             runs: 0,
             suspect: None,
--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -4,6 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::Serialize;
+
+use super::basis::Basis;
 use super::demand::Work;
 use crate::process::placement::Step;
 use crate::process::registry::{Announcement, Rumor};
@@ -82,7 +85,13 @@
         rank: u8,
         /// Whether the answer is a stream of events.
         streams: bool,
+        /// The time to the answer, or to its first part, that is aimed for.
+        objective: Duration,
+        /// Why this endpoint was chosen.
+        basis: Basis,
     },
+    /// The request waits for an endpoint.
+    PutOff { call: u64 },
     /// Answer that the request failed, and abandon an attempt that is under way.
     Refuse { call: u64, refusal: Refusal },
     /// Break off an answer that is being passed on.
@@ -111,4 +120,24 @@
     pub verdict: Verdict,
     /// When it may be worth to try again; only where it has not run.
     pub retry_after: Option<Duration>,
+    /// Why it was not tried again.
+    pub halt: Halt,
+}
+
+/// Why a request is not tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Halt {
+    /// Nothing could be tried: it is not allowed, or nothing takes it.
+    Untried,
+    /// It may have run, and must not run twice.
+    OnceOnly,
+    /// As many endpoints were tried as may be.
+    TriesUsed,
+    /// The time left is too short.
+    OutOfTime,
+    /// All gateways together repeat as many requests as they may.
+    BudgetUsed,
+    /// No other endpoint takes it.
+    NoOther,
 }
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -5,12 +5,14 @@
 //! * [`refusal`]: how a request ends without an answer;
 //! * [`wait`]: requests that wait for an endpoint;
 //! * [`pick`]: which endpoint an attempt goes to;
+//! * [`basis`]: what a choice was based on;
 //! * [`seat`], [`prompt`]: what the own requests tell of an endpoint;
 //! * [`demand`]: how much work models and endpoints have;
 //! * [`budget`]: how often requests may be repeated;
 //! * [`super::registry`]: which endpoints there are.
 
 mod attempts;
+pub mod basis;
 pub mod budget;
 mod call;
 pub mod demand;
@@ -26,10 +28,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+pub use basis::Basis;
 pub use budget::{Bound, Budget};
 use call::Call;
 pub use demand::{Demand, Work};
-pub use event::{Command, Event, Refusal};
+pub use event::{Command, Event, Halt, Refusal};
 pub use seat::Seat;
 use wait::Waiting;
 
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -6,6 +6,7 @@
 use rapidhash::v3::rapidhash_v3;
 
 use super::Gateway;
+use super::basis::Basis;
 use super::call::Call;
 use crate::process::registry::spread::PERIOD;
 use crate::process::registry::{Announcement, RENEWAL, Row};
@@ -44,8 +45,8 @@
 const FULL_COST: u64 = 100_000;
 
 impl Gateway {
-    /// The best endpoint that was not tried yet.
-    pub(super) fn pick(&self, now: Instant, call: &Call) -> Option<Rc<Announcement>> {
+    /// The best endpoint that was not tried yet, and how many there are.
+    pub(super) fn pick(&self, now: Instant, call: &Call) -> Option<(Rc<Announcement>, usize)> {
         let rows = self.registry.rows().filter(|row| is_usable(call, row));
         let rows: Vec<&Row> = rows.collect();
         let sound: Vec<&Row> = rows
@@ -58,6 +59,7 @@
         let key = affinity(call);
         let hashed = rows.into_iter().map(|row| (favour(&key, row), row));
         let hashed: Vec<(u64, &Row)> = hashed.collect();
+        let candidates = hashed.len();
         let &(favourite, _) = hashed.iter().max_by_key(|(hash, row)| {
             let near = row.announcement.data_centre == self.setup.data_centre;
             (near, *hash)
@@ -66,7 +68,7 @@
             let cost = self.cost(now, call, row, hash == favourite);
             (cost, hash)
         })?;
-        Some(Rc::clone(&best.1.announcement))
+        Some((Rc::clone(&best.1.announcement), candidates))
     }
 
     pub(super) fn is_sound(&self, now: Instant, row: &Row) -> bool {
@@ -75,13 +77,31 @@
         now < row.heard + lease && !seat.is_some_and(|seat| seat.is_avoided(now))
     }
 
+    /// What is known of the endpoint `id` that matters to `call`.
+    pub(super) fn basis(&self, now: Instant, call: &Call, id: &str) -> Basis {
+        let row = self.registry.row(id);
+        let seat = self.seats.get(id);
+        let others = self.demand.backlog(id);
+        let heard = row.map_or(Duration::ZERO, |row| {
+            now.saturating_duration_since(row.heard)
+        });
+        Basis {
+            routing: self.routing.as_ref().map_or(0, |routing| routing.number()),
+            candidates: call.candidates,
+            heard_ms: u64::try_from(heard.as_millis()).unwrap_or(u64::MAX),
+            in_flight: seat.map_or(0, |seat| seat.in_flight) + others.in_flight,
+            ahead: seat.map_or(0, |seat| seat.ahead) + others.ahead,
+            tokens: call.prompt.tokens,
+            kept: seat.map_or(0, |seat| seat.cache.kept(now, &call.prompt)),
+        }
+    }
+
     /// The work that the request has to wait for and causes, in prompt tokens.
     fn cost(&self, now: Instant, call: &Call, row: &Row, favourite: bool) -> u64 {
         let announcement = &row.announcement;
         let seat = self.seats.get(&announcement.id);
-        let others = self.demand.backlog(&announcement.id);
-        let in_flight = seat.map_or(0, |seat| seat.in_flight) + others.in_flight;
-        let in_flight = u64::from(in_flight);
+        let basis = self.basis(now, call, &announcement.id);
+        let in_flight = u64::from(basis.in_flight);
         let slots = u64::from(announcement.slots.max(1));
         let far = announcement.data_centre != self.setup.data_centre;
         let mut cost = 0;
@@ -95,9 +115,8 @@
         if far {
             cost += FAR_COST;
         }
-        let kept = seat.map_or(0, |seat| seat.cache.kept(now, &call.prompt));
-        cost += seat.map_or(0, |seat| seat.ahead) + others.ahead + in_flight * RUNNING_COST;
-        cost += u64::from(call.prompt.tokens - kept);
+        cost += basis.ahead + in_flight * RUNNING_COST;
+        cost += u64::from(basis.tokens - basis.kept);
         if let Some(adapter) = &call.adapter
             && !seat.is_some_and(|seat| seat.holds(model.as_str(), adapter))
         {
--- a/crates/nutmegyoke-core/src/process/gateway/refusal.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/refusal.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::call::Stage;
-use super::{Command, Gateway, Refusal, Sink};
+use super::{Command, Gateway, Halt, Refusal, Sink};
 use crate::request::{Reason, Verdict};
 
 /// When a client may try again that was refused for want of an endpoint.
@@ -11,12 +11,12 @@
 
 impl Gateway {
     /// Gives the request up and tells its client.
-    pub(super) fn give_up<S>(&mut self, number: u64, verdict: Verdict, out: &mut S)
+    pub(super) fn give_up<S>(&mut self, number: u64, verdict: Verdict, halt: Halt, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
         self.forget(number);
-        refuse(number, verdict, out);
+        refuse(number, verdict, halt, out);
     }
 
     pub(super) fn forget(&mut self, number: u64) {
@@ -42,18 +42,20 @@
             match stage {
                 Some(Stage::Begun { .. }) => out.push(Command::Cancel { call: number }),
                 Some(Stage::Running { .. }) => {
-                    refuse(number, Verdict::may_have_run(Reason::DeadlinePassed), out);
+                    let verdict = Verdict::may_have_run(Reason::DeadlinePassed);
+                    refuse(number, verdict, Halt::OutOfTime, out);
                 }
                 _ => {
                     let late = Verdict::not_run(Reason::DeadlinePassed);
-                    refuse(number, suspect.map_or(late, Verdict::may_have_run), out);
+                    let verdict = suspect.map_or(late, Verdict::may_have_run);
+                    refuse(number, verdict, Halt::OutOfTime, out);
                 }
             }
         }
     }
 }
 
-pub(super) fn refuse<S>(call: u64, verdict: Verdict, out: &mut S)
+pub(super) fn refuse<S>(call: u64, verdict: Verdict, halt: Halt, out: &mut S)
 where
     S: Sink<Command = Command>,
 {
@@ -64,6 +66,7 @@
     let refusal = Refusal {
         verdict,
         retry_after,
+        halt,
     };
     out.push(Command::Refuse { call, refusal });
 }
--- a/crates/nutmegyoke-core/src/process/gateway/wait.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/wait.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::refusal::refuse;
-use super::{Command, Gateway, Sink};
+use super::{Command, Gateway, Halt, Sink};
 use crate::process::endpoint::Target;
 use crate::request::passage::Part;
 use crate::request::{Passage, Reason, Verdict};
@@ -111,7 +111,7 @@
     where
         S: Sink<Command = Command>,
     {
-        let Some(call) = self.calls.get(&number) else {
+        let Some(call) = self.calls.get_mut(&number) else {
             return;
         };
         let whole = call.deadline.saturating_duration_since(call.arrived);
@@ -121,15 +121,24 @@
             if self.waiting.calls.insert(number) {
                 self.waiting.until.insert((until, number));
             }
+            if !call.put_off {
+                call.put_off = true;
+                out.push(Command::PutOff { call: number });
+            }
             return;
         }
+        let halt = if call.tried.is_empty() {
+            Halt::Untried
+        } else {
+            Halt::NoOther
+        };
         let none = Verdict::not_run(Reason::NoEndpoint);
         let verdict = call.suspect.map_or(none, Verdict::may_have_run);
         if let Some(model) = call.model.clone() {
             let tokens = u64::from(call.prompt.tokens);
             self.demand.count(now, &model, tokens);
         }
-        self.give_up(number, verdict, out);
+        self.give_up(number, verdict, halt, out);
     }
 
     /// Takes in the requests that arrived before routing was known.
@@ -160,7 +169,8 @@
             let early = self.waiting.early.contains_key(&number);
             self.waiting.remove(number);
             if early {
-                refuse(number, Verdict::not_run(Reason::NoConfiguration), out);
+                let verdict = Verdict::not_run(Reason::NoConfiguration);
+                refuse(number, verdict, Halt::Untried, out);
             } else {
                 self.attempt(now, number, out);
             }
--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -129,7 +129,7 @@
     let mut bed = Bed::open(endpoints);
     let mut out = bed.arrive(1, path);
     if waits {
-        assert!(out.is_empty(), "{out:?}");
+        assert!(matches!(*out, [Command::PutOff { call: 1 }]), "{out:?}");
         assert!(bed.wait(SECOND * 9 / 10).is_empty());
         out = bed.wait(SECOND / 10);
     }
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use nutmegyoke_core::process::endpoint::Phase;
+use nutmegyoke_core::process::gateway::{Basis, Halt};
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::{Order, Vm, steward};
 use nutmegyoke_core::request::{Id, Reason, Verdict};
@@ -11,6 +12,7 @@
 use strum::{EnumDiscriminants, EnumIter};
 
 use super::log;
+use crate::request::pass::Leg;
 
 /// Something worth a line in the log.
 #[derive(Clone, Debug, Serialize, EnumDiscriminants)]
@@ -66,15 +68,58 @@
     OrderDone { order: &'a Order },
     /// An engine did not confirm an order.
     OrderLost { order: &'a Order, why: &'a str },
+    /// A request that is passed through was sent to an endpoint.
+    Attempted {
+        request: &'a str,
+        endpoint: &'a str,
+        #[serde(flatten)]
+        basis: Basis,
+    },
+    /// An attempt to have an endpoint answer a request failed.
+    AttemptFailed {
+        request: &'a str,
+        endpoint: &'a str,
+        #[serde(flatten)]
+        verdict: Verdict,
+        /// From the attempt's beginning to its end, in milliseconds.
+        elapsed_ms: u64,
+    },
+    /// A request waits, because no endpoint takes it yet.
+    PutOff { request: &'a str },
+    /// The steward of the chosen engine was asked for an adapter.
+    Prepared {
+        request: &'a str,
+        endpoint: &'a str,
+        adapter: &'a str,
+        /// Whether the steward answered that the engine holds it.
+        held: bool,
+        /// How long the steward took, in milliseconds.
+        elapsed_ms: u64,
+    },
     /// A request that was passed through ended.
     Passed {
         request: &'a str,
+        host: &'a str,
+        path: &'a str,
+        model: &'a str,
+        /// The endpoint of the last attempt.
         endpoint: &'a str,
         attempts: u32,
         verdict: Verdict,
+        /// Why it was not tried again, if it failed.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        halt: Option<Halt>,
+        /// From its arrival to the beginning of the answer, in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        first_ms: Option<u64>,
         /// From its arrival to its end, in milliseconds.
         elapsed_ms: u64,
+        /// Its attempts, where it failed or was slow.
+        #[serde(skip_serializing_if = "<[Leg]>::is_empty")]
+        trail: &'a [Leg],
     },
+    /// Lines on requests that went well were not written, because there were too many.
+    LinesWithheld { withheld: u64 },
     /// A routing document was acknowledged; `held` is the number in force.
     Published { number: u64, held: u64 },
     /// An endpoint without an agent was heard of for the first time, or says
@@ -139,7 +184,12 @@
             Self::Withdrawn => 502,
             Self::OrderDone => 600,
             Self::OrderLost => 601,
+            Self::LinesWithheld => 106,
             Self::Passed => 301,
+            Self::Attempted => 302,
+            Self::AttemptFailed => 303,
+            Self::PutOff => 304,
+            Self::Prepared => 305,
             Self::Published => 203,
             Self::EndpointHeard => 503,
             Self::EndpointLeft => 504,
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -11,7 +11,7 @@
 mod orders;
 mod registrar;
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,6 +35,7 @@
 
 use super::control::Seat;
 use super::driver::Addressed;
+use super::sampler::Sampler;
 use super::{Control, Dialect, Driver, Event, Failure, Metrics};
 use crate::connection::http::{self, Handler};
 use crate::connection::listener::Serve;
@@ -57,6 +58,7 @@
     gateways: Rc<Pool<gateway::Client>>,
     stewards: Rc<Pool<steward::Client>>,
     metrics: Metrics,
+    sampler: RefCell<Sampler>,
     member: Member,
     exchange_port: u16,
     steward_port: u16,
@@ -70,6 +72,7 @@
     fn addressee(&self) -> Option<u64> {
         match self {
             Self::Prepare { call, .. }
+            | Self::PutOff { call }
             | Self::Dispatch { call, .. }
             | Self::Refuse { call, .. }
             | Self::Cancel { call } => Some(*call),
@@ -102,6 +105,7 @@
             bound: own.bound,
             random: member.vm.run(),
         });
+        let now = clock.now();
         let (driver, background) = Driver::spawn(machine, clock);
         let this = Rc::new(Self {
             driver,
@@ -110,6 +114,7 @@
             gateways: Rc::default(),
             stewards: Rc::default(),
             metrics: Metrics::open(registry, &member)?,
+            sampler: RefCell::new(Sampler::open(now)),
             member,
             exchange_port: own.exchange.port(),
             steward_port: own.steward_port,
@@ -228,12 +233,26 @@
         !self.stopping.get() && machine.routing().is_some() && served
     }
 
-    /// Logs the end of a request and counts it.
-    pub fn account(&self, event: &Event<'_>, verdict: Verdict) {
+    /// Counts the end of a request.
+    pub fn account(&self, verdict: Verdict) {
         self.metrics.requests.inc();
         if let Some(reason) = verdict.reason() {
             self.metrics.refused(reason);
         }
+    }
+
+    /// Logs something on a request unless there are too many lines; what is
+    /// `telling`, because it failed or was slow, always.
+    pub fn report(&self, event: &Event<'_>, telling: bool) {
+        let now = self.driver.clock().now();
+        let mut sampler = self.sampler.borrow_mut();
+        if !sampler.take(now) && !telling {
+            return;
+        }
+        let withheld = sampler.withheld();
+        if withheld > 0 {
+            Event::LinesWithheld { withheld }.log();
+        }
         event.log();
     }
 }
--- a/crates/nutmegyoke-host/src/request/pass/body.rs
+++ b/crates/nutmegyoke-host/src/request/pass/body.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::body::{Frame, Incoming, SizeHint};
 use nutmegyoke_core::process::Clock;
-use nutmegyoke_core::process::gateway::Command;
+use nutmegyoke_core::process::gateway::{Command, Halt};
 use nutmegyoke_core::request::{Reason, Verdict};
 
 use super::ticket::Ticket;
@@ -63,6 +63,8 @@
 impl<C: Clock + 'static, D: Dialect> Stream<C, D> {
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         if let Poll::Ready(Some(Command::Cancel { .. })) = self.ticket.poll(context) {
+            let verdict = Verdict::may_have_run(Reason::DeadlinePassed);
+            self.ticket.close(verdict, Some(Halt::OutOfTime));
             return Poll::Ready(Some(Err(Truncated)));
         }
         match hyper::body::Body::poll_frame(Pin::new(&mut self.body), context) {
--- a/crates/nutmegyoke-host/src/request/pass/mod.rs
+++ b/crates/nutmegyoke-host/src/request/pass/mod.rs
@@ -7,6 +7,7 @@
 mod body;
 mod headers;
 mod ticket;
+mod trail;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,13 +21,15 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use nutmegyoke_core::process::Clock;
-use nutmegyoke_core::process::gateway::{Command, Event as Input, Refusal};
+use nutmegyoke_core::process::gateway::{Command, Event as Input, Halt, Refusal};
 use nutmegyoke_core::request::{Passage, Reason, Verdict};
 use nutmegyoke_wire::request::Failure;
 
 use attempt::{Answer, Choice, Parcel};
 pub use body::Passed;
 use ticket::Ticket;
+pub use trail::Leg;
+use trail::{Label, Trail};
 
 use crate::process::dialect::Heading;
 use crate::process::{Dialect, Gateway};
@@ -42,7 +45,18 @@
 ) -> Response<Passed<C, D>> {
     let (head, body) = request.into_parts();
     let limit = gateway.body_bytes();
-    let body = match Limited::new(body, limit).collect().await {
+    let arrived = gateway.driver().clock().now();
+    let body = Limited::new(body, limit).collect().await;
+    let heading = D::heading(&head.headers);
+    let passage = Passage {
+        host: host(&head),
+        path: head.uri.path(),
+        patience: heading.patience,
+        target: heading.target,
+        prompt: &heading.prompt,
+    };
+    let id = heading.id.unwrap_or("-");
+    let body = match body {
         Ok(body) => body.to_bytes(),
         Err(error) => {
             let reason = if error.is::<LengthLimitError>() {
@@ -50,21 +64,17 @@
             } else {
                 Reason::BodyIncomplete
             };
-            return refuse::<C, D>(Refusal {
-                verdict: Verdict::NotRun { reason },
+            let refusal = Refusal {
+                verdict: Verdict::not_run(reason),
                 retry_after: None,
-            });
+                halt: Halt::Untried,
+            };
+            let label = Label::open(id, &passage);
+            Trail::open(arrived).close(&gateway, &label, refusal.verdict, Some(refusal.halt));
+            return refuse::<C, D>(refusal);
         }
     };
-    let heading = D::heading(&head.headers);
-    let passage = Passage {
-        host: host(&head),
-        path: head.uri.path(),
-        patience: heading.patience,
-        target: heading.target,
-        prompt: &heading.prompt,
-    };
-    let ticket = Ticket::open(&gateway, heading.id.unwrap_or("-"), passage);
+    let ticket = Ticket::open(&gateway, id, passage);
     carry(ticket, &head, &heading, body).await
 }
 
@@ -92,6 +102,9 @@
     let mut command = ticket.next().await;
     loop {
         let call = ticket.number();
+        if let Some(command) = &command {
+            ticket.note(command);
+        }
         command = match command {
             Some(Command::Prepare {
                 endpoint,
@@ -100,12 +113,16 @@
                 slots,
                 ..
             }) => {
+                let since = gateway.driver().clock().now();
                 let asked = gateway.prepare(&endpoint, &model, &adapter, slots);
                 let asked = compio::time::timeout(PREPARE_TIMEOUT, asked);
                 match race(&mut ticket, asked).await {
                     Either::Left(adapters) => {
                         let adapters = adapters.ok().flatten();
                         let adapters = adapters.as_deref();
+                        let name = format!("{model}/{adapter}");
+                        let held = adapters.is_some_and(|held| held.contains(&name));
+                        ticket.prepared(&endpoint.id, &name, since, held);
                         ticket.feed(Input::Prepared { call, adapters });
                         ticket.next().await
                     }
@@ -119,7 +136,6 @@
                 streams,
                 ..
             }) => {
-                ticket.attempt(&endpoint.id);
                 let choice = Choice {
                     endpoint,
                     patience,
@@ -139,26 +155,24 @@
                         upstream,
                         keep_alive,
                     })) => {
-                        ticket.feed(Input::Begun { call });
+                        ticket.begin();
                         let body = Passed::streamed(ticket, body, upstream, keep_alive);
                         return Response::from_parts(head, body);
                     }
                     Either::Left(Ok(Answer::Failed { response })) => {
                         failed = Some(response);
-                        let reason = Reason::EndpointFailed;
-                        let verdict = Verdict::MayHaveRun { reason };
-                        ticket.feed(Input::Settled { call, verdict });
+                        ticket.fail(Verdict::may_have_run(Reason::EndpointFailed));
                         ticket.next().await
                     }
                     Either::Left(Err(verdict)) => {
-                        ticket.feed(Input::Settled { call, verdict });
+                        ticket.fail(verdict);
                         ticket.next().await
                     }
                     Either::Right(command) => command,
                 }
             }
             Some(Command::Refuse { refusal, .. }) => {
-                ticket.close(refusal.verdict);
+                ticket.close(refusal.verdict, Some(refusal.halt));
                 let own = refusal.verdict.reason() == Some(Reason::EndpointFailed);
                 // An endpoint's own account of its failure says more than ours, unless
                 // it would promise that the request did not run.
@@ -170,6 +184,7 @@
                     None => refuse::<C, D>(refusal),
                 };
             }
+            Some(Command::PutOff { .. }) => ticket.next().await,
             // The machine lives as long as the process and says nothing else here.
             _ => std::future::pending().await,
         };
--- a/crates/nutmegyoke-host/src/request/pass/ticket.rs
+++ b/crates/nutmegyoke-host/src/request/pass/ticket.rs
@@ -6,10 +6,11 @@
 
 use nutmegyoke_core::process as decision;
 use nutmegyoke_core::process::Clock;
-use nutmegyoke_core::process::gateway::{Command, Event as Input};
+use nutmegyoke_core::process::gateway::{Command, Event as Input, Halt};
 use nutmegyoke_core::request::{Passage, Reason, Verdict};
 use nutmegyoke_wire::connection::link::milliseconds;
 
+use super::trail::{Label, Trail};
 use crate::connection::upstream::Upstream;
 use crate::process::driver::Mailbox;
 use crate::process::{Dialect, Event, Gateway};
@@ -18,12 +19,9 @@
 pub struct Ticket<C: Clock + 'static, D: Dialect> {
     gateway: Rc<Gateway<C, D>>,
     mailbox: Mailbox<decision::Gateway, C>,
-    /// The client's name for the request.
-    id: String,
-    started: Instant,
+    label: Label,
+    trail: Trail,
     done: bool,
-    attempts: u32,
-    endpoint: String,
 }
 
 impl<C: Clock + 'static, D: Dialect> Ticket<C, D> {
@@ -32,12 +30,10 @@
         let mailbox = gateway.driver().open();
         let ticket = Self {
             gateway: Rc::clone(gateway),
-            id: id.to_owned(),
-            started: gateway.driver().clock().now(),
+            label: Label::open(id, &passage),
+            trail: Trail::open(gateway.driver().clock().now()),
             mailbox,
             done: false,
-            attempts: 0,
-            endpoint: String::new(),
         };
         let call = ticket.number();
         ticket.feed(Input::Arrived { call, passage });
@@ -69,10 +65,67 @@
         self.gateway.driver().feed(event);
     }
 
-    /// Notes which endpoint the next attempt is for.
-    pub fn attempt(&mut self, endpoint: &str) {
-        self.attempts += 1;
-        endpoint.clone_into(&mut self.endpoint);
+    /// Logs a decision on the request.
+    pub fn report(&self, event: &Event<'_>) {
+        self.gateway.report(event, false);
+    }
+
+    /// Notes a command of the machine that decides something on the request.
+    pub fn note(&mut self, command: &Command) {
+        let request = &self.label.request;
+        match command {
+            Command::PutOff { .. } => self.report(&Event::PutOff { request }),
+            Command::Dispatch {
+                endpoint,
+                objective,
+                basis,
+                ..
+            } => {
+                let (endpoint, basis) = (&endpoint.id, *basis);
+                self.report(&Event::Attempted {
+                    request,
+                    endpoint,
+                    basis,
+                });
+                let now = self.now();
+                self.trail.attempt(now, endpoint, *objective, basis);
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes how the steward of an engine answered; `since` is when it was asked.
+    pub fn prepared(&self, endpoint: &str, adapter: &str, since: Instant, held: bool) {
+        let took = self.now().saturating_duration_since(since);
+        self.report(&Event::Prepared {
+            request: &self.label.request,
+            endpoint,
+            adapter,
+            held,
+            elapsed_ms: milliseconds(took),
+        });
+    }
+
+    /// Tells the machine that the endpoint's answer is passed on from now.
+    pub fn begin(&mut self) {
+        let call = self.number();
+        self.feed(Input::Begun { call });
+        let now = self.now();
+        self.trail.begin(now);
+    }
+
+    /// Tells the machine that the attempt failed; what follows is up to it.
+    pub fn fail(&mut self, verdict: Verdict) {
+        let now = self.now();
+        let took = self.trail.end(now, verdict);
+        self.report(&Event::AttemptFailed {
+            request: &self.label.request,
+            endpoint: self.trail.endpoint(),
+            verdict,
+            elapsed_ms: milliseconds(took),
+        });
+        let call = self.number();
+        self.feed(Input::Settled { call, verdict });
     }
 
     /// Tells the machine how the last attempt went, after which nothing follows.
@@ -82,31 +135,27 @@
         }
         let call = self.number();
         self.feed(Input::Settled { call, verdict });
-        self.close(verdict);
+        self.close(verdict, None);
     }
 
     /// Notes that the machine has given the request up.
-    pub fn close(&mut self, verdict: Verdict) {
+    pub fn close(&mut self, verdict: Verdict, halt: Option<Halt>) {
         if self.done {
             return;
         }
         self.done = true;
-        let now = self.gateway.driver().clock().now();
-        let event = Event::Passed {
-            request: &self.id,
-            endpoint: &self.endpoint,
-            attempts: self.attempts,
-            verdict,
-            elapsed_ms: milliseconds(now.saturating_duration_since(self.started)),
-        };
-        self.gateway.account(&event, verdict);
+        self.trail.close(&self.gateway, &self.label, verdict, halt);
     }
 
     /// Keeps a connection to an endpoint for later requests.
     pub fn keep(&self, upstream: Upstream, keep_alive: Option<Duration>) {
-        let now = self.gateway.driver().clock().now();
+        let now = self.now();
         self.gateway.upstreams().keep(now, upstream, keep_alive);
     }
+
+    fn now(&self) -> Instant {
+        self.gateway.driver().clock().now()
+    }
 }
 
 impl<C: Clock + 'static, D: Dialect> Drop for Ticket<C, D> {
@@ -116,8 +165,6 @@
         }
         let call = self.number();
         self.feed(Input::Left { call });
-        self.close(Verdict::MayHaveRun {
-            reason: Reason::CallerLeft,
-        });
+        self.close(Verdict::may_have_run(Reason::CallerLeft), None);
     }
 }
