Count memory that was freed once when placing models

Cause: a step stays pending until its model is held.

Ruled out: an engine that refuses (no order was sent for these steps).

Change: only models that are still held count as making way; a failure ends one step. Tests: `memory_that_was_freed_is_not_counted_twice` and `step_that_failed_leaves_the_others_of_its_engine`, both failed before.

--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -11,7 +11,7 @@
 use crate::process::placement::Step;
 use crate::process::registry::{Announcement, Rumor};
 use crate::request::{Passage, Verdict};
-use crate::version::Routing;
+use crate::version::{Model, Routing};
 use crate::version::routing::Pool;
 
 /// What happened to a gateway. `call` is unique in this run.
@@ -49,8 +49,12 @@
     Spread { to: SocketAddr, run: Option<u64> },
     /// The term in which the replica beside this gateway leads, if it does.
     Led { term: Option<u64> },
-    /// The steward of `endpoint` answered an order.
-    Placed { endpoint: &'a str, accepted: bool },
+    /// The steward of `endpoint` answered whether it loads `model`.
+    Placed {
+        endpoint: &'a str,
+        model: &'a Model,
+        accepted: bool,
+    },
     /// The machine's deadline passed.
     Ticked,
 }
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -190,7 +190,11 @@
             Event::Listed { gateways } => self.spread.list(now, gateways),
             Event::Spread { to, run } => self.spread.settle(now, to, run),
             Event::Led { term } => self.lead(term),
-            Event::Placed { endpoint, accepted } => self.placed(endpoint, accepted),
+            Event::Placed {
+                endpoint,
+                model,
+                accepted,
+            } => self.placed(endpoint, model, accepted),
             Event::Ticked => {
                 self.registry.expire(now);
                 self.seats
--- a/crates/nutmegyoke-core/src/process/gateway/place.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/place.rs
@@ -7,6 +7,7 @@
 use super::{Command, Gateway, Sink};
 use crate::process::Placement;
 use crate::process::placement::{Fleet, Host, Step};
+use crate::version::Model;
 use crate::version::routing::Pool;
 
 impl Gateway {
@@ -19,10 +20,10 @@
     }
 
     /// Takes in whether a steward took its order.
-    pub(super) fn placed(&mut self, endpoint: &str, accepted: bool) {
+    pub(super) fn placed(&mut self, endpoint: &str, model: &Model, accepted: bool) {
         if !accepted {
             for placement in self.placements.values_mut() {
-                placement.fail(endpoint);
+                placement.fail(endpoint, model);
             }
         }
     }
--- a/crates/nutmegyoke-core/src/process/placement/mod.rs
+++ b/crates/nutmegyoke-core/src/process/placement/mod.rs
@@ -91,9 +91,11 @@
         self.next
     }
 
-    /// The engine did not take its step.
-    pub fn fail(&mut self, endpoint: &str) {
-        self.pending.remove(endpoint);
+    /// The engine did not take the step that loads `model`.
+    pub fn fail(&mut self, endpoint: &str, model: &Model) {
+        if let Some(steps) = self.pending.get_mut(endpoint) {
+            steps.retain(|(step, _)| step.load != *model);
+        }
     }
 
     /// Orders the next steps, if a round is due.
@@ -232,7 +234,11 @@
             .pending(host)
             .filter_map(|step| fleet.weights(&step.load));
         let coming: f64 = coming.map(|weights| weights.mb).sum();
-        let leaving: Vec<&Model> = self.pending(host).flat_map(|step| &step.unload).collect();
+        // A model that has left already is not held, so its memory counts as room.
+        let leaving = self.pending(host).flat_map(|step| &step.unload);
+        let leaving: Vec<&Model> = leaving
+            .filter(|model| host.models.contains(model))
+            .collect();
         let freed = leaving.iter().filter_map(|model| fleet.weights(model));
         let freed: f64 = freed.map(|weights| weights.mb).sum();
         let mut missing = weights.mb + coming - freed - fleet.room(host);
--- a/crates/nutmegyoke-core/tests/placement.rs
+++ b/crates/nutmegyoke-core/tests/placement.rs
@@ -21,28 +21,46 @@
     names.split_whitespace().map(Model::from).collect()
 }
 
+/// What the engines hold and are asked for.
+struct Rack<'a> {
+    rows: Vec<(&'a str, Vec<Model>, Vec<Model>)>,
+    demand: BTreeMap<Model, f64>,
+}
+
+impl<'a> Rack<'a> {
+    /// Engines with `rows`, with demand in parts of an engine.
+    fn open(rows: Rows<'a>, demand: &[(&str, f64)]) -> Self {
+        let rows = rows.iter();
+        let rows = rows.map(|(id, held, warm)| (*id, models(held), models(warm)));
+        let demand = demand.iter();
+        let demand = demand.map(|&(name, share)| (name.into(), share * 38_700.0));
+        Self {
+            rows: rows.collect(),
+            demand: demand.collect(),
+        }
+    }
+
+    fn fleet(&'a self, engine: &'a Engine) -> Fleet<'a> {
+        let hosts = self.rows.iter().map(|(id, held, warm)| Host {
+            id,
+            models: held,
+            warm,
+            load: 0.0,
+        });
+        let mut fleet = Fleet {
+            engine,
+            hosts: hosts.collect(),
+            demand: &self.demand,
+        };
+        fleet.weigh();
+        fleet
+    }
+}
+
 /// The first steps over engines with `rows`, with demand in parts of an engine.
 fn plan(engine: &Engine, rows: Rows<'_>, demand: &[(&str, f64)]) -> Vec<Step> {
-    let rows: Vec<(&str, Vec<Model>, Vec<Model>)> = rows
-        .iter()
-        .map(|(id, held, warm)| (*id, models(held), models(warm)))
-        .collect();
-    let demand: BTreeMap<Model, f64> = demand
-        .iter()
-        .map(|&(name, share)| (name.into(), share * 38_700.0))
-        .collect();
-    let hosts = rows.iter().map(|(id, held, warm)| Host {
-        id,
-        models: held,
-        warm,
-        load: 0.0,
-    });
-    let mut fleet = Fleet {
-        engine,
-        hosts: hosts.collect(),
-        demand: &demand,
-    };
-    fleet.weigh();
+    let rack = Rack::open(rows, demand);
+    let fleet = rack.fleet(engine);
     let now = Instant::now();
     let mut placement = Placement::default();
     assert!(
@@ -180,3 +198,67 @@
         Duration::from_millis(400)
     ),
 });
+
+/// A placement that is asked again as the engines change.
+struct Rounds {
+    now: Instant,
+    placement: Placement,
+    engine: Engine,
+}
+
+impl Rounds {
+    fn open(known: &[&str], rows: Rows<'_>) -> Self {
+        let mut rounds = Self {
+            now: Instant::now(),
+            placement: Placement::default(),
+            engine: capability(known),
+        };
+        assert!(rounds.plan(rows, &[]).is_empty());
+        rounds.now += Duration::from_secs(4);
+        rounds
+    }
+
+    fn plan(&mut self, rows: Rows<'_>, demand: &[(&str, f64)]) -> Vec<Step> {
+        let rack = Rack::open(rows, demand);
+        self.now += Duration::from_millis(400);
+        self.placement.plan(self.now, &rack.fleet(&self.engine))
+    }
+}
+
+#[test]
+fn memory_that_was_freed_is_not_counted_twice() {
+    let known = ["a", "b", "c", "d", "e"];
+    let before: Rows<'_> = &[("1", "a b c", ""), ("2", "a b c", "")];
+    let mut rounds = Rounds::open(&known, before);
+    // Both lack an engine; each gets one of two, in place of a copy held twice.
+    let steps = rounds.plan(before, &[]);
+    assert_eq!(steps.len(), 2);
+    let (first, second) = (&steps[0], &steps[1]);
+    assert!(!first.unload.is_empty() && !second.unload.is_empty());
+    // The copies that made way are gone, those that come are not there yet.
+    let held = |step: &Step| {
+        let left = ["a", "b", "c"].into_iter();
+        let left = left.filter(|name| !step.unload.contains(&Model::from(*name)));
+        left.collect::<Vec<_>>().join(" ")
+    };
+    let (one, two) = if first.endpoint == "1" {
+        (held(first), held(second))
+    } else {
+        (held(second), held(first))
+    };
+    let after = [("1", one.as_str(), ""), ("2", two.as_str(), "")];
+    for step in rounds.plan(&after, &[("a", 3.0)]) {
+        assert!(!step.unload.is_empty(), "no room for {step:?}");
+    }
+}
+
+#[test]
+fn step_that_failed_leaves_the_others_of_its_engine() {
+    let known = ["a", "b", "c"];
+    let rows: Rows<'_> = &[("1", "", "")];
+    let mut rounds = Rounds::open(&known, rows);
+    let steps = rounds.plan(rows, &[]);
+    assert_eq!(steps.len(), 3);
+    rounds.placement.fail("1", &steps[0].load);
+    assert_eq!(rounds.plan(rows, &[]), [steps[0].clone()]);
+}
--- a/crates/nutmegyoke-host/src/process/gateway/exchange.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/exchange.rs
@@ -75,8 +75,11 @@
             } => {
                 compio::runtime::spawn(async move {
                     let accepted = gateway.place(&endpoint, term, &step, &pool).await;
-                    let endpoint = &endpoint.id;
-                    gateway.driver.feed(Input::Placed { endpoint, accepted });
+                    gateway.driver.feed(Input::Placed {
+                        endpoint: &endpoint.id,
+                        model: &step.load,
+                        accepted,
+                    });
                 })
                 .detach();
             }
