Ask other stewards for an adapter without using up repeats

Change: a steward that declines costs neither a try nor a repeat. Its engine is passed over for other adapters for half a second, and where all declined they are asked again while the request may wait, a second at most. Tests in `tests/gateway.rs` of the core.

--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -165,10 +165,30 @@
         let known = known.map(|row| Rc::clone(&row.announcement));
         match known.filter(|_| held) {
             Some(endpoint) => self.dispatch(now, number, endpoint, out),
-            None => self.settle(now, number, Verdict::not_run(Reason::NotHeld), out),
+            None => self.decline(now, number, out),
         }
     }
 
+    /// Sends the request elsewhere, because the steward of the chosen engine has no
+    /// place for its adapter. No endpoint has been sent it, so this is no repeat.
+    fn decline<S>(&mut self, now: Instant, number: u64, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let Stage::Preparing { endpoint } = std::mem::replace(&mut call.stage, Stage::Idle) else {
+            return;
+        };
+        if let Some(seat) = self.seats.get_mut(&endpoint) {
+            seat.in_flight = seat.in_flight.saturating_sub(1);
+            seat.decline(now);
+        }
+        call.declined.push(endpoint);
+        self.attempt(now, number, out);
+    }
+
     pub(super) fn begin(&mut self, now: Instant, number: u64) {
         let Some(call) = self.calls.get_mut(&number) else {
             return;
--- a/crates/nutmegyoke-core/src/process/gateway/call.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -29,6 +29,8 @@
     pub candidates: usize,
     /// The endpoints tried, by id.
     pub tried: Vec<String>,
+    /// The engines whose stewards had no place for the adapter, by id.
+    pub declined: Vec<String>,
     /// Attempts that may have run, with the reason of the latest.
     pub runs: u32,
     pub suspect: Option<Reason>,
@@ -73,6 +75,7 @@
             put_off: false,
             candidates: 0,
             tried: Vec::new(),
+            declined: Vec::new(),
             runs: 0,
             suspect: None,
             stage: Stage::Idle,
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -24,6 +24,10 @@
 /// and the adapter that makes way is loaded again later.
 const ADAPTER_COST: u64 = 2000;
 
+/// What an engine costs that had no place for another adapter a moment ago, in prompt
+/// tokens: its steward is likely to decline again.
+const NO_PLACE_COST: u64 = 20_000;
+
 /// What an endpoint of another data centre costs, in prompt tokens: 1 to 3 ms there
 /// and back, and the bytes of prompt and answer, which are paid for.
 const FAR_COST: u64 = 1500;
@@ -120,7 +124,8 @@
         if let Some(adapter) = &call.adapter
             && !seat.is_some_and(|seat| seat.holds(model.as_str(), adapter))
         {
-            cost += ADAPTER_COST;
+            let full = seat.is_some_and(|seat| seat.is_full(now));
+            cost += if full { NO_PLACE_COST } else { ADAPTER_COST };
         }
         if !favourite {
             cost += STRAY_COST;
@@ -138,6 +143,7 @@
     row.takes_work()
         && announcement.service == call.service
         && !call.tried.contains(&announcement.id)
+        && !call.declined.contains(&announcement.id)
         && call.model.as_ref().is_none_or(held)
 }
 
--- a/crates/nutmegyoke-core/src/process/gateway/seat.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/seat.rs
@@ -22,6 +22,10 @@
 /// isn't taken for idle.
 const TOUCH_PERIOD: Duration = Duration::from_secs(1);
 
+/// How long an engine counts as full of adapters after its steward said so: half of
+/// the time after which an adapter that isn't used makes way.
+const FULL: Duration = Duration::from_millis(500);
+
 /// An endpoint as the gateway's own requests found it.
 #[derive(Debug, Default)]
 pub struct Seat {
@@ -37,6 +41,8 @@
     adapters: BTreeMap<(String, String), Instant>,
     /// When the steward answered last.
     asked: Option<Instant>,
+    /// When its steward had no place for another adapter.
+    declined: Option<Instant>,
     failures: u32,
     avoided: Option<Instant>,
 }
@@ -49,6 +55,7 @@
             self.cache.clear();
             self.adapters.clear();
             self.asked = None;
+            self.declined = None;
             self.failures = 0;
             self.avoided = None;
         }
@@ -79,6 +86,17 @@
         }
     }
 
+    /// Notes that its steward had no place for another adapter.
+    pub fn decline(&mut self, now: Instant) {
+        self.declined = Some(now);
+    }
+
+    /// Whether its steward had no place for another adapter a moment ago.
+    #[must_use]
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.declined.is_some_and(|at| now < at + FULL)
+    }
+
     /// Whether the endpoint is known to hold an adapter.
     #[must_use]
     pub fn holds(&self, model: &str, adapter: &str) -> bool {
--- a/crates/nutmegyoke-core/src/process/gateway/wait.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/wait.rs
@@ -18,6 +18,10 @@
 /// The part of the time left that a request waits at most.
 const PART: u32 = 4;
 
+/// The pause before stewards are asked again that had no place for an adapter: a few
+/// times the load of an adapter.
+const DECLINE_PAUSE: Duration = Duration::from_millis(60);
+
 /// The requests that wait.
 #[derive(Debug, Default)]
 pub struct Waiting {
@@ -115,9 +119,13 @@
             return;
         };
         let whole = call.deadline.saturating_duration_since(call.arrived);
-        let until = call.arrived + (whole / PART).min(LONGEST);
+        let mut until = call.arrived + (whole / PART).min(LONGEST);
         // Another try than the first has failed elsewhere: no endpoint is about to come.
         if now < until && call.tried.is_empty() {
+            if !call.declined.is_empty() {
+                call.declined.clear();
+                until = until.min(now + DECLINE_PAUSE);
+            }
             if self.waiting.calls.insert(number) {
                 self.waiting.until.insert((until, number));
             }
@@ -132,7 +140,12 @@
         } else {
             Halt::NoOther
         };
-        let none = Verdict::not_run(Reason::NoEndpoint);
+        let reason = if call.declined.is_empty() {
+            Reason::NoEndpoint
+        } else {
+            Reason::NotHeld
+        };
+        let none = Verdict::not_run(reason);
         let verdict = call.suspect.map_or(none, Verdict::may_have_run);
         if let Some(model) = call.model.clone() {
             let tokens = u64::from(call.prompt.tokens);
--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -430,6 +430,59 @@
     assert_ne!(first, second);
 }
 
+const DECLINED: Event<'_> = Event::Prepared {
+    call: 1,
+    adapters: Some(&[]),
+};
+
+/// Whether the steward of some engine is asked for an adapter.
+fn prepares(out: &[Command]) -> bool {
+    out.iter()
+        .any(|command| matches!(command, Command::Prepare { .. }))
+}
+
+#[test]
+fn stewards_that_have_no_place_use_no_repeats() {
+    let engines: Vec<Announcement> = (1..=6).map(|host| engine(host, &["price"])).collect();
+    let mut bed = Bed::open(&engines);
+    let passage = chat("price", Some("a1"), &[]);
+    bed.feed(Event::Arrived { call: 1, passage });
+    for _ in 1..6 {
+        let out = bed.feed(DECLINED);
+        assert!(prepares(&out), "{out:?}");
+    }
+}
+
+#[test]
+fn stewards_are_asked_again_that_had_no_place() {
+    let mut bed = Bed::open(&[engine(1, &["price"])]);
+    let passage = chat("price", Some("a1"), &[]);
+    bed.feed(Event::Arrived { call: 1, passage });
+    let out = bed.feed(DECLINED);
+    assert!(!prepares(&out) && refused(&out).is_none());
+    assert!(prepares(&bed.wait(SECOND / 10)));
+    bed.feed(DECLINED);
+    assert!(prepares(&bed.wait(SECOND)));
+    let out = bed.feed(DECLINED);
+    assert_eq!(refused(&out), Some(not_run(Reason::NotHeld)));
+}
+
+#[test]
+fn engine_without_a_place_is_passed_over_for_other_adapters() {
+    let mut bed = Bed::open(&[engine(1, &["price"]), engine(2, &["price"])]);
+    let chosen = |out: &[Command]| match out {
+        [Command::Prepare { endpoint, .. }, ..] => endpoint.id.clone(),
+        other => panic!("{other:?}"),
+    };
+    let passage = chat("price", Some("a1"), &[]);
+    let full = chosen(&bed.feed(Event::Arrived { call: 1, passage }));
+    bed.feed(DECLINED);
+    for (call, adapter) in [(2, "a2"), (3, "a3"), (4, "a4"), (5, "a5")] {
+        let passage = chat("price", Some(adapter), &[]);
+        assert_ne!(chosen(&bed.feed(Event::Arrived { call, passage })), full);
+    }
+}
+
 /// One event of a request that may run once.
 #[derive(Clone, Copy, Debug)]
 enum Step {
