--- a/crates/nutmegyoke-core/src/process/control/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/event.rs
@@ -10,7 +10,7 @@
 use crate::process::Member;
 use crate::process::news::{Known, News};
 use crate::request::{Id, Verdict, claim};
-use crate::version::{Configuration, Document};
+use crate::version::{Configuration, Document, Model};
 
 /// What happened to a control process.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +31,11 @@
         call: u64,
         document: &'a Rc<Document>,
     },
+    /// The gateway beside this process records the demand for models.
+    Weighed {
+        call: u64,
+        demand: &'a Rc<[(Model, f64)]>,
+    },
     /// Someone wants to know which routing document is the newest.
     Read { call: u64 },
     /// An entry wants a claim for a request.
--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -225,6 +225,10 @@
                 let document = Rc::clone(document);
                 self.propose(now, call, &Change::Publish { document }, out);
             }
+            Event::Weighed { call, demand } => {
+                let demand = Rc::clone(demand);
+                self.propose(now, call, &Change::Weigh { demand }, out);
+            }
             Event::Read { call } => self.propose(now, call, &Change::Confirm, out),
             Event::Claimed {
                 call,
--- a/crates/nutmegyoke-core/src/process/control/replica/election.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/election.rs
@@ -7,13 +7,29 @@
 //! the answered messages were sent, steps down; no other can be elected before.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{
     Body, Command, Content, Entry, Id, Message, Position, Replica, Role, Sink, State, Vote,
 };
 
 impl<S: State> Replica<S> {
+    /// The time after which a leader that no majority answers stops by itself.
+    pub(super) fn lease(&self) -> Duration {
+        self.setup.election * 3 / 4
+    }
+
+    /// Begins to wait for a leader after the start.
+    ///
+    /// What this replica answered a leader in an earlier run makes that one lead for
+    /// a lease at most. All may have been restarted together, so no more is waited.
+    pub(super) fn wait_at_start(&mut self, now: Instant) {
+        let lease = self.lease();
+        let heard = now.checked_sub(self.setup.election - lease);
+        self.heard = heard.unwrap_or(now);
+        self.alarm = now + lease + self.heartbeat().mul_f64(self.random.f64());
+    }
+
     /// Waits a random time for a leader before campaigning.
     pub(super) fn rest(&mut self, now: Instant) {
         let election = self.setup.election;
@@ -39,7 +55,9 @@
     where
         K: Sink<Command = Command<S>>,
     {
-        self.rest(now);
+        // A poll changes nothing at the others, so it may be repeated soon.
+        let heartbeat = self.heartbeat();
+        self.alarm = now + heartbeat + heartbeat.mul_f64(self.random.f64());
         if self.disk.stalled {
             return;
         }
@@ -165,7 +183,7 @@
         let Role::Leader { progress, .. } = &self.role else {
             return;
         };
-        let lease = self.setup.election * 3 / 4;
+        let lease = self.lease();
         let heard = self.membership.voters().filter(|peer| {
             let answered = progress.get(&peer.id).map(|progress| progress.answered);
             peer.id == self.setup.id || answered.is_some_and(|at| at + lease > now)
--- a/crates/nutmegyoke-core/src/process/control/replica/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/mod.rs
@@ -160,7 +160,7 @@
         };
         replica.find_membership();
         if replica.votes() {
-            replica.rest(now);
+            replica.wait_at_start(now);
         }
         replica
     }
--- a/crates/nutmegyoke-core/src/process/control/store.rs
+++ b/crates/nutmegyoke-core/src/process/control/store.rs
@@ -8,7 +8,7 @@
 use super::replica::State;
 use crate::request::claim::{self, Key};
 use crate::request::{Id, Verdict};
-use crate::version::{Configuration, Document};
+use crate::version::{Configuration, Document, Model};
 
 /// About how many bytes a claim takes in the log or a snapshot.
 const CLAIM_BYTES: usize = 80;
@@ -16,6 +16,9 @@
 /// About how many bytes a plan or a grant takes in the log or a snapshot.
 const ROW_BYTES: usize = 160;
 
+/// About how many bytes the demand for one model takes in the log or a snapshot.
+const DEMAND_BYTES: usize = 40;
+
 /// The replicated state.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
@@ -25,6 +28,8 @@
     pub document: Option<Rc<Document>>,
     /// The claims within their retention.
     pub claims: Claims,
+    /// The demand for each model when it was recorded last, in prompt tokens per second.
+    pub demand: Rc<[(Model, f64)]>,
 }
 
 /// A change of the replicated state.
@@ -34,6 +39,8 @@
     Configure { configuration: Rc<Configuration> },
     /// An operator published a routing document.
     Publish { document: Rc<Document> },
+    /// A leader records the demand for models, for the leader after it.
+    Weigh { demand: Rc<[(Model, f64)]> },
     /// Nothing; its place in the log proves what came before it.
     Confirm,
     /// An entry wants a claim.
@@ -114,6 +121,10 @@
                 self.publish(document);
                 self.published()
             }
+            Change::Weigh { demand } => {
+                self.demand = Rc::clone(demand);
+                Outcome::Recorded
+            }
             Change::Confirm => self.published(),
             Change::Claim { wish } => Outcome::Judged {
                 outcome: self.claims.grant(*wish),
@@ -134,13 +145,15 @@
         match change {
             Change::Configure { configuration } => rows(configuration) * ROW_BYTES,
             Change::Publish { document } => document.source.len(),
+            Change::Weigh { demand } => demand.len() * DEMAND_BYTES,
             Change::Claim { .. } | Change::Conclude { .. } | Change::Confirm => CLAIM_BYTES,
         }
     }
 
     fn size(&self) -> usize {
         let document = self.document.as_ref().map_or(0, |held| held.source.len());
-        rows(&self.configuration) * ROW_BYTES + self.claims.len() * CLAIM_BYTES + document
+        let demand = self.demand.len() * DEMAND_BYTES;
+        rows(&self.configuration) * ROW_BYTES + self.claims.len() * CLAIM_BYTES + document + demand
     }
 }
 
--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -120,7 +120,8 @@
         let ahead = u64::from(basis.tokens - basis.kept);
         seat.cache.note(now, &call.prompt);
         seat.ahead += ahead;
-        if let Some(model) = &call.model {
+        // What had to wait was counted when it began to.
+        if let Some(model) = call.model.as_ref().filter(|_| !call.put_off) {
             self.demand.count(now, model, ahead);
         }
         call.stage = Stage::Running {
--- a/crates/nutmegyoke-core/src/process/gateway/demand.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/demand.rs
@@ -43,6 +43,8 @@
     others: HashMap<u64, (Instant, Work)>,
     /// The sum of what the others told of each endpoint.
     backlogs: HashMap<String, Backlog>,
+    /// What an earlier leader recorded, and when it was recalled.
+    recalled: Option<(Instant, Vec<(Model, f64)>)>,
 }
 
 /// A rate that forgets what is long ago.
@@ -103,6 +105,12 @@
         }
     }
 
+    /// Takes in what an earlier leader recorded. It counts as if it were measured
+    /// until now, and is forgotten like that.
+    pub fn recall(&mut self, now: Instant, rows: &[(Model, f64)]) {
+        self.recalled = Some((now, rows.to_vec()));
+    }
+
     /// What an endpoint has of the other gateways' requests, as they told last.
     #[must_use]
     pub fn backlog(&self, id: &str) -> Backlog {
@@ -121,6 +129,14 @@
                 *total.entry(model.clone()).or_default() += rate;
             }
         }
+        if let Some((at, rows)) = &self.recalled {
+            let age = now.saturating_duration_since(*at).as_secs_f64();
+            let [_, slow] = AVERAGES.map(|average| (-age / average.as_secs_f64()).exp());
+            for (model, rate) in rows.iter().filter(|(_, rate)| rate * slow >= LEAST_RATE) {
+                let measured = total.entry(model.clone()).or_default();
+                *measured = measured.max(rate * slow);
+            }
+        }
         total
     }
 }
--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -11,8 +11,8 @@
 use crate::process::placement::Step;
 use crate::process::registry::{Announcement, Rumor};
 use crate::request::{Passage, Verdict};
-use crate::version::{Model, Routing};
 use crate::version::routing::Pool;
+use crate::version::{Model, Routing};
 
 /// What happened to a gateway. `call` is unique in this run.
 #[derive(Clone, Copy, Debug)]
@@ -47,8 +47,12 @@
     Listed { gateways: &'a [SocketAddr] },
     /// A message to another gateway ended; `run` is the run that took it in.
     Spread { to: SocketAddr, run: Option<u64> },
-    /// The term in which the replica beside this gateway leads, if it does.
-    Led { term: Option<u64> },
+    /// The term in which the replica beside this gateway leads, if it does, and the
+    /// demand for models that was recorded last, in prompt tokens per second.
+    Led {
+        term: Option<u64>,
+        demand: &'a [(Model, f64)],
+    },
     /// The steward of `endpoint` answered whether it loads `model`.
     Placed {
         endpoint: &'a str,
@@ -113,6 +117,8 @@
         step: Step,
         pool: Rc<Pool>,
     },
+    /// Record the demand for models, for the leader after this one.
+    Record { demand: Rc<[(Model, f64)]> },
     /// Attempts were repeated or could have been; for the counters.
     Retried { verdict: Verdict, allowed: bool },
 }
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -68,6 +68,8 @@
     placements: HashMap<Service, Placement>,
     /// The term in which the replica beside this gateway leads.
     leads: Option<u64>,
+    /// When the demand for models is recorded next.
+    records: Option<Instant>,
     calls: HashMap<u64, Call>,
     deadlines: BTreeSet<(Instant, u64)>,
     waiting: Waiting,
@@ -88,6 +90,7 @@
             demand: Demand::default(),
             placements: HashMap::new(),
             leads: None,
+            records: None,
             calls: HashMap::new(),
             deadlines: BTreeSet::new(),
             waiting: Waiting::default(),
@@ -189,7 +192,7 @@
             }
             Event::Listed { gateways } => self.spread.list(now, gateways),
             Event::Spread { to, run } => self.spread.settle(now, to, run),
-            Event::Led { term } => self.lead(term),
+            Event::Led { term, demand } => self.lead(now, term, demand),
             Event::Placed {
                 endpoint,
                 model,
@@ -205,6 +208,7 @@
         self.expire(now, out);
         self.spread(now, out);
         self.place(now, out);
+        self.record(now, out);
     }
 
     fn tick() -> Event<'static> {
--- a/crates/nutmegyoke-core/src/process/gateway/place.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/place.rs
@@ -1,7 +1,7 @@
 //! Places models on engines while the replica beside this gateway leads.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::demand::{Backlog, Work};
 use super::{Command, Gateway, Sink};
@@ -10,12 +10,34 @@
 use crate::version::Model;
 use crate::version::routing::Pool;
 
+/// How often the demand for models is recorded. What it missed matters little: demand
+/// is averaged over 6 s.
+const RECORD_PERIOD: Duration = Duration::from_secs(4);
+
 impl Gateway {
     /// Begins or ends to place models.
-    pub(super) fn lead(&mut self, term: Option<u64>) {
+    pub(super) fn lead(&mut self, now: Instant, term: Option<u64>, demand: &[(Model, f64)]) {
         if self.leads != term {
             self.placements.clear();
             self.leads = term;
+            self.demand.recall(now, demand);
+            self.records = term.map(|_| now + RECORD_PERIOD);
+        }
+    }
+
+    /// Has the demand recorded from time to time, because all gateways may be
+    /// restarted together, and with them the engines.
+    pub(super) fn record<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        if self.records.is_none_or(|due| now < due) {
+            return;
+        }
+        self.records = Some(now + RECORD_PERIOD);
+        let demand: Rc<[(Model, f64)]> = self.demand.total(now).into_iter().collect();
+        if !demand.is_empty() {
+            out.push(Command::Record { demand });
         }
     }
 
--- a/crates/nutmegyoke-core/src/process/gateway/wait.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/wait.rs
@@ -131,6 +131,10 @@
             }
             if !call.put_off {
                 call.put_off = true;
+                let tokens = u64::from(call.prompt.tokens);
+                if let Some(model) = &call.model {
+                    self.demand.count(now, model, tokens);
+                }
                 out.push(Command::PutOff { call: number });
             }
             return;
@@ -147,9 +151,9 @@
         };
         let none = Verdict::not_run(reason);
         let verdict = call.suspect.map_or(none, Verdict::may_have_run);
-        if let Some(model) = call.model.clone() {
+        if let Some(model) = call.model.as_ref().filter(|_| !call.put_off) {
             let tokens = u64::from(call.prompt.tokens);
-            self.demand.count(now, &model, tokens);
+            self.demand.count(now, model, tokens);
         }
         self.give_up(number, verdict, halt, out);
     }
--- a/crates/nutmegyoke-core/src/process/placement/mod.rs
+++ b/crates/nutmegyoke-core/src/process/placement/mod.rs
@@ -58,6 +58,10 @@
 /// heartbeat by then, or is gone.
 const LISTEN: Duration = Duration::from_millis(1600);
 
+/// How long a new leader listens where all engines that it knows are empty, because
+/// all have been restarted: long enough for most to have sent their first heartbeat.
+const LISTEN_TO_EMPTY: Duration = Duration::from_millis(100);
+
 /// The steps that an engine is ordered ahead at most.
 const STEPS_AHEAD: usize = 3;
 
@@ -109,9 +113,12 @@
             self.loads = std::iter::repeat_n(now, whole(allowed)).collect();
             // Engines that hold nothing have all just started, so nothing is missed.
             let empty = fleet.hosts.iter().all(|host| host.models.is_empty());
-            self.ready = Some(now + if empty { LISTEN / 4 } else { LISTEN });
+            let listen = if empty { LISTEN_TO_EMPTY } else { LISTEN };
+            self.ready = Some(now + listen);
+            self.next = Some(now + listen.min(PERIOD));
+        } else {
+            self.next = Some(now + PERIOD);
         }
-        self.next = Some(now + PERIOD);
         self.settle(now, fleet);
         while self
             .loads
--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -483,6 +483,26 @@
     }
 }
 
+/// The demand that a leader records `after` it began to lead, with what it recalled.
+fn records(recalled: f64, after: Duration, expected: Option<f64>) {
+    let mut bed = Bed::open(&[engine(1, &["price"])]);
+    let demand = &[("price".into(), recalled)];
+    let term = Some(1);
+    bed.feed(Event::Led { term, demand });
+    let out = bed.wait(after);
+    let told = out.iter().find_map(|command| match command {
+        Command::Record { demand } => Some(demand[0].1),
+        _ => None,
+    });
+    assert_eq!(told.map(f64::round), expected);
+}
+
+cases!(records {
+    nothing_at_once: (1000.0, SECOND, None),
+    what_it_recalled_as_if_it_had_been_measured: (1000.0, SECOND * 6, Some(368.0)),
+    nothing_where_there_is_none: (0.0, SECOND * 6, None),
+});
+
 /// One event of a request that may run once.
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- a/crates/nutmegyoke-core/tests/roster.rs
+++ b/crates/nutmegyoke-core/tests/roster.rs
@@ -9,7 +9,7 @@
 use nutmegyoke_core::process::control::replica::{Event, State};
 use nutmegyoke_core::process::control::store::{Change, Outcome, Store};
 use nutmegyoke_core::version::Document;
-use support::{Simulation, Weather};
+use support::{ELECTION, Simulation, Weather};
 
 const CALM: Weather = Weather {
     loss: 0,
@@ -118,6 +118,44 @@
     }
 }
 
+#[test]
+fn leader_is_elected_soon_after_all_were_restarted() {
+    let mut simulation = group(CALM, 10);
+    simulation.run(JOIN);
+    for vm in 0..5 {
+        simulation.kill(vm);
+    }
+    for vm in 0..5 {
+        simulation.start(vm);
+    }
+    simulation.run(ELECTION);
+    assert!(simulation.leader().is_some());
+}
+
+/// The others are restarted just after they answered a leader that is then cut off.
+fn restarted_voters_elect_nobody_beside_a_leader(seed: u64) {
+    let mut simulation = group(CALM, seed);
+    simulation.run(JOIN);
+    let leader = simulation.leader().unwrap();
+    simulation.cut.insert(leader);
+    for vm in (0..3).filter(|&vm| vm != leader) {
+        simulation.kill(vm);
+        simulation.start(vm);
+    }
+    for _ in 0..2000 {
+        simulation.run(Duration::from_millis(1));
+        let replicas = simulation.vms.iter().filter_map(|vm| vm.replica.as_ref());
+        assert!(replicas.filter(|replica| replica.leads()).count() <= 1);
+    }
+    assert_ne!(simulation.leader(), Some(leader));
+}
+
+cases!(restarted_voters_elect_nobody_beside_a_leader {
+    once: (11),
+    otherwise: (12),
+    once_more: (13),
+});
+
 #[test]
 fn observers_receive_what_is_committed() {
     let mut simulation = group(CALM, 8);
--- a/crates/nutmegyoke-host/src/process/control/routing.rs
+++ b/crates/nutmegyoke-host/src/process/control/routing.rs
@@ -6,7 +6,7 @@
 use futures_util::StreamExt;
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::control::Event as Input;
-use nutmegyoke_core::version::Document;
+use nutmegyoke_core::version::{Document, Model};
 
 use super::{Control, HAND_OVER, ask};
 
@@ -29,6 +29,19 @@
         self.driver.machine().document().cloned()
     }
 
+    /// The demand for models that was recorded last, in prompt tokens per second.
+    #[must_use]
+    pub fn demand(&self) -> Rc<[(Model, f64)]> {
+        Rc::clone(&self.driver.machine().replica().state().demand)
+    }
+
+    /// Records the demand for models, if this replica leads.
+    pub fn record(&self, demand: &Rc<[(Model, f64)]>) {
+        // Nobody waits: what gets lost is recorded anew a few seconds later.
+        let call = self.driver.open().number();
+        self.driver.feed(Input::Weighed { call, demand });
+    }
+
     /// The term in which this replica leads, if it does.
     #[must_use]
     pub fn leading(&self) -> Option<u64> {
--- a/crates/nutmegyoke-host/src/process/gateway/exchange.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/exchange.rs
@@ -96,6 +96,7 @@
                 })
                 .detach();
             }
+            Command::Record { demand } => gateway.control.record(&demand),
             Command::Retried { verdict, allowed } => {
                 if let Some(reason) = verdict.reason() {
                     if allowed {
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -79,6 +79,7 @@
             Self::Touch { .. }
             | Self::Spread { .. }
             | Self::Place { .. }
+            | Self::Record { .. }
             | Self::Retried { .. } => None,
         }
     }
@@ -154,7 +155,8 @@
                 .collect();
             self.driver.feed(Input::Listed { gateways: &others });
             let term = self.control.leading();
-            self.driver.feed(Input::Led { term });
+            let demand = &*self.control.demand();
+            self.driver.feed(Input::Led { term, demand });
             self.control.changed().await;
         }
     }
--- a/crates/nutmegyoke-wire/schema/replica.capnp
+++ b/crates/nutmegyoke-wire/schema/replica.capnp
@@ -2,6 +2,7 @@
 # Messages between the control replicas and records of their journal.
 
 using Link = import "link.capnp";
+using Mesh = import "mesh.capnp";
 
 struct Seed {
   name @0 :Text;
@@ -61,6 +62,7 @@
     conclude @5 :Conclusion;
     publish @6 :Document;
     confirm @7 :Void;
+    weigh @8 :List(Mesh.Demand);
   }
 }
 
@@ -94,6 +96,7 @@
   vms @5 :List(Text);
   reasons @6 :List(Text);
   document @7 :Document;  # null: none was published
+  demand @8 :List(Mesh.Demand);
 }
 
 struct Message {
--- a/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
@@ -2187,7 +2187,7 @@
 }
 
 pub mod entry {
-    pub use self::Which::{Blank,Membership,Configure,Claim,Conclude,Publish,Confirm};
+    pub use self::Which::{Blank,Membership,Configure,Claim,Conclude,Publish,Confirm,Weigh};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2283,6 +2283,11 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
+        pub fn has_weigh(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 7 { return false; }
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -2320,6 +2325,11 @@
                         ()
                     ))
                 }
+                7 => {
+                    ::core::result::Result::Ok(Weigh(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2477,6 +2487,21 @@
             self.builder.set_data_field::<u16>(0, 6);
         }
         #[inline]
+        pub fn set_weigh(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::demand::Owned>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 7);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_weigh(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::demand::Owned> {
+            self.builder.set_data_field::<u16>(0, 7);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_weigh(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 7 { return false; }
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -2514,6 +2539,11 @@
                         ()
                     ))
                 }
+                7 => {
+                    ::core::result::Result::Ok(Weigh(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2531,80 +2561,87 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 141] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 160] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(22, 139, 151, 196, 32, 239, 88, 138),
             ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 7, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 8, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 69, 110),
             ::capnp::word(116, 114, 121, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 251, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 250, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 248, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -2673,6 +2710,18 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 101, 105, 103, 104, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(78, 145, 8, 18, 187, 153, 158, 195),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2684,6 +2733,7 @@
                 5 => <crate::replica_capnp::conclusion::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <crate::replica_capnp::document::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <() as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::mesh_capnp::demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2698,11 +2748,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,5,3,7,2,0,6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,5,3,7,2,0,6,8];
         pub(crate) const TYPE_ID: u64 = 0x8a58_ef20_c497_8b16;
     }
-    pub enum Which<A0,A1,A2,A3,A4> {
+    pub enum Which<A0,A1,A2,A3,A4,A5> {
         Blank(()),
         Membership(A0),
         Configure(A1),
@@ -2710,9 +2760,10 @@
         Conclude(A3),
         Publish(A4),
         Confirm(()),
+        Weigh(A5),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::replica_capnp::membership::Reader<'a>>,::capnp::Result<crate::link_capnp::lists::Reader<'a>>,::capnp::Result<crate::replica_capnp::wish::Reader<'a>>,::capnp::Result<crate::replica_capnp::conclusion::Reader<'a>>,::capnp::Result<crate::replica_capnp::document::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::replica_capnp::membership::Builder<'a>>,::capnp::Result<crate::link_capnp::lists::Builder<'a>>,::capnp::Result<crate::replica_capnp::wish::Builder<'a>>,::capnp::Result<crate::replica_capnp::conclusion::Builder<'a>>,::capnp::Result<crate::replica_capnp::document::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::replica_capnp::membership::Reader<'a>>,::capnp::Result<crate::link_capnp::lists::Reader<'a>>,::capnp::Result<crate::replica_capnp::wish::Reader<'a>>,::capnp::Result<crate::replica_capnp::conclusion::Reader<'a>>,::capnp::Result<crate::replica_capnp::document::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::demand::Owned>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::replica_capnp::membership::Builder<'a>>,::capnp::Result<crate::link_capnp::lists::Builder<'a>>,::capnp::Result<crate::replica_capnp::wish::Builder<'a>>,::capnp::Result<crate::replica_capnp::conclusion::Builder<'a>>,::capnp::Result<crate::replica_capnp::document::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::demand::Owned>>>;
 }
 
 pub mod claim_row {
@@ -3360,11 +3411,19 @@
         pub fn has_document(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_demand(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::demand::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_demand(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3534,6 +3593,22 @@
         pub fn has_document(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_demand(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::demand::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_demand(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::demand::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_demand(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::demand::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_demand(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3557,80 +3632,87 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 153] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(102, 103, 238, 10, 39, 141, 7, 237),
             ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(83, 44, 157, 122, 15, 108, 180, 225),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 83, 110),
             ::capnp::word(97, 112, 115, 104, 111, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -3711,6 +3793,18 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(78, 145, 8, 18, 187, 153, 158, 195),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3722,6 +3816,7 @@
                 5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::replica_capnp::document::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::mesh_capnp::demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3735,9 +3830,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,7,1,0,6,3,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,8,7,1,0,6,3,5];
         pub(crate) const TYPE_ID: u64 = 0xed07_8d27_0aee_6766;
     }
 }
--- a/crates/nutmegyoke-wire/src/process/record.rs
+++ b/crates/nutmegyoke-wire/src/process/record.rs
@@ -14,7 +14,7 @@
 use nutmegyoke_core::request::claim::Key;
 use nutmegyoke_core::version::Configuration;
 
-use super::claims;
+use super::{claims, work};
 use crate::connection::link::{length, parse, set_texts, text, texts};
 use crate::connection::replica_capnp::{
     entry, key, membership, peer, position, record, seed, snapshot, wish,
@@ -198,6 +198,9 @@
         entry::Publish(published) => Content::Change(Change::Publish {
             document: document::read(published?)?,
         }),
+        entry::Weigh(rows) => Content::Change(Change::Weigh {
+            demand: work::read_demand(rows?)?,
+        }),
         entry::Confirm(()) => Content::Change(Change::Confirm),
         entry::Claim(wish) => Content::Change(Change::Claim {
             wish: read_wish(wish?)?,
@@ -233,6 +236,10 @@
         }) => {
             document::write(published, builder.init_publish());
         }
+        Content::Change(Change::Weigh { demand }) => {
+            let list = builder.init_weigh(length(demand.len()));
+            work::write_demand(demand, list);
+        }
         Content::Change(Change::Confirm) => builder.set_confirm(()),
         Content::Change(Change::Claim { wish }) => write_wish(wish, builder.init_claim()),
         Content::Change(Change::Conclude {
@@ -269,6 +276,7 @@
                 None
             },
             claims: claims::read(reader)?,
+            demand: work::read_demand(reader.get_demand()?)?,
         },
     })
 }
@@ -281,5 +289,8 @@
     if let Some(published) = &snapshot.state.document {
         document::write(published, builder.reborrow().init_document());
     }
+    let demand = &snapshot.state.demand;
+    let list = builder.reborrow().init_demand(length(demand.len()));
+    work::write_demand(demand, list);
     claims::write(&snapshot.state.claims, builder);
 }
--- a/crates/nutmegyoke-wire/src/process/work.rs
+++ b/crates/nutmegyoke-wire/src/process/work.rs
@@ -1,11 +1,13 @@
 //! What work a gateway causes, and what it orders from stewards.
 
+use capnp::struct_list;
 use nutmegyoke_core::process::gateway::Work;
 use nutmegyoke_core::process::gateway::demand::Backlog;
 use nutmegyoke_core::process::steward::Directive;
+use nutmegyoke_core::version::Model;
 
 use crate::connection::link::{length, set_texts, strings, text};
-use crate::connection::mesh_capnp::{directive, work};
+use crate::connection::mesh_capnp::{demand, directive, work};
 
 /// Reads the work that a gateway causes.
 ///
@@ -13,10 +15,6 @@
 ///
 /// The peer's message is malformed.
 pub fn read(reader: work::Reader<'_>) -> capnp::Result<Work> {
-    let models = reader.get_models()?.iter().map(|row| {
-        let model = text(row.get_model())?.into();
-        capnp::Result::Ok((model, row.get_tokens_per_second()))
-    });
     let endpoints = reader.get_endpoints()?.iter().map(|row| {
         let backlog = Backlog {
             ahead: row.get_ahead(),
@@ -25,19 +23,15 @@
         capnp::Result::Ok((text(row.get_endpoint())?.to_owned(), backlog))
     });
     Ok(Work {
-        models: models.collect::<capnp::Result<_>>()?,
+        models: read_demand(reader.get_models()?)?,
         endpoints: endpoints.collect::<capnp::Result<_>>()?,
     })
 }
 
 /// Writes the work that a gateway causes.
 pub fn write(work: &Work, mut builder: work::Builder<'_>) {
-    let mut list = builder.reborrow().init_models(length(work.models.len()));
-    for (index, (model, rate)) in (0..).zip(&work.models) {
-        let mut row = list.reborrow().get(index);
-        row.set_model(model.as_str());
-        row.set_tokens_per_second(*rate);
-    }
+    let list = builder.reborrow().init_models(length(work.models.len()));
+    write_demand(&work.models, list);
     let mut list = builder.init_endpoints(length(work.endpoints.len()));
     for (index, (id, backlog)) in (0..).zip(&work.endpoints) {
         let mut row = list.reborrow().get(index);
@@ -47,6 +41,28 @@
     }
 }
 
+/// Reads the demand for models, in prompt tokens per second.
+pub(super) fn read_demand<T: FromIterator<(Model, f64)>>(
+    list: struct_list::Reader<'_, demand::Owned>,
+) -> capnp::Result<T> {
+    let rows = list.iter().map(|row| {
+        let model = text(row.get_model())?.into();
+        Ok((model, row.get_tokens_per_second()))
+    });
+    rows.collect()
+}
+
+pub(super) fn write_demand(
+    rows: &[(Model, f64)],
+    mut list: struct_list::Builder<'_, demand::Owned>,
+) {
+    for (index, (model, rate)) in (0..).zip(rows) {
+        let mut row = list.reborrow().get(index);
+        row.set_model(model.as_str());
+        row.set_tokens_per_second(*rate);
+    }
+}
+
 /// Reads an order to a steward.
 ///
 /// # Errors
--- a/crates/nutmegyoke-wire/tests/replica.rs
+++ b/crates/nutmegyoke-wire/tests/replica.rs
@@ -16,7 +16,7 @@
 use nutmegyoke_core::process::control::store::Change;
 use nutmegyoke_core::request::claim::Key;
 use nutmegyoke_core::request::{self, Reason, Verdict};
-use nutmegyoke_core::version::Document;
+use nutmegyoke_core::version::{Document, Model};
 use nutmegyoke_wire::connection::replica_capnp::message;
 use nutmegyoke_wire::process::{record, replica};
 use proptest::prelude::*;
@@ -69,6 +69,7 @@
             document: document(),
         }),
         Content::Change(Change::Confirm),
+        Content::Change(Change::Weigh { demand: demand() }),
         Content::Change(Change::Claim {
             wish: Wish {
                 key: KEY,
@@ -93,6 +94,10 @@
     entries.collect()
 }
 
+fn demand() -> Rc<[(Model, f64)]> {
+    Rc::new([("grade".into(), 1.5), ("price".into(), 0.0)])
+}
+
 fn snapshot() -> Rc<Snapshot<Store>> {
     let row = |verdict, vm: Option<&str>| Row {
         at: 9,
@@ -112,6 +117,7 @@
             configuration: Rc::default(),
             document: Some(document()),
             claims: Claims::open(12, rows),
+            demand: demand(),
         },
     })
 }
