--- a/crates/nutmegyoke-core/src/process/placement/mod.rs
+++ b/crates/nutmegyoke-core/src/process/placement/mod.rs
@@ -32,14 +32,14 @@
 /// The part of its reading speed that an engine spends on one model, above which
 /// the model gets more copies. Beyond a third, prompts that are read slow down
 /// the answers of all other requests on the engine.
-const BUSY: f64 = 0.3;
+const BUSY: f64 = 0.2;
 
 /// The part that each copy has once there are enough.
-const ENOUGH: f64 = 0.22;
+const ENOUGH: f64 = 0.15;
 
 /// The part below which the copies that stay can take over that of one that makes
 /// way. Below [`ENOUGH`], so that it isn't loaded again at once.
-const SPARE: f64 = 0.18;
+const SPARE: f64 = 0.12;
 
 /// What a request in flight costs at an engine of which a model has to make way: the
 /// model stays until its requests end, which takes seconds.
