Take demand that rises to go on rising

Cause: a model whose demand rises gets copies 4 s and more after it needs them: the averages lag by 2 s and a load takes up to 5.8 s. Change: the fast average, of 1.5 s now, is extrapolated by its lead over the slow one.

--- a/crates/nutmegyoke-core/src/process/gateway/demand.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/demand.rs
@@ -9,7 +9,7 @@
 
 /// The times over which demand is averaged; the higher average counts. Demand
 /// that rises is followed within seconds, demand that falls may come back.
-const AVERAGES: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(6)];
+const AVERAGES: [Duration; 2] = [Duration::from_millis(1500), Duration::from_secs(6)];
 
 /// How long what another gateway told counts: two of its messages and a slow one.
 const LEASE: Duration = Duration::from_millis(2500);
@@ -70,7 +70,9 @@
     fn per_second(self, now: Instant) -> f64 {
         let [fast, slow] = self.decayed(now);
         let [fast_average, slow_average] = AVERAGES.map(|average| average.as_secs_f64());
-        (fast / fast_average).max(slow / slow_average)
+        let (fast, slow) = (fast / fast_average, slow / slow_average);
+        // A load takes seconds: what rises is taken to go on rising meanwhile.
+        slow.max(fast + (fast - slow))
     }
 }
 
