Let a leader plan at once whose gateway knows the engines; don't extrapolate demand

Change: a gateway listens after its own start only. NY0420 tells of leadership, NY0605 of a step when it is ordered, with demand and copies; NY0604 comes only once the models that make way are gone, which hid a wait of seconds.

--- a/crates/nutmegyoke-core/src/process/gateway/demand.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/demand.rs
@@ -72,7 +72,7 @@
         let [fast_average, slow_average] = AVERAGES.map(|average| average.as_secs_f64());
         let (fast, slow) = (fast / fast_average, slow / slow_average);
         // A load takes seconds: what rises is taken to go on rising meanwhile.
-        slow.max(fast + (fast - slow))
+        slow.max(fast)
     }
 }
 
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -58,6 +58,8 @@
 pub struct Gateway {
     setup: Setup,
     random: fastrand::Rng,
+    /// When it was told something first.
+    opened: Option<Instant>,
     routing: Option<Rc<Routing>>,
     registry: Registry,
     spread: Spread,
@@ -82,6 +84,7 @@
         Self {
             random: fastrand::Rng::with_seed(setup.random),
             setup,
+            opened: None,
             routing: None,
             registry: Registry::default(),
             spread: Spread::default(),
@@ -158,6 +161,7 @@
     where
         S: Sink<Command = Command>,
     {
+        self.opened.get_or_insert(now);
         match event {
             Event::Arrived { call, passage } => self.arrive(now, now, call, &passage, out),
             Event::Prepared { call, adapters } => self.prepare(now, call, adapters, out),
--- a/crates/nutmegyoke-core/src/process/gateway/place.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/place.rs
@@ -120,6 +120,6 @@
         };
         fleet.weigh();
         let placement = self.placements.entry(pool.service.clone()).or_default();
-        placement.plan(now, &fleet)
+        placement.plan(now, self.opened.unwrap_or(now), &fleet)
     }
 }
--- a/crates/nutmegyoke-core/src/process/placement/mod.rs
+++ b/crates/nutmegyoke-core/src/process/placement/mod.rs
@@ -58,11 +58,11 @@
 /// The part of all memory that spare copies may take.
 const SPARE_SHARE: f64 = 0.8;
 
-/// How long a new leader listens before it plans: every engine has sent a
-/// heartbeat by then, or is gone.
+/// How long a gateway listens after its start before it plans: every engine has sent
+/// a heartbeat by then, or is gone.
 const LISTEN: Duration = Duration::from_millis(1600);
 
-/// How long a new leader listens where all engines that it knows are empty, because
+/// How long it listens where all engines that it knows are empty, because
 /// all have been restarted: long enough for most to have sent their first heartbeat.
 const LISTEN_TO_EMPTY: Duration = Duration::from_millis(100);
 
@@ -70,7 +70,7 @@
 const STEPS_AHEAD: usize = 3;
 
 /// A step of the placement: models that make way, and one that is loaded.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Step {
     /// The engine.
     pub endpoint: String,
@@ -78,6 +78,10 @@
     pub unload: Vec<Model>,
     /// The model to load then.
     pub load: Model,
+    /// What the step was ordered on: the part of an engine's reading speed that the
+    /// demand for the model takes, and its copies without this one.
+    pub share: f64,
+    pub copies: usize,
 }
 
 /// The steps under way and the account of the store.
@@ -106,8 +110,9 @@
         }
     }
 
-    /// Orders the next steps, if a round is due.
-    pub fn plan(&mut self, now: Instant, fleet: &Fleet<'_>) -> Vec<Step> {
+    /// Orders the next steps, if a round is due. `opened` is when the gateway began to
+    /// hear of engines.
+    pub fn plan(&mut self, now: Instant, opened: Instant, fleet: &Fleet<'_>) -> Vec<Step> {
         if self.next.is_some_and(|next| now < next) {
             return Vec::new();
         }
@@ -117,9 +122,13 @@
             self.loads = std::iter::repeat_n(now, whole(allowed)).collect();
             // Engines that hold nothing have all just started, so nothing is missed.
             let empty = fleet.hosts.iter().all(|host| host.models.is_empty());
-            let listen = if empty { LISTEN_TO_EMPTY } else { LISTEN };
-            self.ready = Some(now + listen);
-            self.next = Some(now + listen.min(PERIOD));
+            let ready = if empty {
+                now + LISTEN_TO_EMPTY
+            } else {
+                now.max(opened + LISTEN)
+            };
+            self.ready = Some(ready);
+            self.next = Some(ready.min(now + PERIOD));
         } else {
             self.next = Some(now + PERIOD);
         }
@@ -232,6 +241,8 @@
             endpoint: host.id.to_owned(),
             unload,
             load: weights.model.clone(),
+            share: fleet.share(&weights.model),
+            copies: self.copies(fleet, &weights.model),
         };
         Some((step, warm))
     }
--- a/crates/nutmegyoke-core/tests/placement.rs
+++ b/crates/nutmegyoke-core/tests/placement.rs
@@ -65,10 +65,10 @@
     let now = Instant::now();
     let mut placement = Placement::default();
     assert!(
-        placement.plan(now, &fleet).is_empty(),
-        "a new leader listens first"
+        placement.plan(now, now, &fleet).is_empty(),
+        "a new gateway listens first"
     );
-    placement.plan(now + Duration::from_secs(4), &fleet)
+    placement.plan(now + Duration::from_secs(4), now, &fleet)
 }
 
 fn orders(known: &[&str], rows: Rows<'_>, demand: &[(&str, f64)], expected: &[(&str, &str, &str)]) {
@@ -163,8 +163,8 @@
     assert_eq!(steps.len(), MODELS.len() * 2);
 }
 
-/// How long a new leader listens before it orders anything.
-fn listens(rows: Rows<'_>, span: Duration) {
+/// How long a new leader listens before it orders anything, whose gateway runs for `age`.
+fn listens(age: Duration, rows: Rows<'_>, span: Duration) {
     let rows: Vec<(&str, Vec<Model>)> = rows
         .iter()
         .map(|(id, held, _)| (*id, models(held)))
@@ -183,19 +183,27 @@
         hosts: hosts.collect(),
         demand: &demand,
     };
-    let now = Instant::now();
+    let opened = Instant::now();
+    let now = opened + age;
     let mut placement = Placement::default();
     let first = (0..400_u32).map(|step| Duration::from_millis(50) * step);
-    let mut busy = first.filter(|&span| !placement.plan(now + span, &fleet).is_empty());
+    let mut busy = first.filter(|&span| !placement.plan(now + span, opened, &fleet).is_empty());
     assert_eq!(busy.next(), Some(span));
 }
 
 cases!(listens {
     for_a_heartbeat_where_models_are_held: (
+        Duration::ZERO,
         &[("1", "a", ""), ("2", "", "")],
         Duration::from_millis(1600)
     ),
+    not_at_all_where_its_gateway_knows_the_engines: (
+        Duration::from_secs(2),
+        &[("1", "a", ""), ("2", "", "")],
+        Duration::ZERO
+    ),
     briefly_where_all_engines_are_empty: (
+        Duration::from_secs(2),
         &[("1", "", ""), ("2", "", "")],
         Duration::from_millis(100)
     ),
@@ -203,6 +211,7 @@
 
 /// A placement that is asked again as the engines change.
 struct Rounds {
+    opened: Instant,
     now: Instant,
     placement: Placement,
     engine: Engine,
@@ -210,8 +219,10 @@
 
 impl Rounds {
     fn open(known: &[&str], rows: Rows<'_>) -> Self {
+        let now = Instant::now();
         let mut rounds = Self {
-            now: Instant::now(),
+            opened: now,
+            now,
             placement: Placement::default(),
             engine: capability(known),
         };
@@ -223,7 +234,8 @@
     fn plan(&mut self, rows: Rows<'_>, demand: &[(&str, f64)]) -> Vec<Step> {
         let rack = Rack::open(rows, demand);
         self.now += Duration::from_millis(400);
-        self.placement.plan(self.now, &rack.fleet(&self.engine))
+        self.placement
+            .plan(self.now, self.opened, &rack.fleet(&self.engine))
     }
 }
 
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -143,7 +143,20 @@
         outcome: steward::Outcome,
         why: &'a str,
     },
-    /// The leader ordered a step of the placement.
+    /// The replica beside this gateway leads in `term`, or no longer leads.
+    Leads { term: Option<u64> },
+    /// The leader orders a step of the placement.
+    Placing {
+        endpoint: &'a str,
+        term: u64,
+        load: &'a str,
+        unload: &'a [String],
+        /// The part of an engine's reading speed that the demand for the model takes.
+        share: f64,
+        /// The copies that there are, or are coming.
+        copies: usize,
+    },
+    /// A steward answered whether it takes a step of the placement.
     Placed {
         endpoint: &'a str,
         term: u64,
@@ -197,6 +210,8 @@
             Self::EngineOrdered => 602,
             Self::EngineSilent => 603,
             Self::Placed => 604,
+            Self::Placing => 605,
+            Self::Leads => 420,
         }
     }
 }
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -141,6 +141,7 @@
     /// Takes in what the log brings: the routing and the other gateways.
     async fn follow(self: Rc<Self>) {
         let mut held: Option<Rc<Document>> = None;
+        let mut leads = None;
         loop {
             let document = self.control.document();
             if let Some(document) = document.filter(|document| held.as_ref() != Some(document)) {
@@ -155,6 +156,10 @@
                 .collect();
             self.driver.feed(Input::Listed { gateways: &others });
             let term = self.control.leading();
+            if leads != term {
+                leads = term;
+                Event::Leads { term }.log();
+            }
             let demand = &*self.control.demand();
             self.driver.feed(Input::Led { term, demand });
             self.control.changed().await;
--- a/crates/nutmegyoke-host/src/process/gateway/orders.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/orders.rs
@@ -39,6 +39,15 @@
             memory_mb: engine.models_mb(),
             sizes: sizes.map(|row| (row.model.to_string(), row.mb)).collect(),
         };
+        Event::Placing {
+            endpoint: &endpoint.id,
+            term,
+            load: step.load.as_str(),
+            unload: &directive.unload,
+            share: step.share,
+            copies: step.copies,
+        }
+        .log();
         let steward = SocketAddr::new(endpoint.address.ip(), self.steward_port);
         let asked = async {
             let client = self.stewards.get(steward).await?;
