Pass over silent endpoints, explain a request from logs, time what is passed through

Cause of the first: a dark engine got requests for up to 7 s, until its heartbeats were missed; connecting to it took 1.5 s. Now an endpoint that has requests and gave no sign of life for 0.7 s is passed over, and one that was silent to the end is avoided like one that can't be reached; a look-up without an answer after twice its objective is sent elsewhere, within the budget; connecting takes 0.4 s at most. A 2xx answer without the endpoint's stamp is not passed on. Gateways have latency histograms by service and precedence.

--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -9,10 +9,15 @@
 use super::{Command, Gateway, Halt, Sink};
 use crate::process::registry::Announcement;
 use crate::request::{Passage, Reason, Verdict};
+use crate::version::routing::Conduct;
 
 /// The most endpoints that are asked for one request, those that refuse included.
 const TRIES: usize = 3;
 
+/// The shortest time without an answer after which a request that may be repeated is
+/// sent elsewhere: some times what plain services take, so that few are.
+const LEAST_LATE: Duration = Duration::from_millis(400);
+
 /// Less time than this is no chance for an endpoint to answer.
 const LEAST_PATIENCE: Duration = Duration::from_millis(5);
 
@@ -124,10 +129,15 @@
         if let Some(model) = call.model.as_ref().filter(|_| !call.put_off) {
             self.demand.count(now, model, ahead);
         }
+        seat.send(now);
         call.stage = Stage::Running {
             endpoint: endpoint.id.clone(),
             ahead,
         };
+        if call.route.conduct == Conduct::Repeatable {
+            call.late = Some(now + (call.route.objective * 2).max(LEAST_LATE));
+            self.late.extend(call.late.map(|at| (at, number)));
+        }
         out.push(Command::Dispatch {
             call: number,
             endpoint,
@@ -204,6 +214,49 @@
         call.stage = Stage::Begun { endpoint };
     }
 
+    /// Notes that the endpoint of a request lives.
+    pub(super) fn progress(&mut self, now: Instant, number: u64) {
+        let endpoint = self.calls.get(&number).and_then(|call| call.endpoint());
+        if let Some(seat) = endpoint.and_then(|id| self.seats.get_mut(id)) {
+            seat.live(now);
+        }
+    }
+
+    /// Sends those requests elsewhere that may be repeated and wait for long.
+    pub(super) fn hurry<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        while let Some(&(at, number)) = self.late.first() {
+            if at > now {
+                return;
+            }
+            self.late.pop_first();
+            let Some(call) = self.calls.get(&number) else {
+                continue;
+            };
+            let gateways = self.spread.len() + 1;
+            let budget = self.budgets.get_mut(&call.service);
+            let affordable =
+                budget.is_some_and(|budget| budget.allows(now, &self.setup.bound, gateways));
+            let allowed =
+                affordable && call.runs + 1 < call.route.attempts && call.tried.len() + 1 < TRIES;
+            if call.late != Some(at)
+                || !allowed
+                || !matches!(call.stage, Stage::Running { .. })
+                || !self.has_other(now, call)
+            {
+                continue;
+            }
+            self.settle(
+                now,
+                number,
+                Verdict::may_have_run(Reason::ExpectationMissed),
+                out,
+            );
+        }
+    }
+
     /// Takes in how an attempt ended, and sends the request elsewhere if that is
     /// allowed and promises anything.
     pub(super) fn settle<S>(&mut self, now: Instant, number: u64, verdict: Verdict, out: &mut S)
@@ -260,7 +313,7 @@
             return;
         };
         if let Some(seat) = self.seats.get_mut(&endpoint) {
-            seat.in_flight = seat.in_flight.saturating_sub(1);
+            seat.leave(now);
             if let Stage::Running { ahead, .. } = call.stage {
                 seat.ahead = seat.ahead.saturating_sub(ahead);
             }
--- a/crates/nutmegyoke-core/src/process/gateway/budget.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/budget.rs
@@ -43,15 +43,20 @@
 
     /// Takes a repeat, if the bound allows one more; `gateways` share its slack.
     pub fn take(&mut self, now: Instant, bound: &Bound, gateways: usize) -> bool {
+        let allowed = self.allows(now, bound, gateways);
+        if allowed {
+            self.repeats.push_back(now);
+        }
+        allowed
+    }
+
+    /// Whether the bound allows one more repeat; `gateways` share its slack.
+    pub fn allows(&mut self, now: Instant, bound: &Bound, gateways: usize) -> bool {
         self.forget(now, bound);
         let number = |length: usize| f64::from(u32::try_from(length).unwrap_or(u32::MAX));
         let allowed =
             bound.ratio * number(self.requests.len()) + bound.slack / number(gateways.max(1));
-        if number(self.repeats.len()) + 1.0 > allowed {
-            return false;
-        }
-        self.repeats.push_back(now);
-        true
+        number(self.repeats.len()) + 1.0 <= allowed
     }
 
     fn forget(&mut self, now: Instant, bound: &Bound) {
--- a/crates/nutmegyoke-core/src/process/gateway/call.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -35,6 +35,8 @@
     pub runs: u32,
     pub suspect: Option<Reason>,
     pub stage: Stage,
+    /// When the attempt under way has waited long enough for an answer.
+    pub late: Option<Instant>,
 }
 
 /// How far a request has got.
@@ -79,6 +81,7 @@
             runs: 0,
             suspect: None,
             stage: Stage::Idle,
+            late: None,
         }
     }
 
--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -27,6 +27,8 @@
     },
     /// The endpoint began to answer, and the answer is passed on from now.
     Begun { call: u64 },
+    /// More of the answer came.
+    Progressed { call: u64 },
     /// An attempt ended.
     Settled { call: u64, verdict: Verdict },
     /// The client closed its connection.
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -74,6 +74,8 @@
     records: Option<Instant>,
     calls: HashMap<u64, Call>,
     deadlines: BTreeSet<(Instant, u64)>,
+    /// When requests that may be repeated have waited long enough for an answer.
+    late: BTreeSet<(Instant, u64)>,
     waiting: Waiting,
 }
 
@@ -96,6 +98,7 @@
             records: None,
             calls: HashMap::new(),
             deadlines: BTreeSet::new(),
+            late: BTreeSet::new(),
             waiting: Waiting::default(),
         }
     }
@@ -166,6 +169,7 @@
             Event::Arrived { call, passage } => self.arrive(now, now, call, &passage, out),
             Event::Prepared { call, adapters } => self.prepare(now, call, adapters, out),
             Event::Begun { call } => self.begin(now, call),
+            Event::Progressed { call } => return self.progress(now, call),
             Event::Settled { call, verdict } => self.settle(now, call, verdict, out),
             Event::Left { call } => {
                 self.vacate(now, call, None);
@@ -210,6 +214,7 @@
         }
         self.serve_waiting(now, out);
         self.expire(now, out);
+        self.hurry(now, out);
         self.spread(now, out);
         self.place(now, out);
         self.record(now, out);
@@ -224,7 +229,8 @@
         let rounds = self.placements.values().filter(|_| self.leads.is_some());
         let round = rounds.filter_map(Placement::deadline).min();
         let waiting = self.waiting.deadline();
-        let all = [first, self.spread.deadline(), round, waiting];
+        let late = self.late.first().map(|&(at, _)| at);
+        let all = [late, first, self.spread.deadline(), round, waiting];
         all.into_iter().flatten().min()
     }
 }
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -75,6 +75,15 @@
         Some((Rc::clone(&best.1.announcement), candidates))
     }
 
+    /// Whether another endpoint is known to work that could take the request.
+    pub(super) fn has_other(&self, now: Instant, call: &Call) -> bool {
+        let mut rows = self.registry.rows();
+        rows.any(|row| {
+            let other = call.endpoint() != Some(row.announcement.id.as_str());
+            other && is_usable(call, row) && self.is_sound(now, row)
+        })
+    }
+
     pub(super) fn is_sound(&self, now: Instant, row: &Row) -> bool {
         let lease = self.setup.heartbeat.mul_f64(LEASE_BEATS) + RENEWAL + PERIOD;
         let seat = self.seats.get(&row.announcement.id);
--- a/crates/nutmegyoke-core/src/process/gateway/seat.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/seat.rs
@@ -15,6 +15,10 @@
 /// Failures in a row of an endpoint that can be reached, after which it is passed over.
 const TOLERATED: u32 = 3;
 
+/// How long an endpoint that has requests may give no sign of life. An engine makes an
+/// event of each stream several times a second, whatever it reads beside it.
+const SILENCE: Duration = Duration::from_millis(700);
+
 /// How old a heartbeat may be that comes through another gateway.
 const HEARSAY: Duration = Duration::from_millis(1500);
 
@@ -45,6 +49,8 @@
     declined: Option<Instant>,
     failures: u32,
     avoided: Option<Instant>,
+    /// Since when it has requests and gave no sign of life.
+    silent: Option<Instant>,
 }
 
 impl Seat {
@@ -58,13 +64,39 @@
             self.declined = None;
             self.failures = 0;
             self.avoided = None;
+            self.silent = None;
         }
     }
 
     /// Whether requests had better go elsewhere.
     #[must_use]
     pub fn is_avoided(&self, now: Instant) -> bool {
-        self.avoided.is_some_and(|until| now < until)
+        self.is_silent(now) || self.avoided.is_some_and(|until| now < until)
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        self.silent.is_some_and(|since| since + SILENCE <= now)
+    }
+
+    /// Notes that it was sent a request.
+    pub fn send(&mut self, now: Instant) {
+        self.silent.get_or_insert(now);
+    }
+
+    /// Notes that something of an answer came from it.
+    pub fn live(&mut self, now: Instant) {
+        self.silent = (self.in_flight > 0).then_some(now);
+    }
+
+    /// Notes that a request left it.
+    pub fn leave(&mut self, now: Instant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if self.is_silent(now) {
+            self.fail(now, TOLERATED);
+        }
+        if self.in_flight == 0 {
+            self.silent = None;
+        }
     }
 
     /// Takes in how an attempt ended.
@@ -73,13 +105,17 @@
             None => {
                 self.failures = 0;
                 self.avoided = None;
-                return;
+                return self.live(now);
             }
             // Nothing else is known of an endpoint that can't be reached.
             Some(Reason::Unreachable) => TOLERATED,
             Some(Reason::LinkLost | Reason::EndpointFailed | Reason::Truncated) => 1,
             Some(_) => return,
         };
+        self.fail(now, weight);
+    }
+
+    fn fail(&mut self, now: Instant, weight: u32) {
         self.failures = self.failures.saturating_add(weight);
         if let Some(over) = self.failures.checked_sub(TOLERATED) {
             self.avoided = Some(now + PAUSE * 2_u32.pow(over.min(DOUBLINGS)));
--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -483,6 +483,55 @@
     }
 }
 
+#[test]
+fn silent_endpoint_is_passed_over_until_it_answers() {
+    let mut bed = Bed::open(&[desk(1), desk(2)]);
+    let silent = sent(&bed.arrive(1, "/book/1")).unwrap();
+    bed.wait(SECOND * 8 / 10);
+    for call in 2..10 {
+        assert_ne!(sent(&bed.arrive(call, "/book/1")).unwrap(), silent);
+        bed.settle(call, Verdict::Ran);
+    }
+    bed.feed(Event::Progressed { call: 1 });
+    let used = (10..30).any(|call| sent(&bed.arrive(call, "/book/1")).unwrap() == silent);
+    assert!(used);
+}
+
+#[test]
+fn endpoint_that_was_silent_to_the_end_is_passed_over() {
+    let mut bed = Bed::open(&[desk(1), desk(2)]);
+    let silent = sent(&bed.arrive(1, "/book/1")).unwrap();
+    bed.wait(SECOND * 8 / 10);
+    bed.feed(Event::Left { call: 1 });
+    assert_ne!(sent(&bed.arrive(2, "/book/1")).unwrap(), silent);
+}
+
+/// Whether a request without an answer is sent elsewhere after twice its objective.
+fn hurries(path: &str, endpoints: &[Announcement], again: bool) {
+    let mut bed = Bed::open(endpoints);
+    let first = sent(&bed.arrive(1, path)).unwrap();
+    assert!(sent(&bed.wait(SECOND * 19 / 10)).is_none());
+    let out = bed.wait(SECOND / 10);
+    assert!(refused(&out).is_none());
+    let second = sent(&out);
+    assert_eq!(second.is_some(), again);
+    assert_ne!(second, Some(first));
+}
+
+cases!(hurries {
+    look_up: ("/look/1", &[desk(1), desk(2)], true),
+    booking_that_may_have_run: ("/book/1", &[desk(1), desk(2)], false),
+    nowhere_else: ("/look/1", &[desk(1)], false),
+});
+
+#[test]
+fn answer_that_began_is_not_hurried() {
+    let mut bed = Bed::open(&[desk(1), desk(2)]);
+    bed.arrive(1, "/look/1");
+    bed.feed(Event::Begun { call: 1 });
+    assert!(sent(&bed.wait(SECOND * 2)).is_none());
+}
+
 /// The demand that a leader records `after` it began to lead, with what it recalled.
 fn records(recalled: f64, after: Duration, expected: Option<f64>) {
     let mut bed = Bed::open(&[engine(1, &["price"])]);
--- a/crates/nutmegyoke-host/src/connection/upstream.rs
+++ b/crates/nutmegyoke-host/src/connection/upstream.rs
@@ -15,9 +15,9 @@
 
 use super::link;
 
-/// How long connecting to an endpoint may take. Endpoints take about 1 ms for a
-/// new connection, so this allows for one lost packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long connecting to an endpoint may take. Endpoints take about 1 ms for a new
+/// connection; a lost packet is sent again after a second, another endpoint is nearer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// How long an idle connection is kept whose endpoint doesn't say how long it does.
 const KEEP_ALIVE: Duration = Duration::from_secs(4);
--- a/crates/nutmegyoke-host/src/process/dialect.rs
+++ b/crates/nutmegyoke-host/src/process/dialect.rs
@@ -103,6 +103,9 @@
     Failed,
     /// The endpoint did not run it, because it has no room or no time for it.
     Declined,
+    /// It says that it answers it, without the sign of an endpoint: what came is not
+    /// an endpoint's answer.
+    Unsigned,
     /// The endpoint did not run it, because it lacks what the request needs, or
     /// because it is another endpoint.
     NotHeld,
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -35,6 +35,7 @@
 
 use super::control::Seat;
 use super::driver::Addressed;
+use super::passing::Passing;
 use super::sampler::Sampler;
 use super::{Control, Dialect, Driver, Event, Failure, Metrics};
 use crate::connection::http::{self, Handler};
@@ -240,6 +241,12 @@
         !self.stopping.get() && machine.routing().is_some() && served
     }
 
+    /// The times of requests.
+    #[must_use]
+    pub fn passing(&self) -> &Passing {
+        &self.metrics.passing
+    }
+
     /// Counts the end of a request.
     pub fn account(&self, verdict: Verdict) {
         self.metrics.requests.inc();
--- a/crates/nutmegyoke-host/src/request/pass/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/pass/attempt.rs
@@ -156,6 +156,7 @@
     match (fate, whole) {
         (Fate::Declined, _) => Err(Verdict::not_run(Reason::QueueFull)),
         (Fate::NotHeld, _) => Err(Verdict::not_run(Reason::NotHeld)),
+        (Fate::Unsigned, _) => Err(Verdict::may_have_run(Reason::EndpointFailed)),
         (_, Err(_)) => Err(Verdict::may_have_run(Reason::Truncated)),
         (Fate::Failed, Ok(body)) => Ok(Answer::Failed {
             response: Response::from_parts(head, body.to_bytes()),
--- a/crates/nutmegyoke-host/src/request/pass/body.rs
+++ b/crates/nutmegyoke-host/src/request/pass/body.rs
@@ -69,7 +69,10 @@
         }
         match hyper::body::Body::poll_frame(Pin::new(&mut self.body), context) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Ok(frame))) => {
+                self.ticket.progress();
+                Poll::Ready(Some(Ok(frame)))
+            }
             Poll::Ready(Some(Err(_))) => {
                 let reason = Reason::Truncated;
                 self.ticket.settle(Verdict::MayHaveRun { reason });
--- a/crates/nutmegyoke-host/src/request/pass/ticket.rs
+++ b/crates/nutmegyoke-host/src/request/pass/ticket.rs
@@ -15,12 +15,18 @@
 use crate::process::driver::Mailbox;
 use crate::process::{Dialect, Event, Gateway};
 
+/// How often the machine is told that an answer goes on: a few times within the time
+/// after which a silent endpoint is passed over.
+const PROGRESS_PERIOD: Duration = Duration::from_millis(200);
+
 /// A request in flight.
 pub struct Ticket<C: Clock + 'static, D: Dialect> {
     gateway: Rc<Gateway<C, D>>,
     mailbox: Mailbox<decision::Gateway, C>,
     label: Label,
     trail: Trail,
+    /// When the machine was told last that the answer goes on.
+    told: Instant,
     done: bool,
 }
 
@@ -28,10 +34,12 @@
     /// Enters a request.
     pub fn open(gateway: &Rc<Gateway<C, D>>, id: &str, passage: Passage<'_>) -> Self {
         let mailbox = gateway.driver().open();
+        let now = gateway.driver().clock().now();
         let ticket = Self {
             gateway: Rc::clone(gateway),
             label: Label::open(id, &passage),
-            trail: Trail::open(gateway.driver().clock().now()),
+            trail: Trail::open(now),
+            told: now,
             mailbox,
             done: false,
         };
@@ -77,18 +85,22 @@
             Command::PutOff { .. } => self.report(&Event::PutOff { request }),
             Command::Dispatch {
                 endpoint,
+                rank,
                 objective,
                 basis,
                 ..
             } => {
-                let (endpoint, basis) = (&endpoint.id, *basis);
+                let basis = *basis;
                 self.report(&Event::Attempted {
                     request,
-                    endpoint,
+                    endpoint: &endpoint.id,
                     basis,
                 });
                 let now = self.now();
-                self.trail.attempt(now, endpoint, *objective, basis);
+                // An attempt that is still under way has taken too long.
+                let verdict = Verdict::may_have_run(Reason::ExpectationMissed);
+                self.trail.end(now, verdict);
+                self.trail.attempt(now, endpoint, *rank, *objective, basis);
             }
             _ => {}
         }
@@ -114,6 +126,16 @@
         self.trail.begin(now);
     }
 
+    /// Tells the machine now and then that more of the answer came.
+    pub fn progress(&mut self) {
+        let now = self.now();
+        if now >= self.told + PROGRESS_PERIOD {
+            self.told = now;
+            let call = self.number();
+            self.feed(Input::Progressed { call });
+        }
+    }
+
     /// Tells the machine that the attempt failed; what follows is up to it.
     pub fn fail(&mut self, verdict: Verdict) {
         let now = self.now();
--- a/crates/nutmegyoke-host/src/request/pass/trail.rs
+++ b/crates/nutmegyoke-host/src/request/pass/trail.rs
@@ -5,10 +5,12 @@
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::endpoint::Target;
 use nutmegyoke_core::process::gateway::{Basis, Halt};
+use nutmegyoke_core::process::registry::Announcement;
 use nutmegyoke_core::request::{Passage, Verdict};
 use nutmegyoke_wire::connection::link::milliseconds;
 use serde::Serialize;
 
+use crate::process::passing::Kind;
 use crate::process::{Dialect, Event, Gateway};
 
 /// What names a request in the log.
@@ -47,6 +49,8 @@
 pub struct Trail {
     started: Instant,
     objective: Option<Duration>,
+    /// What it is for, once it was sent somewhere.
+    kind: Option<Kind>,
     first: Option<Duration>,
     legs: Vec<Leg>,
     begun: Option<Instant>,
@@ -73,6 +77,7 @@
         Self {
             started: now,
             objective: None,
+            kind: None,
             first: None,
             legs: Vec::new(),
             begun: None,
@@ -80,11 +85,22 @@
     }
 
     /// Notes that an attempt begins.
-    pub fn attempt(&mut self, now: Instant, endpoint: &str, objective: Duration, basis: Basis) {
+    pub fn attempt(
+        &mut self,
+        now: Instant,
+        endpoint: &Announcement,
+        rank: u8,
+        objective: Duration,
+        basis: Basis,
+    ) {
         self.objective = Some(objective);
+        self.kind.get_or_insert_with(|| Kind {
+            service: endpoint.service.to_string(),
+            rank,
+        });
         self.begun = Some(now);
         self.legs.push(Leg {
-            endpoint: endpoint.to_owned(),
+            endpoint: endpoint.id.clone(),
             at_ms: milliseconds(self.elapsed(now)),
             elapsed_ms: 0,
             basis,
@@ -136,6 +152,10 @@
         };
         gateway.report(&event, telling);
         gateway.account(verdict);
+        if let Some(kind) = &self.kind {
+            let passing = gateway.passing();
+            passing.observe(kind, self.first, self.elapsed(now));
+        }
     }
 
     /// The endpoint of the last attempt.
--- a/src/bin/nutmegyoke/commands/mod.rs
+++ b/src/bin/nutmegyoke/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod drain;
+mod explain;
 mod files;
 mod plan;
 mod replica;
@@ -18,6 +19,7 @@
     Check(check::Check),
     Apply(apply::Apply),
     Drain(drain::Drain),
+    Explain(explain::Explain),
     Plan(plan::Plan),
     Replica(replica::Replica),
     Status(status::Status),
@@ -30,6 +32,7 @@
             Self::Check(command) => command.run(),
             Self::Apply(command) => command.run(),
             Self::Drain(command) => command.run(),
+            Self::Explain(command) => command.run(),
             Self::Plan(command) => command.run(),
             Self::Replica(command) => command.run(),
             Self::Status(command) => command.run(),
--- a/src/bin/nutmegyoke/operators.rs
+++ b/src/bin/nutmegyoke/operators.rs
@@ -23,6 +23,10 @@
     /// The lists are wrong.
     #[display("{_0}")]
     Lists(lists::Failure),
+    /// What the command was given can't be used.
+    #[display("{why}")]
+    #[from(ignore)]
+    Input { why: String },
     /// The control process can't be reached.
     #[display("{address}: {source}; is it the operators' address of a control process?")]
     #[from(ignore)]
@@ -54,7 +58,7 @@
             Self::Loop(_) | Self::Call { .. } | Self::Timeout { .. } | Self::Answer { .. } => {
                 EXIT_UNREACHABLE
             }
-            Self::Lists(_) => EXIT_INPUT,
+            Self::Lists(_) | Self::Input { .. } => EXIT_INPUT,
             Self::Refused { .. } => EXIT_REFUSED,
         }
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod fleet;
+pub mod front;
 pub mod pair;
 pub mod replicas;
 pub mod upstream;
@@ -11,7 +12,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::mpsc;
+use std::sync::{Arc, Mutex, mpsc};
 use std::time::Duration;
 
 /// How long a process may take to become ready.
@@ -21,6 +22,7 @@
 pub struct Daemon {
     child: Child,
     ready: String,
+    log: Arc<Mutex<Vec<String>>>,
 }
 
 /// A running demo of the whole fleet.
@@ -75,14 +77,18 @@
             .unwrap();
         let output = child.stdout.take().unwrap();
         let (sender, lines) = mpsc::channel();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = Arc::clone(&log);
         std::thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
+                kept.lock().unwrap().push(line.clone());
                 let _ = sender.send(line);
             }
         });
         let mut daemon = Self {
             child,
             ready: String::new(),
+            log,
         };
         loop {
             let line = lines
@@ -95,6 +101,11 @@
         }
     }
 
+    /// What it has printed so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
     /// The incarnation that the line of its start names.
     pub fn incarnation(&self) -> u64 {
         let line: serde_json::Value = serde_json::from_str(&self.ready).unwrap();
