Take voters out that are gone, and let them back in

A voter that is gone for good stayed in the membership beside its successor: two voters of four may not be lost, so the loss of one more VM after a replacement, which must be borne, stopped the log.

Change: where any VM may join, the leader removes a voter that has not answered for 6 s if that makes the majority smaller; one that was cut off for so long asks for a place again and keeps its log. Founding and absence have files of their own. Tests: `voters_that_are_gone_make_way` and `voter_that_was_cut_off_for_long_votes_again`, all failed before.

--- a/crates/nutmegyoke-core/src/process/control/replica/election.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/election.rs
@@ -25,7 +25,7 @@
     /// a lease at most. All may have been restarted together, so no more is waited.
     pub(super) fn wait_at_start(&mut self, now: Instant) {
         let lease = self.lease();
-        let heard = now.checked_sub(self.setup.election - lease);
+        let heard = now.checked_sub(self.setup.election.saturating_sub(lease));
         self.heard = heard.unwrap_or(now);
         self.alarm = now + lease + self.heartbeat().mul_f64(self.random.f64());
     }
@@ -44,6 +44,7 @@
         match self.role {
             Role::Leader { .. } => {
                 self.alarm = now + self.heartbeat();
+                self.prune(now, out);
                 self.replicate(now, true, out);
             }
             _ if self.votes() => self.poll(now, out),
@@ -67,6 +68,7 @@
         };
         let last = self.log.last();
         self.ask_voters(|| Body::Poll { last }, out);
+        self.return_to_fleet(now, out);
         self.count(now, out);
     }
 
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/control/replica/found.rs
@@ -0,0 +1,107 @@
+//! How a fleet is founded.
+//!
+//! A fleet is founded by the first VM of the settings' list, by name, once all
+//! the others have told that they hold no state either. Where the settings name
+//! only a few contacts, the first by address of those that may found it does.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use super::{
+    Body, Command, Content, Entry, Membership, Message, Peer, Position, Replica, Roster, Sink,
+    State,
+};
+
+/// What the VMs of the settings told of themselves, before there is a fleet.
+#[derive(Debug, Default)]
+pub struct Probes {
+    /// Names of those that hold no state.
+    fresh: BTreeSet<String>,
+    /// Addresses of those that hold no state, and whether they may found the fleet.
+    founders: BTreeMap<SocketAddr, bool>,
+}
+
+impl<S: State> Replica<S> {
+    /// Whether the settings let this replica found a fleet.
+    pub(super) fn may_found(&self) -> bool {
+        let own = &self.setup.seed;
+        match &self.setup.roster {
+            Roster::Listed { .. } => self.others().all(|seed| own.name < seed.name),
+            Roster::Open { contacts, found } => {
+                *found && !own.observer && self.is_fresh() && contacts.contains(&own.address)
+            }
+        }
+    }
+
+    /// Whether all others of the settings hold no state, and none comes before this one.
+    pub(super) fn is_founder(&self) -> bool {
+        let own = self.setup.seed.address;
+        match &self.setup.roster {
+            Roster::Listed { .. } => self
+                .others()
+                .all(|seed| self.probes.fresh.contains(&seed.name)),
+            Roster::Open { contacts, .. } => {
+                let mut others = contacts.iter().filter(|&&address| address != own);
+                others.all(|address| match self.probes.founders.get(address) {
+                    Some(founder) => !founder || own < *address,
+                    None => false,
+                })
+            }
+        }
+    }
+
+    pub(super) fn found(&mut self, now: Instant) {
+        let own = &self.setup.seed;
+        let open = matches!(self.setup.roster, Roster::Open { .. });
+        let membership = Membership {
+            open,
+            names: if open {
+                BTreeSet::new()
+            } else {
+                let others = self.others().map(|seed| seed.name.clone());
+                others.chain([own.name.clone()]).collect()
+            },
+            peers: vec![Peer {
+                id: self.setup.id,
+                seed: own.clone(),
+                voter: true,
+            }],
+        };
+        self.vote.term = 1;
+        self.log.push(Entry {
+            position: Position { term: 1, index: 1 },
+            content: Content::Membership(membership),
+        });
+        self.find_membership();
+        self.alarm = now;
+    }
+
+    pub(super) fn answer_probe<K>(&self, message: &Message<S>, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let body = Body::Probed {
+            name: self.setup.seed.name.clone(),
+            fresh: self.is_fresh(),
+            founder: self.may_found(),
+        };
+        self.call(message.reply, Some(message.from), body, out);
+    }
+
+    pub(super) fn take_probed(
+        &mut self,
+        address: SocketAddr,
+        name: &str,
+        fresh: bool,
+        founder: bool,
+    ) {
+        if fresh {
+            self.probes.fresh.insert(name.to_owned());
+            self.probes.founders.insert(address, founder);
+        } else {
+            self.probes.fresh.remove(name);
+            self.probes.founders.remove(&address);
+        }
+    }
+}
--- a/crates/nutmegyoke-core/src/process/control/replica/join.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/join.rs
@@ -1,32 +1,19 @@
-//! How a fleet is founded and how replicas come and go.
+//! How replicas come and go.
 //!
 //! A replica with an empty disk asks for a place and becomes a learner. The
 //! leader makes it a voter once it has synced all that is committed; an
 //! earlier life of the same VM's disk leaves the membership just before. Each
 //! step is a membership of its own, and the next waits until it is committed.
-//!
-//! A fleet is founded by the first VM of the settings' list, by name, once all
-//! the others have told that they hold no state either. Where the settings name
-//! only a few contacts, the first by address of those that may found it does.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use super::{
-    Body, Command, Content, Entry, Id, Membership, Message, Peer, Position, Replica, Role, Roster,
-    Seed, Sink, State, Wish,
+    Body, Command, Content, Id, Membership, Message, Peer, Replica, Role, Roster, Seed, Sink,
+    State, Wish,
 };
 
-/// What the VMs of the settings told of themselves, before there is a fleet.
-#[derive(Debug, Default)]
-pub struct Probes {
-    /// Names of those that hold no state.
-    fresh: BTreeSet<String>,
-    /// Addresses of those that hold no state, and whether they may found the fleet.
-    founders: BTreeMap<SocketAddr, bool>,
-}
-
 impl<S: State> Replica<S> {
     /// Asks for a place, or founds the fleet; for a replica that doesn't vote.
     pub(super) fn look_for_fleet<K>(&mut self, now: Instant, out: &mut K)
@@ -43,19 +30,25 @@
         } else if !silent {
             return;
         }
-        let contacts = self.contacts();
-        for address in contacts {
-            if self.may_found() {
+        if self.may_found() {
+            for address in self.contacts() {
                 self.call(address, None, Body::Probe, out);
             }
-            let body = Body::Join {
-                seed: self.setup.seed.clone(),
-            };
-            self.call(address, None, body, out);
+        }
+        self.ask_to_join(out);
+    }
+
+    pub(super) fn ask_to_join<K>(&self, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        for address in self.contacts() {
+            let seed = self.setup.seed.clone();
+            self.call(address, None, Body::Join { seed }, out);
         }
     }
 
-    fn others(&self) -> impl Iterator<Item = &Seed> {
+    pub(super) fn others(&self) -> impl Iterator<Item = &Seed> {
         let own = &self.setup.seed.name;
         let seeds = match &self.setup.roster {
             Roster::Listed { seeds } => seeds.as_slice(),
@@ -85,61 +78,7 @@
         }
     }
 
-    /// Whether the settings let this replica found a fleet.
-    fn may_found(&self) -> bool {
-        let own = &self.setup.seed;
-        match &self.setup.roster {
-            Roster::Listed { .. } => self.others().all(|seed| own.name < seed.name),
-            Roster::Open { contacts, found } => {
-                *found && !own.observer && self.is_fresh() && contacts.contains(&own.address)
-            }
-        }
-    }
-
-    /// Whether all others of the settings hold no state, and none comes before this one.
-    fn is_founder(&self) -> bool {
-        let own = self.setup.seed.address;
-        match &self.setup.roster {
-            Roster::Listed { .. } => self
-                .others()
-                .all(|seed| self.probes.fresh.contains(&seed.name)),
-            Roster::Open { contacts, .. } => {
-                let mut others = contacts.iter().filter(|&&address| address != own);
-                others.all(|address| match self.probes.founders.get(address) {
-                    Some(founder) => !founder || own < *address,
-                    None => false,
-                })
-            }
-        }
-    }
-
-    fn found(&mut self, now: Instant) {
-        let own = &self.setup.seed;
-        let open = matches!(self.setup.roster, Roster::Open { .. });
-        let membership = Membership {
-            open,
-            names: if open {
-                BTreeSet::new()
-            } else {
-                let others = self.others().map(|seed| seed.name.clone());
-                others.chain([own.name.clone()]).collect()
-            },
-            peers: vec![Peer {
-                id: self.setup.id,
-                seed: own.clone(),
-                voter: true,
-            }],
-        };
-        self.vote.term = 1;
-        self.log.push(Entry {
-            position: Position { term: 1, index: 1 },
-            content: Content::Membership(membership),
-        });
-        self.find_membership();
-        self.alarm = now;
-    }
-
-    fn call<K>(&self, address: SocketAddr, to: Option<Id>, body: Body<S>, out: &mut K)
+    pub(super) fn call<K>(&self, address: SocketAddr, to: Option<Id>, body: Body<S>, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
@@ -153,34 +92,6 @@
         out.push(Command::Send { address, message });
     }
 
-    pub(super) fn answer_probe<K>(&self, message: &Message<S>, out: &mut K)
-    where
-        K: Sink<Command = Command<S>>,
-    {
-        let body = Body::Probed {
-            name: self.setup.seed.name.clone(),
-            fresh: self.is_fresh(),
-            founder: self.may_found(),
-        };
-        self.call(message.reply, Some(message.from), body, out);
-    }
-
-    pub(super) fn take_probed(
-        &mut self,
-        address: SocketAddr,
-        name: &str,
-        fresh: bool,
-        founder: bool,
-    ) {
-        if fresh {
-            self.probes.fresh.insert(name.to_owned());
-            self.probes.founders.insert(address, founder);
-        } else {
-            self.probes.fresh.remove(name);
-            self.probes.founders.remove(&address);
-        }
-    }
-
     /// Passes a wish to join on to the leader, which the new replica can't know.
     pub(super) fn pass_join<K>(&self, message: &Message<S>, out: &mut K)
     where
@@ -214,7 +125,7 @@
 
     /// Whether the membership may change: one change at a time, and only after
     /// an entry of the present term is committed.
-    fn may_change(&self) -> bool {
+    pub(super) fn may_change(&self) -> bool {
         match self.role {
             Role::Leader { first, .. } => {
                 self.commit >= first.max(self.membership_index) && !self.disk.stalled
@@ -223,7 +134,7 @@
         }
     }
 
-    fn change<K>(&mut self, now: Instant, membership: Membership, out: &mut K) -> u64
+    pub(super) fn change<K>(&mut self, now: Instant, membership: Membership, out: &mut K) -> u64
     where
         K: Sink<Command = Command<S>>,
     {
--- a/crates/nutmegyoke-core/src/process/control/replica/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/mod.rs
@@ -8,13 +8,16 @@
 //! * [`replication`]: how the leader brings the others up to date;
 //! * [`follower`]: how the others take it in;
 //! * [`snapshot`]: how a long log is replaced by the state;
-//! * [`join`]: how a fleet is founded and how replicas come and go;
+//! * [`found`]: how a fleet is founded;
+//! * [`join`], [`absent`]: how replicas come and go;
 //! * [`disk`]: what is synced. Nothing is acknowledged before.
 
+mod absent;
 pub mod disk;
 pub mod election;
 pub mod event;
 pub mod follower;
+mod found;
 pub mod join;
 pub mod log;
 pub mod membership;
@@ -30,7 +33,7 @@
 
 pub use disk::Disk;
 pub use event::{Batch, Command, Event, Recovered, Setup, Vote};
-use join::Probes;
+use found::Probes;
 pub use log::{Content, Entry, Log, Position};
 pub use membership::{Id, Membership, Peer, Roster, Seed, Wish};
 pub use message::{Body, Message};
--- a/crates/nutmegyoke-core/tests/roster.rs
+++ b/crates/nutmegyoke-core/tests/roster.rs
@@ -156,6 +156,47 @@
     once_more: (13),
 });
 
+/// Voters are replaced by VMs with empty disks at other addresses, one after the
+/// other, as those do that are gone for good.
+fn voters_that_are_gone_make_way(replaced: usize, seed: u64) {
+    let mut simulation = Simulation::<Store>::open_roster(3 + replaced, seed, CALM, |_| false);
+    for vm in 3..3 + replaced {
+        simulation.kill(vm);
+    }
+    simulation.run(JOIN);
+    for vm in 0..replaced {
+        simulation.kill(vm);
+        simulation.start(3 + vm);
+        simulation.run(JOIN);
+    }
+    assert_eq!(names(&simulation, true).len(), 3);
+    // One more may be lost.
+    let leader = simulation.leader().unwrap();
+    simulation.kill(leader);
+    simulation.run(JOIN);
+    assert!(simulation.leader().is_some());
+}
+
+cases!(voters_that_are_gone_make_way {
+    one: (1, 21),
+    two: (2, 22),
+});
+
+#[test]
+fn voter_that_was_cut_off_for_long_votes_again() {
+    let mut simulation = Simulation::<Store>::open_roster(4, 23, CALM, |_| false);
+    simulation.run(JOIN);
+    assert_eq!(names(&simulation, true).len(), 4);
+    let leader = simulation.leader().unwrap();
+    let cut = (0..4).find(|&vm| vm != leader).unwrap();
+    simulation.cut.insert(cut);
+    simulation.run(JOIN);
+    assert_eq!(names(&simulation, true).len(), 3);
+    simulation.cut.remove(&cut);
+    simulation.run(JOIN);
+    assert_eq!(names(&simulation, true).len(), 4);
+}
+
 #[test]
 fn observers_receive_what_is_committed() {
     let mut simulation = group(CALM, 8);
--- a/crates/nutmegyoke-host/src/request/pass/mod.rs
+++ b/crates/nutmegyoke-host/src/request/pass/mod.rs
@@ -121,8 +121,8 @@
                         let adapters = adapters.ok().flatten();
                         let adapters = adapters.as_deref();
                         let name = format!("{model}/{adapter}");
-                        let held = adapters.is_some_and(|held| held.contains(&name));
-                        ticket.prepared(&endpoint.id, &name, since, held);
+                        let there = adapters.is_some_and(|names| names.contains(&name));
+                        ticket.prepared(&endpoint.id, &name, since, there);
                         ticket.feed(Input::Prepared { call, adapters });
                         ticket.next().await
                     }
