--- a/crates/nutmegyoke-core/src/process/gateway/demand.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/demand.rs
@@ -12,7 +12,7 @@
 const AVERAGES: [Duration; 2] = [Duration::from_millis(1500), Duration::from_secs(6)];
 
 /// How long what another gateway told counts: two of its messages and a slow one.
-const LEASE: Duration = Duration::from_millis(2500);
+const LEASE: Duration = Duration::from_millis(4500);
 
 /// Demand below this, in prompt tokens per second, is not worth telling.
 const LEAST_RATE: f64 = 1.0;
--- a/crates/nutmegyoke-core/src/process/registry/spread.rs
+++ b/crates/nutmegyoke-core/src/process/registry/spread.rs
@@ -7,9 +7,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How often what is not urgent is sent. A second is as old as the work at an endpoint
-/// may be told, and twice as often costs twice the bytes between data centres.
-pub const PERIOD: Duration = Duration::from_secs(1);
+/// How often what is not urgent is sent: heartbeats that repeat the one before, and the
+/// work at endpoints. Every second costs a third more bytes between data centres and
+/// serves no better, see docs/MEASURES.md.
+pub const PERIOD: Duration = Duration::from_secs(2);
 
 /// The pause before a gateway that did not answer is tried again.
 const PAUSE: Duration = Duration::from_millis(200);
