nutmegyoke audit: how requests ended, and which have no cause in the logs

Reads the logs of any number of processes, counts requests by verdict, reason and halt, and tells apart those in flight when their gateway ended from those without a cause (exit code 3).

--- a/crates/nutmegyoke-core/tests/registry.rs
+++ b/crates/nutmegyoke-core/tests/registry.rs
@@ -8,6 +8,7 @@
 use nutmegyoke_cases::{cases, config};
 use nutmegyoke_core::process::Registry;
 use nutmegyoke_core::process::endpoint::Phase;
+use nutmegyoke_core::process::registry::spread::PERIOD;
 use nutmegyoke_core::process::registry::{Announcement, Spread, Stamp};
 use proptest::prelude::*;
 
@@ -210,9 +211,10 @@
     spread.list(now, &[peer]);
     assert_eq!(spread.due(now, 4, false), [(peer, 0)]);
     spread.settle(now, peer, Some(1));
-    assert_eq!(spread.due(now + SECOND, 6, false), [(peer, 4)]);
-    spread.settle(now + SECOND, peer, Some(2));
-    assert_eq!(spread.due(now + SECOND, 6, false), [(peer, 0)]);
+    let later = now + PERIOD;
+    assert_eq!(spread.due(later, 6, false), [(peer, 4)]);
+    spread.settle(later, peer, Some(2));
+    assert_eq!(spread.due(later, 6, false), [(peer, 0)]);
 }
 
 #[test]
--- a/src/bin/nutmegyoke/commands/explain.rs
+++ b/src/bin/nutmegyoke/commands/explain.rs
@@ -5,13 +5,13 @@
 //! VMs differ and step: the lines of one process stay in the order in which it
 //! wrote them, and each is shown with the clock of its own process.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, BufRead, BufReader};
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 
 use clap::Args;
-use serde_json::{Map, Value};
+use serde_json::Value;
 
+use crate::log::{Line, Log};
 use crate::operators::Failure;
 
 /// How long before and after a request other lines are shown, in milliseconds: as
@@ -35,52 +35,17 @@
     json: bool,
 }
 
-/// A line of a log.
-#[derive(Debug)]
-struct Line {
-    /// The time by the clock of its process, which never goes back here.
-    at: u64,
-    process: String,
-    text: String,
-    fields: Map<String, Value>,
-}
-
-/// The lines of some logs.
-#[derive(Debug, Default)]
-struct Log {
-    lines: Vec<Line>,
-    foreign: usize,
-    /// The latest time of each process.
-    latest: BTreeMap<String, u64>,
-}
-
 impl Explain {
     pub fn run(&self) -> Result<(), Failure> {
-        let mut log = Log::default();
-        if self.files.is_empty() {
-            log.read(io::stdin().lock())
-                .map_err(|error| input(format!("standard input: {error}")))?;
-        }
-        for path in &self.files {
-            let read = std::fs::File::open(path).and_then(|file| log.read(BufReader::new(file)));
-            read.map_err(|error| {
-                input(format!("{}: {error}; name a readable log", path.display()))
-            })?;
-        }
-        if log.lines.is_empty() {
-            return Err(input(format!(
-                "none of {} lines is a log line of nutmegyoked: give the standard output of its \
-                 processes",
-                log.foreign
-            )));
-        }
+        let log = Log::open(&self.files)?;
         let story = log.story(&self.id);
         if story.is_empty() {
-            return Err(input(format!(
+            let why = format!(
                 "no line of {} names the request `{}`: give the logs of all gateways of that time",
                 log.lines.len(),
                 self.id
-            )));
+            );
+            return Err(Failure::Input { why });
         }
         let start = log.first(&self.id).map_or(0, |line| line.at);
         for line in story {
@@ -97,42 +62,7 @@
     }
 }
 
-fn input(why: String) -> Failure {
-    Failure::Input { why }
-}
-
 impl Log {
-    fn read(&mut self, source: impl BufRead) -> io::Result<()> {
-        for text in source.lines() {
-            let text = text?;
-            match self.parse(&text) {
-                Some(line) => self.lines.push(line),
-                None if text.trim().is_empty() => {}
-                None => self.foreign += 1,
-            }
-        }
-        Ok(())
-    }
-
-    /// Reads a line; what a collector put in front of it is passed over.
-    fn parse(&mut self, text: &str) -> Option<Line> {
-        let text = &text[text.find("{\"at\":")?..];
-        let Value::Object(fields) = serde_json::from_str(text).ok()? else {
-            return None;
-        };
-        let process = fields.get("process")?.as_str()?.to_owned();
-        let at = fields.get("at")?.as_u64()?;
-        fields.get("code")?.as_str()?;
-        let latest = self.latest.entry(process.clone()).or_default();
-        *latest = at.max(*latest);
-        Some(Line {
-            at: *latest,
-            process,
-            text: text.to_owned(),
-            fields,
-        })
-    }
-
     fn first(&self, id: &str) -> Option<&Line> {
         let named = self.lines.iter().filter(|line| line.names("request", id));
         named.min_by_key(|line| line.at)
@@ -169,14 +99,6 @@
 }
 
 impl Line {
-    fn text(&self, field: &str) -> Option<&str> {
-        self.fields.get(field)?.as_str()
-    }
-
-    fn names(&self, field: &str, value: &str) -> bool {
-        self.text(field) == Some(value)
-    }
-
     /// The endpoints of the request's attempts.
     fn endpoints(&self) -> impl Iterator<Item = &str> {
         let trail = self.fields.get("trail").and_then(Value::as_array);
--- a/src/bin/nutmegyoke/commands/mod.rs
+++ b/src/bin/nutmegyoke/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one file each.
 
 mod apply;
+mod audit;
 mod check;
 mod drain;
 mod explain;
@@ -16,6 +17,7 @@
 /// What the tool can do.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    Audit(audit::Audit),
     Check(check::Check),
     Apply(apply::Apply),
     Drain(drain::Drain),
@@ -29,6 +31,7 @@
     /// Runs the subcommand.
     pub fn run(&self) -> Result<(), Failure> {
         match self {
+            Self::Audit(command) => command.run(),
             Self::Check(command) => command.run(),
             Self::Apply(command) => command.run(),
             Self::Drain(command) => command.run(),
--- a/src/bin/nutmegyoke/main.rs
+++ b/src/bin/nutmegyoke/main.rs
@@ -4,6 +4,7 @@
 //! or input, 3 the fleet refused.
 
 mod commands;
+mod log;
 mod operators;
 
 use std::process::ExitCode;
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -16,8 +16,12 @@
 
 /// Runs `nutmegyoke explain` over `log`.
 fn explain(id: &str, log: &str) -> Output {
+    tool(&["explain", id], log)
+}
+
+fn tool(arguments: &[&str], log: &str) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegyoke"));
-    command.args(["explain", id]);
+    command.args(arguments);
     command
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
@@ -149,3 +153,29 @@
     let text = String::from_utf8(output.stderr).unwrap();
     assert!(text.contains("1 lines are not of nutmegyoked"), "{text}");
 }
+
+/// What `nutmegyoke audit` says of a request that was sent and has no end, where these
+/// lines of its gateway follow.
+fn audits(after: &[&str], code: i32, expected: &str) {
+    let sent = r#"{"at":1,"process":"a","level":"info","code":"NY0302","event":"attempted","request":"r1"}"#;
+    let log = [&[sent], after].concat().join("\n");
+    let output = tool(&["audit"], &log);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert_eq!(output.status.code(), Some(code), "{text}");
+    assert!(text.contains(expected), "{text}");
+}
+
+cases!(audits {
+    ended: (&[LINE], 0, "      0  without a cause"),
+    started_again: (
+        &[r#"{"at":9,"process":"a","level":"info","code":"NY0100","event":"started"}"#],
+        0,
+        "      1  in flight when its gateway ended"
+    ),
+    wrote_nothing_more: (&[], 0, "      1  in flight when its gateway ended"),
+    went_on: (
+        &[r#"{"at":9,"process":"a","level":"info","code":"NY0200","event":"configured"}"#],
+        3,
+        "      1  without a cause"
+    ),
+});
