Let long prompts cost more at engines with many running requests

Cause: on the grown sites every fifth price-chat was late although its first event came in time (99 in 100 within 0.54 s). An event holds 5 tokens there; five steps that each read 4,096 prompt tokens take longer than the 600 ms that a stream may pause.

Ruled out: gateways that pass events on late (the same without charged time).

Change: each request that runs on an engine adds a tenth of the tokens to be read to the cost of reading them there.

--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -20,6 +20,10 @@
 /// days played at 60 and 400, see docs/MEASURES.md.
 const RUNNING_COST: u64 = 60;
 
+/// Reading this many prompt tokens costs one more for each request that runs on the
+/// engine, because its stream pauses meanwhile.
+const DISTURBANCE: u64 = 10;
+
 /// What a load of an adapter costs, in prompt tokens: 10 ms or more, two orders,
 /// and the adapter that makes way is loaded again later.
 const ADAPTER_COST: u64 = 2000;
@@ -128,8 +132,8 @@
         if far {
             cost += FAR_COST;
         }
-        cost += basis.ahead + in_flight * RUNNING_COST;
-        cost += u64::from(basis.tokens - basis.kept);
+        let unread = u64::from(basis.tokens - basis.kept);
+        cost += basis.ahead + unread + in_flight * (RUNNING_COST + unread / DISTURBANCE);
         if let Some(adapter) = &call.adapter
             && !seat.is_some_and(|seat| seat.holds(model.as_str(), adapter))
         {
