--- a/benches/control.rs
+++ b/benches/control.rs
@@ -380,6 +380,7 @@
             document: None,
             configuration: configuration(1),
             claims,
+            demand: Rc::default(),
         },
     };
     let batch = Batch {
--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -12,7 +12,7 @@
 use crate::version::routing::Conduct;
 
 /// The most endpoints that are asked for one request, those that refuse included.
-const TRIES: usize = 3;
+pub(super) const TRIES: usize = 3;
 
 /// The shortest time without an answer after which a request that may be repeated is
 /// sent elsewhere: some times what plain services take, so that few are.
@@ -149,57 +149,6 @@
         });
     }
 
-    pub(super) fn prepare<S>(
-        &mut self,
-        now: Instant,
-        number: u64,
-        adapters: Option<&[String]>,
-        out: &mut S,
-    ) where
-        S: Sink<Command = Command>,
-    {
-        let Some(call) = self.calls.get_mut(&number) else {
-            return;
-        };
-        let Stage::Preparing { endpoint } = call.stage.clone() else {
-            return;
-        };
-        let (Some(model), Some(adapter)) = (call.model.clone(), call.adapter.clone()) else {
-            return;
-        };
-        let seat = self.seats.entry(endpoint.clone()).or_default();
-        if let Some(adapters) = adapters {
-            seat.prepared(now, adapters);
-        }
-        let held = seat.holds(model.as_str(), &adapter);
-        let known = self.registry.row(&endpoint).filter(|row| row.takes_work());
-        let known = known.map(|row| Rc::clone(&row.announcement));
-        match known.filter(|_| held) {
-            Some(endpoint) => self.dispatch(now, number, endpoint, out),
-            None => self.decline(now, number, out),
-        }
-    }
-
-    /// Sends the request elsewhere, because the steward of the chosen engine has no
-    /// place for its adapter. No endpoint has been sent it, so this is no repeat.
-    fn decline<S>(&mut self, now: Instant, number: u64, out: &mut S)
-    where
-        S: Sink<Command = Command>,
-    {
-        let Some(call) = self.calls.get_mut(&number) else {
-            return;
-        };
-        let Stage::Preparing { endpoint } = std::mem::replace(&mut call.stage, Stage::Idle) else {
-            return;
-        };
-        if let Some(seat) = self.seats.get_mut(&endpoint) {
-            seat.in_flight = seat.in_flight.saturating_sub(1);
-            seat.decline(now);
-        }
-        call.declined.push(endpoint);
-        self.attempt(now, number, out);
-    }
-
     pub(super) fn begin(&mut self, now: Instant, number: u64) {
         let Some(call) = self.calls.get_mut(&number) else {
             return;
@@ -214,49 +163,6 @@
         call.stage = Stage::Begun { endpoint };
     }
 
-    /// Notes that the endpoint of a request lives.
-    pub(super) fn progress(&mut self, now: Instant, number: u64) {
-        let endpoint = self.calls.get(&number).and_then(|call| call.endpoint());
-        if let Some(seat) = endpoint.and_then(|id| self.seats.get_mut(id)) {
-            seat.live(now);
-        }
-    }
-
-    /// Sends those requests elsewhere that may be repeated and wait for long.
-    pub(super) fn hurry<S>(&mut self, now: Instant, out: &mut S)
-    where
-        S: Sink<Command = Command>,
-    {
-        while let Some(&(at, number)) = self.late.first() {
-            if at > now {
-                return;
-            }
-            self.late.pop_first();
-            let Some(call) = self.calls.get(&number) else {
-                continue;
-            };
-            let gateways = self.spread.len() + 1;
-            let budget = self.budgets.get_mut(&call.service);
-            let affordable =
-                budget.is_some_and(|budget| budget.allows(now, &self.setup.bound, gateways));
-            let allowed =
-                affordable && call.runs + 1 < call.route.attempts && call.tried.len() + 1 < TRIES;
-            if call.late != Some(at)
-                || !allowed
-                || !matches!(call.stage, Stage::Running { .. })
-                || !self.has_other(now, call)
-            {
-                continue;
-            }
-            self.settle(
-                now,
-                number,
-                Verdict::may_have_run(Reason::ExpectationMissed),
-                out,
-            );
-        }
-    }
-
     /// Takes in how an attempt ended, and sends the request elsewhere if that is
     /// allowed and promises anything.
     pub(super) fn settle<S>(&mut self, now: Instant, number: u64, verdict: Verdict, out: &mut S)
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -2,6 +2,8 @@
 //! elsewhere, and when it is given up.
 //!
 //! * [`attempts`]: a request from its arrival to its end;
+//! * [`prepare`]: adapters that have to be loaded first;
+//! * [`hurry`]: requests that wait for long;
 //! * [`refusal`]: how a request ends without an answer;
 //! * [`wait`]: requests that wait for an endpoint;
 //! * [`pick`]: which endpoint an attempt goes to;
@@ -17,8 +19,10 @@
 mod call;
 pub mod demand;
 pub mod event;
+mod hurry;
 mod pick;
 mod place;
+mod prepare;
 pub mod prompt;
 mod refusal;
 pub mod seat;
--- a/crates/nutmegyoke-core/src/process/steward/mod.rs
+++ b/crates/nutmegyoke-core/src/process/steward/mod.rs
@@ -5,12 +5,14 @@
 //! count, so an order that was lost and turns up later changes nothing, and
 //! the engine is never ordered to hold more than fits.
 
+mod adapter;
 pub mod directive;
 pub mod event;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use adapter::Ask;
 pub use directive::{Directive, View};
 pub use event::{Action, Command, Event, Order, Outcome};
 
@@ -23,10 +25,6 @@
 /// The pause after an order that was refused or lost, or an inspection that failed.
 const PAUSE: Duration = Duration::from_millis(40);
 
-/// How long an adapter must not have been used to make way: longer than most
-/// answers take, since an adapter in use stays until they end.
-const IDLE: Duration = Duration::from_secs(1);
-
 /// How long a directive waits for adapters that are asked for. The engine loads no
 /// adapter while it loads a model, which takes seconds.
 const ADAPTERS_FIRST: Duration = Duration::from_millis(300);
@@ -45,16 +43,6 @@
     used: BTreeMap<String, Instant>,
 }
 
-/// A gateway that waits for an adapter.
-#[derive(Debug)]
-struct Ask {
-    call: u64,
-    endpoint: String,
-    model: String,
-    adapter: String,
-    slots: usize,
-}
-
 /// A directive that is to be carried out.
 #[derive(Debug)]
 struct Waiting {
@@ -130,44 +118,6 @@
         };
     }
 
-    /// Answers those whose adapter is there, and those that can't get it soon.
-    fn answer<S>(&mut self, now: Instant, view: &View, out: &mut S)
-    where
-        S: Sink<Command = Command>,
-    {
-        let asks = std::mem::take(&mut self.asks);
-        for ask in asks {
-            let hopeless = !view.models.contains(&ask.model) || ask.slots == 0;
-            let coming = view.incoming.contains(&ask.name());
-            let done = view.adapters.contains(&ask.name())
-                || hopeless
-                || (!coming && (view.busy || !self.has_place(now, view, &ask)));
-            if done {
-                let adapters = view.adapters.clone();
-                let call = ask.call;
-                out.push(Command::Answer { call, adapters });
-            } else {
-                self.asks.push_back(ask);
-            }
-        }
-    }
-
-    /// Whether a place for the adapter is free, is about to be, or can be made free.
-    fn has_place(&self, now: Instant, view: &View, ask: &Ask) -> bool {
-        let taken = view.adapters.len() + view.incoming.len();
-        taken < ask.slots || !self.leaving.is_empty() || self.victim(now, view).is_some()
-    }
-
-    /// The adapter that makes way next: the least recently used one.
-    fn victim<'a>(&self, now: Instant, view: &'a View) -> Option<&'a String> {
-        let used = |name: &String| self.used.get(name).copied();
-        let idle = view.adapters.iter().filter(|name| {
-            let rests = used(name).is_none_or(|at| at + IDLE <= now);
-            rests && !self.leaving.contains(*name)
-        });
-        idle.min_by_key(|name| used(name))
-    }
-
     /// Takes the first directive a step further. Returns whether the engine is
     /// busy with it.
     fn direct<S>(&mut self, now: Instant, view: &View, out: &mut S) -> bool
@@ -203,35 +153,6 @@
         self.activity = Activity::Ordering { leaves: None };
         true
     }
-
-    /// The order that brings `ask` a step further, if one can.
-    fn order(&self, now: Instant, view: &View, ask: &Ask) -> Option<Order> {
-        let taken = view.adapters.len() + view.incoming.len();
-        if taken < ask.slots {
-            return Some(Order {
-                endpoint: ask.endpoint.clone(),
-                action: Action::Load,
-                model: ask.model.clone(),
-                adapter: Some(ask.adapter.clone()),
-            });
-        }
-        if !self.leaving.is_empty() {
-            return None;
-        }
-        let (model, adapter) = self.victim(now, view)?.split_once('/')?;
-        Some(Order {
-            endpoint: ask.endpoint.clone(),
-            action: Action::Unload,
-            model: model.to_owned(),
-            adapter: Some(adapter.to_owned()),
-        })
-    }
-}
-
-impl Ask {
-    fn name(&self) -> String {
-        format!("{}/{}", self.model, self.adapter)
-    }
 }
 
 impl Machine for Steward {
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! * [`registrar`]: where endpoints announce themselves and operators publish;
 //! * [`exchange`]: what gateways tell each other of endpoints;
 //! * [`orders`]: what stewards are asked for;
+//! * [`report`]: what is logged and counted of requests;
 //! * [`health`]: whether the gateway takes clients' connections;
 //! * [`crate::request::pass`]: one request of a client.
 
@@ -10,6 +11,7 @@
 mod health;
 mod orders;
 mod registrar;
+mod report;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::marker::PhantomData;
@@ -26,7 +28,6 @@
 use nutmegyoke_core::process::member::Role;
 use nutmegyoke_core::process::registry::Row;
 use nutmegyoke_core::process::{Clock, Member};
-use nutmegyoke_core::request::Verdict;
 use nutmegyoke_core::version::routing::Limits;
 use nutmegyoke_core::version::{Document, Routing};
 use nutmegyoke_wire::connection::mesh_capnp::{gateway, steward};
@@ -35,7 +36,6 @@
 
 use super::control::Seat;
 use super::driver::Addressed;
-use super::passing::Passing;
 use super::sampler::Sampler;
 use super::{Control, Dialect, Driver, Event, Failure, Metrics};
 use crate::connection::http::{self, Handler};
@@ -240,35 +240,6 @@
         let served = machine.registry().rows().any(Row::takes_work);
         !self.stopping.get() && machine.routing().is_some() && served
     }
-
-    /// The times of requests.
-    #[must_use]
-    pub fn passing(&self) -> &Passing {
-        &self.metrics.passing
-    }
-
-    /// Counts the end of a request.
-    pub fn account(&self, verdict: Verdict) {
-        self.metrics.requests.inc();
-        if let Some(reason) = verdict.reason() {
-            self.metrics.refused(reason);
-        }
-    }
-
-    /// Logs something on a request unless there are too many lines; what is
-    /// `telling`, because it failed or was slow, always.
-    pub fn report(&self, event: &Event<'_>, telling: bool) {
-        let now = self.driver.clock().now();
-        let mut sampler = self.sampler.borrow_mut();
-        if !sampler.take(now) && !telling {
-            return;
-        }
-        let withheld = sampler.withheld();
-        if withheld > 0 {
-            Event::LinesWithheld { withheld }.log();
-        }
-        event.log();
-    }
 }
 
 /// Decodes and checks a routing document; the error says what is wrong with it.
--- /dev/null
+++ b/crates/nutmegyoke-host/src/process/gateway/report.rs
@@ -0,0 +1,39 @@
+//! What is logged and counted of requests that are passed through.
+
+use nutmegyoke_core::process::Clock;
+use nutmegyoke_core::request::Verdict;
+
+use super::Gateway;
+use crate::process::passing::Passing;
+use crate::process::{Dialect, Event};
+
+impl<C: Clock + 'static, D: Dialect> Gateway<C, D> {
+    /// The times of requests.
+    #[must_use]
+    pub fn passing(&self) -> &Passing {
+        &self.metrics.passing
+    }
+
+    /// Counts the end of a request.
+    pub fn account(&self, verdict: Verdict) {
+        self.metrics.requests.inc();
+        if let Some(reason) = verdict.reason() {
+            self.metrics.refused(reason);
+        }
+    }
+
+    /// Logs something on a request unless there are too many lines; what is
+    /// `telling`, because it failed or was slow, always.
+    pub fn report(&self, event: &Event<'_>, telling: bool) {
+        let now = self.driver.clock().now();
+        let mut sampler = self.sampler.borrow_mut();
+        if !sampler.take(now) && !telling {
+            return;
+        }
+        let withheld = sampler.withheld();
+        if withheld > 0 {
+            Event::LinesWithheld { withheld }.log();
+        }
+        event.log();
+    }
+}
