A voter that was taken out asks for a place at once

A frozen leader woke after 6.5 s, got what it lacked up to the change that took it out of the membership, and nothing more; it waited 6 s without a leader before it asked for a place, and answered by an old configuration meanwhile.

Change: a voter that misses a leader asks for a place with every poll; one that is still a member is passed over. Test: `voter_that_is_taken_out_while_it_runs_is_back_soon`, failed before.

--- a/crates/nutmegyoke-core/src/process/control/replica/absent.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/absent.rs
@@ -39,14 +39,13 @@
         self.change(now, membership, out);
     }
 
-    /// Asks for a place again, for a voter that has heard no leader for so long that
-    /// the others may have gone on without it.
-    pub(super) fn return_to_fleet<K>(&self, now: Instant, out: &mut K)
+    /// Asks for a place again, for a voter that hears no leader: the others may have
+    /// gone on without it. Whoever still counts it as a member passes over this.
+    pub(super) fn return_to_fleet<K>(&self, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
-        let open = matches!(self.setup.roster, Roster::Open { .. });
-        if open && now >= self.heard + GONE {
+        if matches!(self.setup.roster, Roster::Open { .. }) {
             self.ask_to_join(out);
         }
     }
--- a/crates/nutmegyoke-core/src/process/control/replica/election.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/election.rs
@@ -68,7 +68,7 @@
         };
         let last = self.log.last();
         self.ask_voters(|| Body::Poll { last }, out);
-        self.return_to_fleet(now, out);
+        self.return_to_fleet(out);
         self.count(now, out);
     }
 
--- a/crates/nutmegyoke-core/tests/roster.rs
+++ b/crates/nutmegyoke-core/tests/roster.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nutmegyoke_cases::cases;
-use nutmegyoke_core::process::control::replica::{Event, State};
+use nutmegyoke_core::process::control::replica::{Event, State, Wish};
 use nutmegyoke_core::process::control::store::{Change, Outcome, Store};
 use nutmegyoke_core::version::Document;
 use support::{ELECTION, Simulation, Weather};
@@ -182,6 +182,23 @@
     two: (2, 22),
 });
 
+#[test]
+fn voter_that_is_taken_out_while_it_runs_is_back_soon() {
+    let mut simulation = Simulation::<Store>::open_roster(4, 24, CALM, |_| false);
+    simulation.run(JOIN);
+    let leader = simulation.leader().unwrap();
+    let other = (0..4).find(|&vm| vm != leader).unwrap();
+    let name = format!("control-{other}");
+    let wish = Wish::Remove(&name);
+    simulation.feed(leader, Event::Wished { call: 1, wish });
+    simulation.run(ELECTION / 10);
+    let id = simulation.vms[other].id;
+    assert!(simulation.membership.peer(id).is_none());
+    // It heard the leader a moment ago, and must not be left behind for long.
+    simulation.run(ELECTION * 5 / 2);
+    assert!(simulation.membership.peer(id).is_some());
+}
+
 #[test]
 fn voter_that_was_cut_off_for_long_votes_again() {
     let mut simulation = Simulation::<Store>::open_roster(4, 23, CALM, |_| false);
