Don't take an engine for silent that only waits for its steward

Requests whose adapter a steward prepares count as in flight at the engine. Where the last of them was declined after the engine had answered all that it was sent, the engine stayed marked as having given no sign of life, and this gateway passed it over until the engine was started again.

Change: signs of life are asked for requests that were sent, which have a count of their own. Test: `engine_that_only_waits_for_its_steward_is_not_silent`, failed before.

--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -219,7 +219,11 @@
             return;
         };
         if let Some(seat) = self.seats.get_mut(&endpoint) {
-            seat.leave(now);
+            if let Stage::Preparing { .. } = call.stage {
+                seat.release();
+            } else {
+                seat.leave(now);
+            }
             if let Stage::Running { ahead, .. } = call.stage {
                 seat.ahead = seat.ahead.saturating_sub(ahead);
             }
--- a/crates/nutmegyoke-core/src/process/gateway/prepare.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/prepare.rs
@@ -52,7 +52,7 @@
             return;
         };
         if let Some(seat) = self.seats.get_mut(&endpoint) {
-            seat.in_flight = seat.in_flight.saturating_sub(1);
+            seat.release();
             seat.decline(now);
         }
         call.declined.push(endpoint);
--- a/crates/nutmegyoke-core/src/process/gateway/seat.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/seat.rs
@@ -35,8 +35,10 @@
 pub struct Seat {
     /// The start of the endpoint that the rest is about.
     pub born: u64,
-    /// Requests that it is working on.
+    /// Requests that it is working on, or that its steward prepares it for.
     pub in_flight: u32,
+    /// Those of them that it was sent.
+    sent: u32,
     /// Prompt tokens that it still has to read before it can begin the answers.
     pub ahead: u64,
     /// Prompt parts that it read lately.
@@ -49,7 +51,7 @@
     declined: Option<Instant>,
     failures: u32,
     avoided: Option<Instant>,
-    /// Since when it has requests and gave no sign of life.
+    /// Since when it has been sent requests and gave no sign of life.
     silent: Option<Instant>,
 }
 
@@ -80,25 +82,32 @@
 
     /// Notes that it was sent a request.
     pub fn send(&mut self, now: Instant) {
+        self.sent += 1;
         self.silent.get_or_insert(now);
     }
 
     /// Notes that something of an answer came from it.
     pub fn live(&mut self, now: Instant) {
-        self.silent = (self.in_flight > 0).then_some(now);
+        self.silent = (self.sent > 0).then_some(now);
     }
 
-    /// Notes that a request left it.
+    /// Notes that a request left it that it was sent.
     pub fn leave(&mut self, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.sent = self.sent.saturating_sub(1);
         if self.is_silent(now) {
             self.fail(now, TOLERATED);
         }
-        if self.in_flight == 0 {
+        if self.sent == 0 {
             self.silent = None;
         }
     }
 
+    /// Notes that a request left it before it was sent it.
+    pub fn release(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
     /// Takes in how an attempt ended.
     pub fn judge(&mut self, now: Instant, verdict: Verdict) {
         let weight = match verdict.reason() {
--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -506,6 +506,42 @@
     assert_ne!(sent(&bed.arrive(2, "/book/1")).unwrap(), silent);
 }
 
+/// An engine that answered all it was sent isn't silent, whatever its steward is asked.
+#[test]
+fn engine_that_only_waits_for_its_steward_is_not_silent() {
+    let mut bed = Bed::open(&[engine(1, &["price"]), engine(2, &["price"])]);
+    let plain = chat("price", None, &[]);
+    bed.feed(Event::Arrived {
+        call: 2,
+        passage: plain,
+    });
+    let out = bed.feed(Event::Arrived {
+        call: 1,
+        passage: chat("price", Some("a1"), &[]),
+    });
+    let Command::Prepare { endpoint, .. } = &out[0] else {
+        panic!("{out:?}");
+    };
+    let asked = endpoint.id.clone();
+    // A request to each engine, so that one of them shares it with the question.
+    for call in 3..20 {
+        let passage = chat("price", None, &[]);
+        bed.feed(Event::Arrived { call, passage });
+    }
+    for call in 2..20 {
+        bed.settle(call, Verdict::Ran);
+    }
+    bed.feed(DECLINED);
+    bed.feed(Event::Left { call: 1 });
+    bed.now += SECOND;
+    let used = (30..60).any(|call| {
+        let passage = chat("price", None, &[]);
+        let out = bed.feed(Event::Arrived { call, passage });
+        sent(&out).as_deref() == Some(asked.as_str())
+    });
+    assert!(used);
+}
+
 /// Whether a request without an answer is sent elsewhere after twice its objective.
 fn hurries(path: &str, endpoints: &[Announcement], again: bool) {
     let mut bed = Bed::open(endpoints);
