--- a/crates/nutmegyoke-core/src/process/control/replica/join.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/join.rs
@@ -43,11 +43,18 @@
         K: Sink<Command = Command<S>>,
     {
         for address in self.contacts() {
-            let seed = self.setup.seed.clone();
-            self.call(address, None, Body::Join { seed }, out);
+            self.join_by(address, out);
         }
     }
 
+    fn join_by<K>(&self, address: SocketAddr, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let seed = self.setup.seed.clone();
+        self.call(address, None, Body::Join { seed }, out);
+    }
+
     pub(super) fn others(&self) -> impl Iterator<Item = &Seed> {
         let own = &self.setup.seed.name;
         let seeds = match &self.setup.roster {
@@ -118,8 +125,7 @@
     {
         let leads = matches!(message.body, Body::Append { .. } | Body::Install { .. });
         if leads && self.is_fresh() && self.leader.is_none() {
-            let seed = self.setup.seed.clone();
-            self.call(message.reply, None, Body::Join { seed }, out);
+            self.join_by(message.reply, out);
         }
     }
 
--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -135,8 +135,9 @@
             ahead,
         };
         if call.route.conduct == Conduct::Repeatable {
-            call.late = Some(now + (call.route.objective * 2).max(LEAST_LATE));
-            self.late.extend(call.late.map(|at| (at, number)));
+            let late = now + (call.route.objective * 2).max(LEAST_LATE);
+            call.late = Some(late);
+            self.late.insert((late, number));
         }
         out.push(Command::Dispatch {
             call: number,
@@ -150,6 +151,7 @@
     }
 
     pub(super) fn begin(&mut self, now: Instant, number: u64) {
+        self.calm(number);
         let Some(call) = self.calls.get_mut(&number) else {
             return;
         };
@@ -212,6 +214,7 @@
 
     /// Takes the request off the endpoint that it is at.
     pub(super) fn vacate(&mut self, now: Instant, number: u64, verdict: Option<Verdict>) {
+        self.calm(number);
         let Some(call) = self.calls.get_mut(&number) else {
             return;
         };
--- a/crates/nutmegyoke-core/src/process/gateway/call.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -35,7 +35,8 @@
     pub runs: u32,
     pub suspect: Option<Reason>,
     pub stage: Stage,
-    /// When the attempt under way has waited long enough for an answer.
+    /// When the attempt under way has waited long enough for an answer; for those
+    /// that may be repeated.
     pub late: Option<Instant>,
 }
 
--- a/crates/nutmegyoke-core/src/process/gateway/demand.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/demand.rs
@@ -70,9 +70,7 @@
     fn per_second(self, now: Instant) -> f64 {
         let [fast, slow] = self.decayed(now);
         let [fast_average, slow_average] = AVERAGES.map(|average| average.as_secs_f64());
-        let (fast, slow) = (fast / fast_average, slow / slow_average);
-        // A load takes seconds: what rises is taken to go on rising meanwhile.
-        slow.max(fast)
+        (fast / fast_average).max(slow / slow_average)
     }
 }
 
--- a/crates/nutmegyoke-core/src/process/gateway/hurry.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/hurry.rs
@@ -3,7 +3,6 @@
 use std::time::Instant;
 
 use super::attempts::TRIES;
-use super::call::Stage;
 use super::{Command, Gateway, Sink};
 use crate::request::{Reason, Verdict};
 
@@ -26,28 +25,31 @@
                 return;
             }
             self.late.pop_first();
-            let Some(call) = self.calls.get(&number) else {
-                continue;
-            };
-            let gateways = self.spread.len() + 1;
-            let budget = self.budgets.get_mut(&call.service);
-            let affordable =
-                budget.is_some_and(|budget| budget.allows(now, &self.setup.bound, gateways));
-            let allowed =
-                affordable && call.runs + 1 < call.route.attempts && call.tried.len() + 1 < TRIES;
-            if call.late != Some(at)
-                || !allowed
-                || !matches!(call.stage, Stage::Running { .. })
-                || !self.has_other(now, call)
-            {
-                continue;
+            if self.may_hurry(now, number) {
+                let verdict = Verdict::may_have_run(Reason::ExpectationMissed);
+                self.settle(now, number, verdict, out);
             }
-            self.settle(
-                now,
-                number,
-                Verdict::may_have_run(Reason::ExpectationMissed),
-                out,
-            );
         }
     }
+
+    /// Ends the wait for the answer of an attempt.
+    pub(super) fn calm(&mut self, number: u64) {
+        let call = self.calls.get_mut(&number);
+        if let Some(at) = call.and_then(|call| call.late.take()) {
+            self.late.remove(&(at, number));
+        }
+    }
+
+    /// Whether a request that is at an endpoint can and may go to another one.
+    fn may_hurry(&mut self, now: Instant, number: u64) -> bool {
+        let Some(call) = self.calls.get(&number) else {
+            return false;
+        };
+        let gateways = self.spread.len() + 1;
+        let budget = self.budgets.get_mut(&call.service);
+        budget.is_some_and(|budget| budget.allows(now, &self.setup.bound, gateways))
+            && call.runs + 1 < call.route.attempts
+            && call.tried.len() + 1 < TRIES
+            && self.has_other(now, call)
+    }
 }
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -8,6 +8,7 @@
 use super::Gateway;
 use super::basis::Basis;
 use super::call::Call;
+use super::demand::Backlog;
 use crate::process::registry::spread::PERIOD;
 use crate::process::registry::{Announcement, RENEWAL, Row};
 
@@ -94,20 +95,30 @@
         now < row.heard + lease && !seat.is_some_and(|seat| seat.is_avoided(now))
     }
 
-    /// What is known of the endpoint `id` that matters to `call`.
+    /// What an endpoint has of the requests of all gateways, as far as known here.
+    pub(super) fn backlog(&self, id: &str) -> Backlog {
+        let others = self.demand.backlog(id);
+        let seat = self.seats.get(id);
+        Backlog {
+            ahead: seat.map_or(0, |seat| seat.ahead) + others.ahead,
+            in_flight: seat.map_or(0, |seat| seat.in_flight) + others.in_flight,
+        }
+    }
+
+    /// What the choice of the endpoint `id` for `call` is based on.
     pub(super) fn basis(&self, now: Instant, call: &Call, id: &str) -> Basis {
         let row = self.registry.row(id);
-        let seat = self.seats.get(id);
-        let others = self.demand.backlog(id);
         let heard = row.map_or(Duration::ZERO, |row| {
             now.saturating_duration_since(row.heard)
         });
+        let Backlog { ahead, in_flight } = self.backlog(id);
+        let seat = self.seats.get(id);
         Basis {
             routing: self.routing.as_ref().map_or(0, |routing| routing.number()),
             candidates: call.candidates,
             heard_ms: u64::try_from(heard.as_millis()).unwrap_or(u64::MAX),
-            in_flight: seat.map_or(0, |seat| seat.in_flight) + others.in_flight,
-            ahead: seat.map_or(0, |seat| seat.ahead) + others.ahead,
+            in_flight,
+            ahead,
             tokens: call.prompt.tokens,
             kept: seat.map_or(0, |seat| seat.cache.kept(now, &call.prompt)),
         }
@@ -117,8 +128,8 @@
     fn cost(&self, now: Instant, call: &Call, row: &Row, favourite: bool) -> u64 {
         let announcement = &row.announcement;
         let seat = self.seats.get(&announcement.id);
-        let basis = self.basis(now, call, &announcement.id);
-        let in_flight = u64::from(basis.in_flight);
+        let backlog = self.backlog(&announcement.id);
+        let in_flight = u64::from(backlog.in_flight);
         let slots = u64::from(announcement.slots.max(1));
         let far = announcement.data_centre != self.setup.data_centre;
         let mut cost = 0;
@@ -132,8 +143,9 @@
         if far {
             cost += FAR_COST;
         }
-        let unread = u64::from(basis.tokens - basis.kept);
-        cost += basis.ahead + unread + in_flight * (RUNNING_COST + unread / DISTURBANCE);
+        let kept = seat.map_or(0, |seat| seat.cache.kept(now, &call.prompt));
+        let unread = u64::from(call.prompt.tokens - kept);
+        cost += backlog.ahead + unread + in_flight * (RUNNING_COST + unread / DISTURBANCE);
         if let Some(adapter) = &call.adapter
             && !seat.is_some_and(|seat| seat.holds(model.as_str(), adapter))
         {
--- a/crates/nutmegyoke-core/src/process/gateway/place.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/place.rs
@@ -92,12 +92,6 @@
         }
     }
 
-    /// Requests of all gateways in flight at an endpoint, as far as known here.
-    fn in_flight_at(&self, id: &str) -> u32 {
-        let own = self.seats.get(id).map_or(0, |seat| seat.in_flight);
-        own + self.demand.backlog(id).in_flight
-    }
-
     fn plan(&mut self, now: Instant, pool: &Pool) -> Vec<Step> {
         let Some(engine) = &pool.engine else {
             return Vec::new();
@@ -110,7 +104,7 @@
             id: &row.announcement.id,
             models: &row.announcement.models,
             warm: &row.announcement.warm,
-            in_flight: self.in_flight_at(&row.announcement.id),
+            in_flight: self.backlog(&row.announcement.id).in_flight,
             load: 0.0,
         });
         let mut fleet = Fleet {
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -107,7 +107,6 @@
             bound: own.bound,
             random: member.vm.run(),
         });
-        let now = clock.now();
         let (driver, background) = Driver::spawn(machine, clock);
         let this = Rc::new(Self {
             driver,
@@ -116,7 +115,7 @@
             gateways: Rc::default(),
             stewards: Rc::default(),
             metrics: Metrics::open(registry, &member)?,
-            sampler: RefCell::new(Sampler::open(now)),
+            sampler: RefCell::default(),
             member,
             exchange_port: own.exchange.port(),
             steward_port: own.steward_port,
--- a/crates/nutmegyoke-host/src/process/gateway/report.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/report.rs
@@ -26,11 +26,9 @@
     /// `telling`, because it failed or was slow, always.
     pub fn report(&self, event: &Event<'_>, telling: bool) {
         let now = self.driver.clock().now();
-        let mut sampler = self.sampler.borrow_mut();
-        if !sampler.take(now) && !telling {
+        let Some(withheld) = self.sampler.borrow_mut().take(now, telling) else {
             return;
-        }
-        let withheld = sampler.withheld();
+        };
         if withheld > 0 {
             Event::LinesWithheld { withheld }.log();
         }
--- a/crates/nutmegyoke-host/src/process/sampler.rs
+++ b/crates/nutmegyoke-host/src/process/sampler.rs
@@ -5,50 +5,34 @@
 
 use std::time::{Duration, Instant};
 
-/// Lines a second. At the target of 13 requests a second and gateway, every
+use nutmegyoke_core::process::entry::bucket::Bucket;
+
+/// The time between lines. At the target of 13 requests a second and gateway, every
 /// request has its lines; at ten times that, about half of them do.
-const RATE: f64 = 200.0;
+const LINE: Duration = Duration::from_millis(5);
 
-/// Lines that may come at once, after a calm second or two.
-const BURST: f64 = 400.0;
+/// The time whose lines may come at once.
+const BURST: Duration = Duration::from_secs(2);
 
-/// A bucket of lines that may be written.
-#[derive(Debug)]
+/// Says which lines may be written.
+#[derive(Debug, Default)]
 pub struct Sampler {
-    left: f64,
-    at: Instant,
+    bucket: Bucket,
     withheld: u64,
 }
 
 impl Sampler {
-    /// Opens a full bucket.
-    #[must_use]
-    pub fn open(now: Instant) -> Self {
-        Self {
-            left: BURST,
-            at: now,
-            withheld: 0,
-        }
-    }
-
-    /// Whether another line may be written.
-    pub fn take(&mut self, now: Instant) -> bool {
-        let since: Duration = now.saturating_duration_since(self.at);
-        self.at = now;
-        self.left = (self.left + since.as_secs_f64() * RATE).min(BURST);
-        if self.left < 1.0 {
-            self.withheld += 1;
-            return false;
+    /// Whether another line may be written; one that is `telling` always may. Returns
+    /// how many were withheld before, once there is room again.
+    pub fn take(&mut self, now: Instant, telling: bool) -> Option<u64> {
+        if self.bucket.check(now, LINE, BURST).is_ok() {
+            self.bucket.charge(now, LINE);
+            return Some(std::mem::take(&mut self.withheld));
         }
-        self.left -= 1.0;
-        true
-    }
-
-    /// The lines withheld since this was asked last, once lines are written again.
-    pub fn withheld(&mut self) -> u64 {
-        if self.left < 1.0 {
-            return 0;
+        if telling {
+            return Some(0);
         }
-        std::mem::take(&mut self.withheld)
+        self.withheld += 1;
+        None
     }
 }
--- a/src/bin/nutmegyoke/commands/audit.rs
+++ b/src/bin/nutmegyoke/commands/audit.rs
@@ -77,15 +77,9 @@
 impl Log {
     /// Whether the process that wrote `line` started anew, or wrote nothing more, after it.
     fn ends_after(&self, line: &Line) -> bool {
-        let mut later = self
-            .lines
-            .iter()
-            .filter(|other| other.process == line.process && other.at > line.at);
-        let Some(first) = later.next() else {
-            return true;
-        };
-        std::iter::once(first)
-            .chain(later)
-            .any(|other| other.names("event", "started"))
+        let lines = self.lines.iter();
+        let later = lines.filter(|other| other.process == line.process && other.at > line.at);
+        let mut later = later.peekable();
+        later.peek().is_none() || later.any(|other| other.names("event", "started"))
     }
 }
--- a/src/bin/nutmegyoke/commands/explain.rs
+++ b/src/bin/nutmegyoke/commands/explain.rs
@@ -38,16 +38,14 @@
 impl Explain {
     pub fn run(&self) -> Result<(), Failure> {
         let log = Log::open(&self.files)?;
-        let story = log.story(&self.id);
-        if story.is_empty() {
+        let Some((start, story)) = log.story(&self.id) else {
             let why = format!(
                 "no line of {} names the request `{}`: give the logs of all gateways of that time",
                 log.lines.len(),
                 self.id
             );
             return Err(Failure::Input { why });
-        }
-        let start = log.first(&self.id).map_or(0, |line| line.at);
+        };
         for line in story {
             if self.json {
                 println!("{}", line.text);
@@ -63,24 +61,16 @@
 }
 
 impl Log {
-    fn first(&self, id: &str) -> Option<&Line> {
-        let named = self.lines.iter().filter(|line| line.names("request", id));
-        named.min_by_key(|line| line.at)
-    }
-
-    /// The lines on the request, and those around it that may tell why.
-    fn story(&self, id: &str) -> Vec<&Line> {
+    /// When the request arrived, the lines on it, and those around it that may tell
+    /// why; `None` if no line names it.
+    fn story(&self, id: &str) -> Option<(u64, Vec<&Line>)> {
         let own: Vec<&Line> = self
             .lines
             .iter()
             .filter(|line| line.names("request", id))
             .collect();
-        let (Some(from), Some(to)) = (
-            own.iter().map(|line| line.at).min(),
-            own.iter().map(|line| line.at).max(),
-        ) else {
-            return Vec::new();
-        };
+        let from = own.iter().map(|line| line.at).min()?;
+        let to = own.iter().map(|line| line.at).max()?;
         let processes: BTreeSet<&str> = own.iter().map(|line| line.process.as_str()).collect();
         let endpoints: BTreeSet<&str> = own.iter().flat_map(|line| line.endpoints()).collect();
         let models: BTreeSet<&str> = own.iter().filter_map(|line| line.model()).collect();
@@ -94,7 +84,7 @@
             })
             .collect();
         story.sort_by_key(|line| line.at);
-        story
+        Some((from, story))
     }
 }
 
