Show that a deadly prompt part crashes endpoint after endpoint

A gateway process in front of ten endpoints that crash on one part of a prompt. Every request with the part crashes another endpoint; five are allowed.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod fleet;
+pub mod fragile;
 pub mod gateway;
 pub mod replicas;
 pub mod scripted;
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -110,7 +110,7 @@
 
 /// Reads a request with a `Content-Length`, or one without a body. `None` if the
 /// connection closes first.
-fn read_request(stream: &mut TcpStream) -> Option<Received> {
+pub fn read_request(stream: &mut TcpStream) -> Option<Received> {
     let mut bytes = Vec::new();
     let end = loop {
         if let Some(at) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
