Log crashes of endpoints with the prompts that may have caused them

When a connection breaks during an attempt, the gateway connects to the endpoint once. If that is refused, or if the endpoint announces another start, it crashed: NY0505 names it, and the shared prompt parts of the requests that it had just begun to answer. Nothing is decided by it yet.

Before, no log line named the parts of a prompt, so the logs could not tell whether one gateway had the evidence or all had a part of it.

--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -169,7 +169,10 @@
             tracker.ahead = tracker.ahead.saturating_sub(uncached);
             tracker.record_outcome(now, Verdict::Ran);
         }
-        call.stage = Stage::Answering { endpoint };
+        call.stage = Stage::Answering {
+            endpoint,
+            since: now,
+        };
     }
 
     /// Records how an attempt ended, and retries the request elsewhere if its route, its
@@ -187,6 +190,7 @@
             self.calls.get(&number).map(|call| &call.stage),
             Some(Stage::Answering { .. })
         );
+        self.note_break(now, number, verdict, out);
         self.leave_endpoint(now, number, Some(verdict));
         let Some(call) = self.calls.get_mut(&number) else {
             return;
--- a/crates/nutmegyoke-core/src/process/gateway/call.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -58,8 +58,8 @@
     Preparing { endpoint: String },
     /// The beginning of the answer; `uncached` prompt tokens have to be prefilled first.
     Running { endpoint: String, uncached: u64 },
-    /// The end of the answer, which is being passed on.
-    Answering { endpoint: String },
+    /// The end of the answer, which is being passed on `since` it began.
+    Answering { endpoint: String, since: Instant },
 }
 
 impl Call {
@@ -102,7 +102,7 @@
             Stage::Idle => None,
             Stage::Preparing { endpoint }
             | Stage::Running { endpoint, .. }
-            | Stage::Answering { endpoint } => Some(endpoint),
+            | Stage::Answering { endpoint, .. } => Some(endpoint),
         }
     }
 }
--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -9,6 +9,7 @@
 use super::basis::Basis;
 use super::demand::Work;
 use crate::process::placement::Step;
+use crate::process::quarantine::Crash;
 use crate::process::registry::{Announcement, Rumor};
 use crate::request::{Passthrough, Verdict};
 use crate::version::routing::Pool;
@@ -63,6 +64,13 @@
         model: &'a Model,
         accepted: bool,
     },
+    /// A probe of an endpoint ended. `started_ms` is the start of the endpoint that was
+    /// probed; `refused` whether its address refused the connection.
+    Probed {
+        endpoint: &'a str,
+        started_ms: u64,
+        refused: bool,
+    },
     /// The machine's deadline passed.
     Ticked,
 }
@@ -122,6 +130,10 @@
         step: Step,
         pool: Rc<Pool>,
     },
+    /// Connect to an endpoint whose connections broke, and feed [`Event::Probed`].
+    Probe { endpoint: Rc<Announcement> },
+    /// Log that an endpoint crashed.
+    ReportCrash { crash: Crash },
     /// Record the demand for models in the replicated log, for the next leader.
     Record { demand: Rc<[(Model, f64)]> },
     /// Count a retry, or one that the retry budget did not allow. `verdict` is the outcome of
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! * [`call`]: the state of a request in flight;
 //! * [`attempts`]: routing, attempts and retries of a request;
 //! * [`prepare`]: loading adapters before a request is sent;
+//! * [`crash`]: crashes of endpoints;
 //! * [`slow`]: retries of slow requests, and progress of answers;
 //! * [`refusal`]: requests that end without an answer;
 //! * [`queue`]: requests that wait for an endpoint;
@@ -22,6 +23,7 @@
 mod attempts;
 pub mod basis;
 mod call;
+mod crash;
 pub mod demand;
 pub mod event;
 mod pick;
@@ -40,6 +42,7 @@
 
 pub use basis::Basis;
 use call::Call;
+use crash::Break;
 pub use demand::{Demand, Work};
 pub use event::{Command, Event, Halt, Refusal};
 use queue::Queue;
@@ -92,6 +95,8 @@
     /// When each repeatable request without an answer counts as slow.
     slow_at: BTreeSet<(Instant, u64)>,
     queue: Queue,
+    /// The endpoints that may have crashed, by id.
+    breaks: HashMap<String, Break>,
 }
 
 impl Gateway {
@@ -115,6 +120,7 @@
             deadlines: BTreeSet::new(),
             slow_at: BTreeSet::new(),
             queue: Queue::default(),
+            breaks: HashMap::new(),
         }
     }
 
@@ -196,6 +202,7 @@
                 self.admit_unrouted(now, out);
             }
             Event::Announced { announcement } => {
+                self.confirm_restart(announcement, out);
                 let changed = self.registry.record_heartbeat(now, announcement);
                 self.update_adapters(now, &announcement.id);
                 self.wake_on_change(now, changed);
@@ -210,6 +217,7 @@
                     let changed = self.registry.apply(now, rumor);
                     if let Content::Announced(announcement) = &rumor.content {
                         self.update_adapters(now, &announcement.id);
+                        self.confirm_restart(announcement, out);
                     }
                     self.wake_on_change(now, changed);
                 }
@@ -222,7 +230,13 @@
                 model,
                 accepted,
             } => self.placement_answered(endpoint, model, accepted),
+            Event::Probed {
+                endpoint,
+                started_ms,
+                refused,
+            } => self.endpoint_probed(endpoint, started_ms, refused, out),
             Event::Ticked => {
+                self.expire_breaks(now);
                 self.registry.expire(now);
                 self.trackers
                     .retain(|id, tracker| tracker.in_flight > 0 || self.registry.row(id).is_some());
--- a/crates/nutmegyoke-core/src/process/gateway/prompt.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/prompt.rs
@@ -16,11 +16,16 @@
 /// dropped, or all of them if too many are left.
 const MAX_PREFIXES: usize = 2048;
 
+/// The most parts of a prompt that are told apart as causes of crashes.
+const MAX_SHARED_PARTS: usize = 16;
+
 /// The prefixes of one request's prompt.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
     /// The hash of each prefix, with model and adapter, and its length in tokens.
     prefixes: Vec<(u64, u32)>,
+    /// The identifiers of the parts that other requests may have, too.
+    shared_parts: Vec<u64>,
     /// The length of the whole prompt, in tokens.
     pub tokens: u32,
 }
@@ -42,7 +47,20 @@
             tokens = tokens.saturating_add(part.tokens);
             prefixes.push((rapidhash_v3(&key), tokens));
         }
-        Self { prefixes, tokens }
+        let shared = parts.len().saturating_sub(1).min(MAX_SHARED_PARTS);
+        let shared_parts = parts.iter().take(shared).map(|part| part.id).collect();
+        Self {
+            prefixes,
+            shared_parts,
+            tokens,
+        }
+    }
+
+    /// The identifiers of the parts that other requests may have, too: all but the last, and
+    /// [`MAX_SHARED_PARTS`] at most.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[u64] {
+        &self.shared_parts
     }
 
     /// The hash of the longest prefix that other requests may share: all but the last part,
--- a/crates/nutmegyoke-core/src/process/mod.rs
+++ b/crates/nutmegyoke-core/src/process/mod.rs
@@ -4,8 +4,8 @@
 //! [`control`], [`gateway`] and [`steward`]. Control keeps the [`directory`] of the fleet,
 //! whose rows are a [`member`] with its [`vm`], [`data_centre`] and [`endpoint`]s, and
 //! sends its changes in an [`update`]. It changes what engines hold by an [`order`] and
-//! learns of the result from a [`report`]. Gateways list endpoints in a [`registry`] and
-//! decide on models by [`placement`].
+//! learns of the result from a [`report`]. Gateways list endpoints in a [`registry`],
+//! decide on models by [`placement`] and keep [`quarantine`] of what crashes endpoints.
 
 pub mod agent;
 pub mod clock;
@@ -20,6 +20,7 @@
 pub mod member;
 pub mod order;
 pub mod placement;
+pub mod quarantine;
 pub mod registry;
 pub mod report;
 pub mod steward;
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/quarantine/crash.rs
@@ -0,0 +1,38 @@
+//! A crash of an endpoint, and the requests that may have caused it.
+
+use std::time::Instant;
+
+/// The most requests that are kept as suspects of a crash.
+pub const MAX_SUSPECTS: usize = 64;
+
+/// The start of an endpoint that ended in a crash. An endpoint crashes at most once in each
+/// start, so the reports of several gateways about one crash have the same origin.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Origin {
+    /// The id of the endpoint.
+    pub endpoint: String,
+    /// When the endpoint started, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+}
+
+/// A crash of an endpoint while it had requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// What crashed.
+    pub origin: Origin,
+    /// When the first connection broke.
+    pub at: Instant,
+    /// The shared prompt parts of each request that may have caused it.
+    pub suspects: Vec<Vec<u64>>,
+}
+
+impl Crash {
+    /// Adds a request that may have caused the crash, unless it is known or there are
+    /// [`MAX_SUSPECTS`] already.
+    pub fn add_suspect(&mut self, parts: &[u64]) {
+        let known = self.suspects.iter().any(|suspect| suspect == parts);
+        if !parts.is_empty() && !known && self.suspects.len() < MAX_SUSPECTS {
+            self.suspects.push(parts.to_vec());
+        }
+    }
+}
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -137,6 +137,16 @@
     },
     /// An endpoint without an agent signed off.
     EndpointLeft { id: &'a str },
+    /// An endpoint crashed while it had requests.
+    EndpointCrashed {
+        id: &'a str,
+        /// When the endpoint had started, in milliseconds since the Unix epoch.
+        born: u64,
+        /// The number of this gateway's requests that may have caused the crash.
+        suspects: usize,
+        /// The shared prompt parts of the first of them, in hexadecimal.
+        parts: &'a [Vec<String>],
+    },
     /// The steward of an engine did not answer.
     StewardSilent { address: SocketAddr, why: &'a str },
     /// The steward sent an order to its engine.
@@ -214,6 +224,7 @@
             Self::Published => 203,
             Self::EndpointHeard => 503,
             Self::EndpointLeft => 504,
+            Self::EndpointCrashed => 505,
             Self::StewardSilent => 403,
             Self::EngineOrdered => 602,
             Self::EngineSilent => 603,
@@ -242,6 +253,7 @@
             | Self::LinesDropped { .. }
             | Self::StewardSilent { .. }
             | Self::EngineSilent { .. }
+            | Self::EndpointCrashed { .. }
             | Self::Volatile
             | Self::DiskFull { .. }
             | Self::AnnouncementRefused { .. } => Level::Warn,
--- a/crates/nutmegyoke-host/src/process/gateway/gossip.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/gossip.rs
@@ -14,7 +14,7 @@
 use nutmegyoke_wire::connection::mesh_capnp::gateway;
 use nutmegyoke_wire::process::{rumor, work};
 
-use super::Gateway;
+use super::{Gateway, telemetry};
 use crate::connection::link;
 use crate::connection::listener::Serve;
 use crate::process::{Codec, Event};
@@ -99,6 +99,10 @@
                 })
                 .detach();
             }
+            Command::Probe { endpoint } => {
+                compio::runtime::spawn(async move { gateway.probe(&endpoint).await }).detach();
+            }
+            Command::ReportCrash { crash } => telemetry::log_crash(&crash),
             Command::Record { demand } => gateway.control.record_demand(&demand),
             Command::CountRetry { verdict, allowed } => {
                 if let Some(reason) = verdict.reason() {
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! * [`registrar`]: endpoints' heartbeats and operators' routing documents;
 //! * [`gossip`]: gossip between gateways about endpoints;
+//! * [`probe`]: connects to endpoints that may have crashed;
 //! * [`stewards`]: calls to the stewards of engines;
 //! * [`telemetry`]: logs and metrics of requests;
 //! * [`health`]: the health check of a load balancer;
@@ -15,6 +16,7 @@
 
 mod gossip;
 mod health;
+mod probe;
 mod registrar;
 mod stewards;
 mod telemetry;
@@ -86,6 +88,8 @@
             Self::Touch { .. }
             | Self::Gossip { .. }
             | Self::Place { .. }
+            | Self::Probe { .. }
+            | Self::ReportCrash { .. }
             | Self::Record { .. }
             | Self::CountRetry { .. } => None,
         }
--- a/crates/nutmegyoke-host/src/process/gateway/telemetry.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/telemetry.rs
@@ -1,6 +1,7 @@
 //! Logs and metrics of passed-through requests.
 
 use nutmegyoke_core::process::Clock;
+use nutmegyoke_core::process::quarantine::Crash;
 use nutmegyoke_core::request::Verdict;
 
 use super::Gateway;
@@ -35,3 +36,24 @@
         event.log();
     }
 }
+
+/// The most suspects of a crash that its log line lists.
+const MAX_LOGGED_SUSPECTS: usize = 16;
+
+/// Logs a crash of an endpoint, with the prompt parts of the requests that may have caused it.
+pub fn log_crash(crash: &Crash) {
+    let suspects = crash.suspects.iter().take(MAX_LOGGED_SUSPECTS);
+    let parts: Vec<Vec<String>> = suspects.map(|parts| hexadecimal(parts)).collect();
+    Event::EndpointCrashed {
+        id: &crash.origin.endpoint,
+        born: crash.origin.started_ms,
+        suspects: crash.suspects.len(),
+        parts: &parts,
+    }
+    .log();
+}
+
+/// The identifiers of prompt parts as clients write them.
+fn hexadecimal(parts: &[u64]) -> Vec<String> {
+    parts.iter().map(|part| format!("{part:x}")).collect()
+}
--- a/tests/support/fragile.rs
+++ b/tests/support/fragile.rs
@@ -37,9 +37,9 @@
                 let id = header(&received.head, "x-nutmegyoke-request-id");
                 let start = STREAM_START.replace("{id}", &id);
                 let prompt = header(&received.head, "x-nutmegyoke-prompt-prefix");
-                let crashes = prompt.split(',').any(|row| row.starts_with(part));
+                let is_deadly = prompt.split(',').any(|row| row.starts_with(part));
                 stream.write_all(start.as_bytes()).unwrap();
-                if crashes {
+                if is_deadly {
                     flag.store(true, Ordering::SeqCst);
                     return;
                 }
