--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -63,6 +63,9 @@
     where
         S: Sink<Command = Command>,
     {
+        if self.withhold(now, number, out) {
+            return;
+        }
         let Some(call) = self.calls.get(&number) else {
             return;
         };
@@ -192,13 +195,16 @@
         );
         self.note_break(now, number, verdict, out);
         self.leave_endpoint(now, number, Some(verdict));
-        let Some(call) = self.calls.get_mut(&number) else {
-            return;
-        };
+        if verdict == Verdict::Ran {
+            self.clear_prompt(now, number);
+        }
         if answering || verdict == Verdict::Ran {
             self.remove_call(number);
             return;
         }
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
         if let Verdict::MayHaveRun { reason } = verdict {
             call.possible_runs += 1;
             call.uncertain = Some(reason);
--- a/crates/nutmegyoke-core/src/process/gateway/crash.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/crash.rs
@@ -3,24 +3,35 @@
 //! A connection that breaks during an attempt has many causes: the endpoint crashed, it
 //! failed this request only, or the network reset the connection. After a crash the
 //! endpoint's address refuses connections, or the endpoint announces another start.
+//!
+//! The [`quarantine`](crate::process::quarantine) names the prompt parts that cause crashes;
+//! requests with them are refused.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use super::call::Stage;
-use super::{Command, Gateway, Sink};
-use crate::process::quarantine::{Crash, Origin};
+use super::refusal::refuse_until;
+use super::{Command, Gateway, Halt, Sink};
+use crate::process::quarantine::{Crash, Culprit, Effect, Evidence, Origin, crash};
 use crate::process::registry::Announcement;
 use crate::request::{Reason, Verdict};
 
 /// A request whose answer began longer before the crash is no suspect: an engine that crashes
 /// on a request does so when it begins to answer.
-const SUSPICION_TIME: Duration = Duration::from_secs(1);
+const SUSPICION_TIME: Duration = Duration::from_millis(300);
+
+/// Connections that break within this time broke for one reason.
+const BREAK_TIME: Duration = Duration::from_secs(1);
 
 /// How long a broken connection waits for the endpoint's next start, if the endpoint was not
 /// found to be down.
 const BREAK_TTL: Duration = Duration::from_secs(5);
 
+/// An endpoint that is heard this many heartbeat periods after a crash, and has not started
+/// again, did not crash. An earlier heartbeat may have been delayed.
+const HEARTBEATS_TO_REFUTE: u32 = 2;
+
 /// An endpoint whose connections broke, and that may have crashed.
 #[derive(Debug)]
 pub struct Break {
@@ -58,8 +69,8 @@
             started_ms: endpoint.stamp.started_ms,
         };
         let known = self.breaks.get(&endpoint.id);
-        let known = known
-            .filter(|known| known.crash.origin == origin && now < known.crash.at + SUSPICION_TIME);
+        let known =
+            known.filter(|known| known.crash.origin == origin && now < known.crash.at + BREAK_TIME);
         if known.is_none() {
             out.push(Command::Probe {
                 endpoint: Rc::clone(&endpoint),
@@ -77,13 +88,14 @@
             .and_then(|id| self.breaks.get_mut(id))
             .filter(|_| is_suspect)
         {
-            noted.crash.add_suspect(call.prompt.shared_parts());
+            crash::add_suspect(&mut noted.crash.suspects, call.prompt.shared_parts());
         }
     }
 
     /// Records a crash if the probed endpoint `refused` a connection.
     pub(super) fn endpoint_probed<S>(
         &mut self,
+        now: Instant,
         id: &str,
         started_ms: u64,
         refused: bool,
@@ -93,14 +105,18 @@
     {
         let noted = self.breaks.get(id);
         if refused && noted.is_some_and(|noted| noted.crash.origin.started_ms == started_ms) {
-            self.confirm_crash(id, out);
+            self.confirm_crash(now, id, out);
         }
     }
 
     /// Records the crash of an endpoint whose connections broke, if `announcement` shows
     /// that it started again.
-    pub(super) fn confirm_restart<S>(&mut self, announcement: &Announcement, out: &mut S)
-    where
+    pub(super) fn confirm_restart<S>(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+        out: &mut S,
+    ) where
         S: Sink<Command = Command>,
     {
         let restarted = self.breaks.values().find(|noted| {
@@ -109,7 +125,7 @@
             same && noted.crash.origin.started_ms < announcement.stamp.started_ms
         });
         if let Some(id) = restarted.map(|noted| noted.endpoint.id.clone()) {
-            self.confirm_crash(&id, out);
+            self.confirm_crash(now, &id, out);
         }
     }
 
@@ -119,12 +135,103 @@
             .retain(|_, noted| now < noted.crash.at + BREAK_TTL);
     }
 
-    fn confirm_crash<S>(&mut self, id: &str, out: &mut S)
+    fn confirm_crash<S>(&mut self, now: Instant, id: &str, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
         if let Some(Break { crash, .. }) = self.breaks.remove(id) {
+            let before = self.quarantine.culprits().to_vec();
+            self.quarantine.record(now, &crash);
+            self.gossip.expedite(now);
             out.push(Command::ReportCrash { crash });
+            self.enforce(now, &before, out);
+        }
+    }
+
+    /// Applies the evidence of another gateway.
+    pub(super) fn receive_evidence<S>(&mut self, now: Instant, evidence: &Evidence, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let before = self.quarantine.culprits().to_vec();
+        self.quarantine.apply(now, evidence);
+        self.refute_crashes(now);
+        self.enforce(now, &before, out);
+    }
+
+    /// Records that a request succeeded, so its prompt crashes no endpoint.
+    pub(super) fn clear_prompt(&mut self, now: Instant, number: u64) {
+        let Some(call) = self.calls.get(&number) else {
+            return;
+        };
+        let parts = call.prompt.shared_parts();
+        if self.quarantine.record_success(now, parts) == Effect::Cleared {
+            self.gossip.expedite(now);
+        }
+    }
+
+    /// Reports the culprits that are not in `before`, and ends the requests with their parts
+    /// that have no answer yet, before they crash more endpoints.
+    fn enforce<S>(&mut self, now: Instant, before: &[Culprit], out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let culprits = self.quarantine.culprits().iter();
+        let new = culprits.filter(|culprit| before.iter().all(|old| old.parts != culprit.parts));
+        for culprit in new.cloned().collect::<Vec<Culprit>>() {
+            let calls = self.calls.iter().filter(|(_, call)| {
+                !matches!(call.stage, Stage::Answering { .. })
+                    && culprit.matches(call.prompt.shared_parts())
+            });
+            let mut numbers: Vec<u64> = calls.map(|(&number, _)| number).collect();
+            numbers.sort_unstable();
+            out.push(Command::ReportCulprit { culprit });
+            for number in numbers {
+                self.withhold(now, number, out);
+            }
         }
     }
+
+    /// Drops the crashes of endpoints that have sent heartbeats since without another start.
+    pub(super) fn refute_crashes(&mut self, now: Instant) {
+        let margin = self.setup.heartbeat_period * HEARTBEATS_TO_REFUTE;
+        let registry = &self.registry;
+        self.quarantine.refute(now, |crash| {
+            let row = registry.row(&crash.origin.endpoint);
+            row.is_some_and(|row| {
+                row.accepts_requests()
+                    && row.stamp.started_ms == crash.origin.started_ms
+                    && row.last_heard > crash.at + margin
+            })
+        });
+    }
+
+    /// Refuses a request whose prompt crashes endpoints, and returns whether it did.
+    pub(super) fn withhold<S>(&mut self, now: Instant, number: u64, out: &mut S) -> bool
+    where
+        S: Sink<Command = Command>,
+    {
+        let Some(call) = self.calls.get(&number) else {
+            return false;
+        };
+        let Some(culprit) = self.quarantine.culprit(now, call.prompt.shared_parts()) else {
+            return false;
+        };
+        let retry_after = culprit.until().saturating_duration_since(now);
+        let culprit = culprit.clone();
+        let may_have_run = call.uncertain.is_some() || matches!(call.stage, Stage::Running { .. });
+        let verdict = if may_have_run {
+            Verdict::may_have_run(Reason::Quarantined)
+        } else {
+            Verdict::not_run(Reason::Quarantined)
+        };
+        out.push(Command::Withheld {
+            call: number,
+            culprit,
+        });
+        self.leave_endpoint(now, number, None);
+        self.remove_call(number);
+        refuse_until(number, verdict, Halt::Quarantined, retry_after, out);
+        true
+    }
 }
--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -9,7 +9,7 @@
 use super::basis::Basis;
 use super::demand::Work;
 use crate::process::placement::Step;
-use crate::process::quarantine::Crash;
+use crate::process::quarantine::{Crash, Culprit, Evidence};
 use crate::process::registry::{Announcement, Rumor};
 use crate::request::{Passthrough, Verdict};
 use crate::version::routing::Pool;
@@ -40,11 +40,12 @@
     Announced { announcement: &'a Announcement },
     /// An endpoint signed off.
     SignedOff { id: &'a str },
-    /// Another gateway sent rumors and its work; `from` is the run of its process.
+    /// Another gateway sent rumors, its work and evidence on crashes; `from` is the run of its process.
     Gossiped {
         from: u64,
         rumors: &'a [Rumor],
         work: &'a Work,
+        evidence: &'a Evidence,
     },
     /// The list of the other gateways may have changed. Each is given by the address where
     /// it receives gossip.
@@ -122,6 +123,7 @@
         to: SocketAddr,
         rumors: Vec<Rumor>,
         work: Work,
+        evidence: Evidence,
     },
     /// Ask the steward of an engine to change its models, and feed [`Event::Placed`].
     Place {
@@ -134,6 +136,10 @@
     Probe { endpoint: Rc<Announcement> },
     /// Log that an endpoint crashed.
     ReportCrash { crash: Crash },
+    /// Log that prompt parts are quarantined.
+    ReportCulprit { culprit: Culprit },
+    /// Log that the request is refused, because it has the parts of `culprit`.
+    Withheld { call: u64, culprit: Culprit },
     /// Record the demand for models in the replicated log, for the next leader.
     Record { demand: Rc<[(Model, f64)]> },
     /// Count a retry, or one that the retry budget did not allow. `verdict` is the outcome of
@@ -169,4 +175,6 @@
     BudgetUsed,
     /// No other endpoint can take it.
     NoOther,
+    /// Its prompt crashes endpoints.
+    Quarantined,
 }
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -49,8 +49,8 @@
 pub use retry_budget::{Bound, Budget};
 pub use tracker::Tracker;
 
-use super::registry::{Content, Gossip};
-use super::{DataCentre, Machine, Placement, Registry, Sink};
+use super::registry::{Content, Gossip, Revision};
+use super::{DataCentre, Machine, Placement, Quarantine, Registry, Sink};
 use crate::version::{Routing, Service};
 
 /// The part of a gateway's settings that its decisions depend on.
@@ -97,6 +97,8 @@
     queue: Queue,
     /// The endpoints that may have crashed, by id.
     breaks: HashMap<String, Break>,
+    /// The prompt parts that crash endpoints.
+    quarantine: Quarantine,
 }
 
 impl Gateway {
@@ -121,6 +123,7 @@
             slow_at: BTreeSet::new(),
             queue: Queue::default(),
             breaks: HashMap::new(),
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -152,11 +155,18 @@
         }
         let work = self.work(now);
         let busy = work != Work::default();
-        let due = self.gossip.due(now, self.registry.revision(), busy);
+        let revision = Revision {
+            endpoints: self.registry.revision(),
+            crashes: self.quarantine.revision(),
+        };
+        let due = self.gossip.due(now, revision, busy);
         for (to, acknowledged) in due {
-            let rumors = self.registry.since(now, acknowledged);
-            let work = work.clone();
-            out.push(Command::Gossip { to, rumors, work });
+            out.push(Command::Gossip {
+                to,
+                rumors: self.registry.since(now, acknowledged.endpoints),
+                work: work.clone(),
+                evidence: self.quarantine.since(now, acknowledged.crashes),
+            });
         }
     }
 
@@ -202,7 +212,7 @@
                 self.admit_unrouted(now, out);
             }
             Event::Announced { announcement } => {
-                self.confirm_restart(announcement, out);
+                self.confirm_restart(now, announcement, out);
                 let changed = self.registry.record_heartbeat(now, announcement);
                 self.update_adapters(now, &announcement.id);
                 self.wake_on_change(now, changed);
@@ -211,16 +221,23 @@
                 let changed = self.registry.record_sign_off(now, id);
                 self.wake_on_change(now, changed);
             }
-            Event::Gossiped { from, rumors, work } => {
+            Event::Gossiped {
+                from,
+                rumors,
+                work,
+                evidence,
+            } => {
                 self.demand.receive(now, from, work);
                 for rumor in rumors {
                     let changed = self.registry.apply(now, rumor);
                     if let Content::Announced(announcement) = &rumor.content {
                         self.update_adapters(now, &announcement.id);
-                        self.confirm_restart(announcement, out);
+                        self.confirm_restart(now, announcement, out);
                     }
                     self.wake_on_change(now, changed);
                 }
+                // The rumors tell which of the endpoints did not crash.
+                self.receive_evidence(now, evidence, out);
             }
             Event::PeersListed { gateways } => self.gossip.set_peers(now, gateways),
             Event::Delivered { to, run } => self.gossip.record_delivery(now, to, run),
@@ -234,9 +251,11 @@
                 endpoint,
                 started_ms,
                 refused,
-            } => self.endpoint_probed(endpoint, started_ms, refused, out),
+            } => self.endpoint_probed(now, endpoint, started_ms, refused, out),
             Event::Ticked => {
                 self.expire_breaks(now);
+                self.refute_crashes(now);
+                self.quarantine.expire(now);
                 self.registry.expire(now);
                 self.trackers
                     .retain(|id, tracker| tracker.in_flight > 0 || self.registry.row(id).is_some());
--- a/crates/nutmegyoke-core/src/process/gateway/refusal.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/refusal.rs
@@ -62,11 +62,19 @@
 /// Refuses a request. If it did not run and its path is known, the refusal says when to try
 /// again.
 pub(super) fn refuse<S>(call: u64, verdict: Verdict, halt: Halt, out: &mut S)
+where
+    S: Sink<Command = Command>,
+{
+    refuse_until(call, verdict, halt, RETRY_AFTER, out);
+}
+
+/// Refuses a request like [`refuse`]; it can be served after `delay` at the earliest.
+pub(super) fn refuse_until<S>(call: u64, verdict: Verdict, halt: Halt, delay: Duration, out: &mut S)
 where
     S: Sink<Command = Command>,
 {
     let retry_after = match verdict {
-        Verdict::NotRun { reason } if reason != Reason::UnknownPath => Some(RETRY_AFTER),
+        Verdict::NotRun { reason } if reason != Reason::UnknownPath => Some(delay),
         _ => None,
     };
     let refusal = Refusal {
--- a/crates/nutmegyoke-core/src/process/mod.rs
+++ b/crates/nutmegyoke-core/src/process/mod.rs
@@ -39,6 +39,7 @@
 pub use member::Member;
 pub use order::Order;
 pub use placement::Placement;
+pub use quarantine::Quarantine;
 pub use registry::Registry;
 pub use report::Report;
 pub use steward::Steward;
--- a/crates/nutmegyoke-core/src/process/quarantine/crash.rs
+++ b/crates/nutmegyoke-core/src/process/quarantine/crash.rs
@@ -26,13 +26,11 @@
     pub suspects: Vec<Vec<u64>>,
 }
 
-impl Crash {
-    /// Adds a request that may have caused the crash, unless it is known or there are
-    /// [`MAX_SUSPECTS`] already.
-    pub fn add_suspect(&mut self, parts: &[u64]) {
-        let known = self.suspects.iter().any(|suspect| suspect == parts);
-        if !parts.is_empty() && !known && self.suspects.len() < MAX_SUSPECTS {
-            self.suspects.push(parts.to_vec());
-        }
+/// Adds the shared parts of a request that may have caused a crash, unless they are known or
+/// there are [`MAX_SUSPECTS`] already.
+pub fn add_suspect(suspects: &mut Vec<Vec<u64>>, parts: &[u64]) {
+    let known = suspects.iter().any(|suspect| suspect == parts);
+    if !parts.is_empty() && !known && suspects.len() < MAX_SUSPECTS {
+        suspects.push(parts.to_vec());
     }
 }
--- a/crates/nutmegyoke-core/src/process/registry/gossip.rs
+++ b/crates/nutmegyoke-core/src/process/registry/gossip.rs
@@ -1,8 +1,8 @@
-//! Tracks which revision of the registry each other gateway has acknowledged, and when the
-//! next message to it is due.
+//! Tracks which revision of the registry and of the evidence on crashes each other gateway
+//! has acknowledged, and when the next message to it is due.
 //!
 //! At most one message to each gateway is in flight; later changes are sent with the
-//! next one. A restarted gateway is sent the complete registry.
+//! next one. A restarted gateway is sent everything.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,6 +16,15 @@
 /// The delay before the next message to a gateway that did not answer.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// The revisions of what is gossiped; 0 stands for nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Revision {
+    /// The revision of the registry.
+    pub endpoints: u64,
+    /// The revision of the evidence on crashes.
+    pub crashes: u64,
+}
+
 /// The state of gossip with each other gateway, by the address where it receives gossip.
 #[derive(Debug, Default)]
 pub struct Gossip {
@@ -28,9 +37,9 @@
     /// message that may be lost.
     run: Option<u64>,
     /// The revision that it acknowledged.
-    acknowledged: u64,
+    acknowledged: Revision,
     /// The revision in the message in flight, if there is one.
-    in_flight: Option<u64>,
+    in_flight: Option<Revision>,
     /// When the next message is due.
     due: Instant,
 }
@@ -54,7 +63,7 @@
         for &address in addresses {
             self.peers.entry(address).or_insert(Peer {
                 run: None,
-                acknowledged: 0,
+                acknowledged: Revision::default(),
                 in_flight: None,
                 due: now,
             });
@@ -75,14 +84,19 @@
     ///
     /// If nothing has changed, a message is due only if this gateway is `busy`, that is,
     /// has load to report. `revision` then counts as in flight to these gateways.
-    pub fn due(&mut self, now: Instant, revision: u64, busy: bool) -> Vec<(SocketAddr, u64)> {
+    pub fn due(
+        &mut self,
+        now: Instant,
+        revision: Revision,
+        busy: bool,
+    ) -> Vec<(SocketAddr, Revision)> {
         let mut due = Vec::new();
         for (&address, peer) in &mut self.peers {
             if peer.in_flight.is_some() || peer.due > now {
                 continue;
             }
             peer.due = now + GOSSIP_INTERVAL;
-            let changed = peer.acknowledged < revision || peer.run.is_none();
+            let changed = peer.acknowledged != revision || peer.run.is_none();
             if changed || busy {
                 peer.in_flight = Some(revision);
                 due.push((address, peer.acknowledged));
@@ -105,12 +119,12 @@
             }
             (Some(run), _) => {
                 peer.run = Some(run);
-                peer.acknowledged = 0;
+                peer.acknowledged = Revision::default();
                 peer.due = now;
             }
             (None, _) => {
                 peer.run = None;
-                peer.acknowledged = 0;
+                peer.acknowledged = Revision::default();
                 peer.due = now + RETRY_DELAY;
             }
         }
--- a/crates/nutmegyoke-core/src/process/registry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/registry/mod.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 pub use announcement::{Announcement, Stamp};
-pub use gossip::Gossip;
+pub use gossip::{Gossip, Revision};
 pub use rumor::{Content, Rumor};
 
 use super::endpoint::Phase;
--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -55,6 +55,8 @@
     TokensLimited,
     /// No endpoint holds the required model, adapter or service.
     NoEndpoint,
+    /// The prompt has a part that crashed several endpoints.
+    Quarantined,
     /// The agent could not be reached.
     Unreachable,
     /// The link broke after the request had been sent.
--- a/crates/nutmegyoke-core/tests/registry.rs
+++ b/crates/nutmegyoke-core/tests/registry.rs
@@ -9,7 +9,7 @@
 use nutmegyoke_core::process::Registry;
 use nutmegyoke_core::process::endpoint::Phase;
 use nutmegyoke_core::process::registry::gossip::GOSSIP_INTERVAL;
-use nutmegyoke_core::process::registry::{Announcement, Gossip, Stamp};
+use nutmegyoke_core::process::registry::{Announcement, Gossip, Revision, Stamp};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -239,6 +239,14 @@
     }
 }
 
+/// A revision of the registry, and the same of the evidence on crashes.
+fn revision(number: u64) -> Revision {
+    Revision {
+        endpoints: number,
+        crashes: number,
+    }
+}
+
 /// It has lost the registry that its earlier run acknowledged.
 #[test]
 fn restarted_gateway_is_sent_everything() {
@@ -246,12 +254,12 @@
     let peer = fleet::address(9);
     let mut gossip = Gossip::default();
     gossip.set_peers(now, &[peer]);
-    assert_eq!(gossip.due(now, 4, false), [(peer, 0)]);
+    assert_eq!(gossip.due(now, revision(4), false), [(peer, revision(0))]);
     gossip.record_delivery(now, peer, Some(1));
     let later = now + GOSSIP_INTERVAL;
-    assert_eq!(gossip.due(later, 6, false), [(peer, 4)]);
+    assert_eq!(gossip.due(later, revision(6), false), [(peer, revision(4))]);
     gossip.record_delivery(later, peer, Some(2));
-    assert_eq!(gossip.due(later, 6, false), [(peer, 0)]);
+    assert_eq!(gossip.due(later, revision(6), false), [(peer, revision(0))]);
 }
 
 /// Messages to a gateway that hangs would otherwise pile up.
@@ -261,8 +269,11 @@
     let peer = fleet::address(9);
     let mut gossip = Gossip::default();
     gossip.set_peers(now, &[peer]);
-    gossip.due(now, 4, false);
-    assert!(gossip.due(now + SECOND, 6, false).is_empty());
+    gossip.due(now, revision(4), false);
+    assert!(gossip.due(now + SECOND, revision(6), false).is_empty());
     gossip.record_delivery(now + SECOND, peer, None);
-    assert_eq!(gossip.due(now + SECOND * 2, 6, false), [(peer, 0)]);
+    assert_eq!(
+        gossip.due(now + SECOND * 2, revision(6), false),
+        [(peer, revision(0))]
+    );
 }
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -99,6 +99,23 @@
         /// The duration of the call to the steward, in milliseconds.
         elapsed_ms: u64,
     },
+    /// Requests with all of these prompt parts are refused from now on.
+    PartQuarantined {
+        /// The parts, in hexadecimal.
+        parts: &'a [String],
+        /// The number of crashes that the parts explain.
+        crashes: usize,
+        /// The time since the latest of these, in milliseconds.
+        latest_ms: u64,
+    },
+    /// A pass-through request was refused because of its prompt, see
+    /// [`Event::PartQuarantined`].
+    Withheld {
+        request: &'a str,
+        parts: &'a [String],
+        crashes: usize,
+        latest_ms: u64,
+    },
     /// A pass-through request ended.
     Passed {
         request: &'a str,
@@ -221,6 +238,8 @@
             Self::AttemptFailed => 303,
             Self::PutOff => 304,
             Self::Prepared => 305,
+            Self::PartQuarantined => 306,
+            Self::Withheld => 307,
             Self::Published => 203,
             Self::EndpointHeard => 503,
             Self::EndpointLeft => 504,
@@ -254,6 +273,7 @@
             | Self::StewardSilent { .. }
             | Self::EngineSilent { .. }
             | Self::EndpointCrashed { .. }
+            | Self::PartQuarantined { .. }
             | Self::Volatile
             | Self::DiskFull { .. }
             | Self::AnnouncementRefused { .. } => Level::Warn,
@@ -268,3 +288,8 @@
         spdlog::log!(self.level(), "{}", log::line(self));
     }
 }
+
+/// The identifiers of prompt parts, as clients write them.
+pub(crate) fn hexadecimal(parts: &[u64]) -> Vec<String> {
+    parts.iter().map(|part| format!("{part:x}")).collect()
+}
--- a/crates/nutmegyoke-host/src/process/gateway/gossip.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/gossip.rs
@@ -10,9 +10,10 @@
 use futures_util::StreamExt;
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::gateway::{Command, Event as Input, Work};
+use nutmegyoke_core::process::quarantine::Evidence;
 use nutmegyoke_core::process::registry::Rumor;
 use nutmegyoke_wire::connection::mesh_capnp::gateway;
-use nutmegyoke_wire::process::{rumor, work};
+use nutmegyoke_wire::process::{evidence, rumor, work};
 
 use super::{Gateway, telemetry};
 use crate::connection::link;
@@ -48,10 +49,12 @@
         let params = params.get()?;
         let rumors = rumor::read(params.get_rumors()?)?;
         let work = work::read(params.get_work()?)?;
+        let evidence = evidence::read(params.get_evidence()?)?;
         self.0.driver.feed(Input::Gossiped {
             from: params.get_from(),
             rumors: &rumors,
             work: &work,
+            evidence: &evidence,
         });
         results.get().set_run(self.0.member.vm.run_id());
         Ok(())
@@ -66,8 +69,14 @@
     while let Some(command) = background.next().await {
         let gateway = Rc::clone(&gateway);
         match command {
-            Command::Gossip { to, rumors, work } => {
-                compio::runtime::spawn(send_gossip(gateway, to, rumors, work)).detach();
+            Command::Gossip {
+                to,
+                rumors,
+                work,
+                evidence,
+            } => {
+                let gossip = send_gossip(gateway, to, rumors, work, evidence);
+                compio::runtime::spawn(gossip).detach();
             }
             Command::Place {
                 endpoint,
@@ -103,6 +112,7 @@
                 compio::runtime::spawn(async move { gateway.probe(&endpoint).await }).detach();
             }
             Command::ReportCrash { crash } => telemetry::log_crash(&crash),
+            Command::ReportCulprit { culprit } => gateway.log_culprit(&culprit),
             Command::Record { demand } => gateway.control.record_demand(&demand),
             Command::CountRetry { verdict, allowed } => {
                 if let Some(reason) = verdict.reason() {
@@ -123,6 +133,7 @@
     to: SocketAddr,
     rumors: Vec<Rumor>,
     work: Work,
+    evidence: Evidence,
 ) {
     let delivery = async {
         let client = gateway.gateways.get(to).await?;
@@ -130,6 +141,7 @@
         request.get().set_from(gateway.member.vm.run_id());
         rumor::write(&rumors, |length| request.get().init_rumors(length));
         work::write(&work, request.get().init_work());
+        evidence::write(&evidence, request.get().init_evidence());
         let response = request.send().promise.await?;
         capnp::Result::Ok(response.get()?.get_run())
     };
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -83,6 +83,7 @@
             Self::Prepare { call, .. }
             | Self::Queued { call }
             | Self::Dispatch { call, .. }
+            | Self::Withheld { call, .. }
             | Self::Refuse { call, .. }
             | Self::Cancel { call } => Some(*call),
             Self::Touch { .. }
@@ -90,6 +91,7 @@
             | Self::Place { .. }
             | Self::Probe { .. }
             | Self::ReportCrash { .. }
+            | Self::ReportCulprit { .. }
             | Self::Record { .. }
             | Self::CountRetry { .. } => None,
         }
--- a/crates/nutmegyoke-host/src/process/gateway/telemetry.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/telemetry.rs
@@ -1,10 +1,12 @@
 //! Logs and metrics of passed-through requests.
 
 use nutmegyoke_core::process::Clock;
-use nutmegyoke_core::process::quarantine::Crash;
+use nutmegyoke_core::process::quarantine::{Crash, Culprit};
 use nutmegyoke_core::request::Verdict;
+use nutmegyoke_wire::connection::convert::milliseconds;
 
 use super::Gateway;
+use crate::process::event::hexadecimal;
 use crate::process::passthrough::Histograms;
 use crate::process::{Codec, Event};
 
@@ -35,6 +37,21 @@
         }
         event.log();
     }
+
+    /// Logs that prompt parts are quarantined.
+    pub(super) fn log_culprit(&self, culprit: &Culprit) {
+        let age = self
+            .driver
+            .clock()
+            .now()
+            .saturating_duration_since(culprit.latest);
+        Event::PartQuarantined {
+            parts: &hexadecimal(&culprit.parts),
+            crashes: culprit.crashes,
+            latest_ms: milliseconds(age),
+        }
+        .log();
+    }
 }
 
 /// The most suspects of a crash that its log line lists.
@@ -52,8 +69,3 @@
     }
     .log();
 }
-
-/// The identifiers of prompt parts as clients write them.
-fn hexadecimal(parts: &[u64]) -> Vec<String> {
-    parts.iter().map(|part| format!("{part:x}")).collect()
-}
--- a/crates/nutmegyoke-host/src/request/passthrough/handle.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/handle.rs
@@ -13,6 +13,7 @@
 use super::trail::{Label, Trail};
 use crate::connection::upstream::Upstream;
 use crate::process::driver::Mailbox;
+use crate::process::event::hexadecimal;
 use crate::process::{Codec, Event, Gateway};
 
 /// The shortest time between two progress events of an answer. An endpoint without progress
@@ -79,12 +80,21 @@
         self.gateway.log_sampled(event, false);
     }
 
-    /// Logs a command to queue or dispatch the request. A command to dispatch it also begins
+    /// Logs a command to queue, withhold or dispatch the request. A command to dispatch it also begins
     /// an attempt in the trail.
     pub fn record_command(&mut self, command: &Command) {
         let request = &self.label.request;
         match command {
             Command::Queued { .. } => self.log(&Event::PutOff { request }),
+            Command::Withheld { culprit, .. } => {
+                let age = self.now().saturating_duration_since(culprit.latest);
+                self.log(&Event::Withheld {
+                    request,
+                    parts: &hexadecimal(&culprit.parts),
+                    crashes: culprit.crashes,
+                    latest_ms: milliseconds(age),
+                });
+            }
             Command::Dispatch {
                 endpoint,
                 priority,
--- a/crates/nutmegyoke-host/src/request/passthrough/mod.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/mod.rs
@@ -187,7 +187,7 @@
                     None => refuse::<C, D>(refusal),
                 };
             }
-            Some(Command::Queued { .. }) => handle.next().await,
+            Some(Command::Queued { .. } | Command::Withheld { .. }) => handle.next().await,
             // There is no other command: only an answer that is being streamed is cancelled,
             // and the mailbox stays open, since the state machine lives as long as the
             // process.
--- a/crates/nutmegyoke-wire/schema/mesh.capnp
+++ b/crates/nutmegyoke-wire/schema/mesh.capnp
@@ -62,9 +62,29 @@
   sizes @4 :List(Size);
 }
 
+# An endpoint that crashed, and the shared prompt parts of each request that may have
+# caused it.
+struct Crash {
+  endpoint @0 :Text;
+  born @1 :UInt64;
+  ageMs @2 :UInt64;
+  suspects @3 :List(List(UInt64));
+}
+
+# A prompt part that was a suspect before a request with it succeeded.
+struct Clearance {
+  part @0 :UInt64;
+  ageMs @1 :UInt64;
+}
+
+struct Evidence {
+  crashes @0 :List(Crash);
+  clearances @1 :List(Clearance);
+}
+
 interface Gateway {
   # `from` and `run` identify the runs of the processes that ask and answer.
-  spread @0 (from :UInt64, rumors :List(Rumor), work :Work) -> (run :UInt64);
+  spread @0 (from :UInt64, rumors :List(Rumor), work :Work, evidence :Evidence) -> (run :UInt64);
 }
 
 interface Steward {
--- a/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
@@ -2788,6 +2788,798 @@
     }
 }
 
+pub mod crash {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_born(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_suspects(self) -> ::capnp::Result<::capnp::list_list::Reader<'a,::capnp::primitive_list::Owned<u64>>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_suspects(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_born(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_born(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_suspects(self) -> ::capnp::Result<::capnp::list_list::Builder<'a,::capnp::primitive_list::Owned<u64>>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_suspects(&mut self, value: ::capnp::list_list::Reader<'_,::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_suspects(self, size: u32) -> ::capnp::list_list::Builder<'a,::capnp::primitive_list::Owned<u64>> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_suspects(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(65, 152, 75, 76, 29, 253, 27, 152),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(23, 61, 139, 74, 110, 31, 210, 201),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::list_list::Owned<::capnp::primitive_list::Owned<u64>> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
+        pub(crate) const TYPE_ID: u64 = 0x981b_fd1d_4c4b_9841;
+    }
+}
+
+pub mod clearance {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_part(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(113, 75, 216, 254, 189, 197, 44, 204),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(23, 61, 139, 74, 110, 31, 210, 201),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 108, 101, 97, 114),
+            ::capnp::word(97, 110, 99, 101, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xcc2c_c5bd_fed8_4b71;
+    }
+}
+
+pub mod evidence {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_clearances(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::clearance::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_clearances(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::crash::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::crash::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::crash::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_clearances(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::clearance::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_clearances(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::clearance::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_clearances(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::clearance::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_clearances(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(6, 86, 170, 43, 120, 125, 31, 162),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(23, 61, 139, 74, 110, 31, 210, 201),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 118, 105, 100, 101),
+            ::capnp::word(110, 99, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 152, 75, 76, 29, 253, 27, 152),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 101, 97, 114, 97, 110, 99),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 75, 216, 254, 189, 197, 44, 204),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::mesh_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::mesh_capnp::clearance::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xa21f_7d78_2baa_5606;
+    }
+}
+
 
 pub mod gateway {
     #![allow(unused_variables)]
@@ -2967,11 +3759,19 @@
             pub fn has_work(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_evidence(self) -> ::capnp::Result<crate::mesh_capnp::evidence::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_evidence(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3061,6 +3861,22 @@
             pub fn has_work(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_evidence(self) -> ::capnp::Result<crate::mesh_capnp::evidence::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_evidence(&mut self, value: crate::mesh_capnp::evidence::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_evidence(self, ) -> crate::mesh_capnp::evidence::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+            }
+            #[inline]
+            pub fn has_evidence(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3073,19 +3889,22 @@
             pub fn get_work(&self) -> crate::mesh_capnp::work::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
             }
+            pub fn get_evidence(&self) -> crate::mesh_capnp::evidence::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(112, 109, 34, 206, 78, 212, 108, 205),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
@@ -3093,28 +3912,35 @@
                 ::capnp::word(97, 121, 46, 115, 112, 114, 101, 97),
                 ::capnp::word(100, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(93, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(121, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3143,12 +3969,22 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 118, 105, 100, 101, 110, 99, 101),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 86, 170, 43, 120, 125, 31, 162),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::struct_list::Owned<crate::mesh_capnp::rumor::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     2 => <crate::mesh_capnp::work::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::mesh_capnp::evidence::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3162,9 +3998,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2];
             pub(crate) const TYPE_ID: u64 = 0xcd6c_d44e_ce22_6d70;
         }
     }
--- a/crates/nutmegyoke-wire/src/process/mod.rs
+++ b/crates/nutmegyoke-wire/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod claims;
 pub mod directory;
 pub mod engine;
+pub mod evidence;
 pub mod ini;
 pub mod member;
 pub mod order;
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -115,6 +115,7 @@
         Reason::NotGranted => 403,
         Reason::RateLimited | Reason::ConcurrencyLimited | Reason::TokensLimited => 429,
         Reason::NoEndpoint
+        | Reason::Quarantined
         | Reason::NoConfiguration
         | Reason::Unreachable
         | Reason::QueueFull
@@ -161,6 +162,9 @@
         Reason::ConcurrencyLimited => "the plan's concurrency is used up; wait for an answer first",
         Reason::TokensLimited => "the plan's token budget is used up; send more slowly",
         Reason::NoEndpoint => "no endpoint holds this now; try again",
+        Reason::Quarantined => {
+            "a part of the prompt crashed several endpoints; send it without that part"
+        }
         Reason::Unreachable => "no agent could be reached; try again",
         Reason::LinkLost => "the link to the endpoint broke after the request was sent",
         Reason::QueueFull => "the endpoints are busy; try again",
