Treat a stream that ends inside an event as broken off

What callers saw: a stream without a length or chunks that its engine broke off looked complete, with half an event at its end.

Cause: the end of the connection is the regular end of such an answer, so hyper reports no error, and the gateway passed the end on as the end of the response.

The gateway scans the boundaries of the events of a text/event-stream. If the stream ends inside an event the response to the client is cut, and the verdict is truncated.

Evidence: of the new cases in tests/gateway.rs the two streams that end inside an event failed before and pass now; bookings without a length and whole streams passed before as well.

--- a/crates/nutmegyoke-host/src/request/passthrough/body.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/body.rs
@@ -6,9 +6,12 @@
 
 use bytes::Bytes;
 use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::header::CONTENT_TYPE;
+use hyper::http::response::Parts;
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::gateway::{Command, Halt};
 use nutmegyoke_core::request::{Reason, Verdict};
+use nutmegyoke_wire::request::events::Scanner;
 
 use super::handle::Handle;
 use crate::connection::upstream::Upstream;
@@ -28,6 +31,8 @@
 /// endpoint.
 pub struct Stream<C: Clock + 'static, D: Codec> {
     body: Incoming,
+    /// The boundaries of its events; `None` if it is no stream of events.
+    scanner: Option<Scanner>,
     handle: Handle<C, D>,
     upstream: Option<Upstream>,
     keep_alive: Option<Duration>,
@@ -38,6 +43,7 @@
     #[must_use]
     pub fn streamed(
         handle: Handle<C, D>,
+        head: &Parts,
         body: Incoming,
         upstream: Upstream,
         keep_alive: Option<Duration>,
@@ -45,6 +51,7 @@
         Self::Streamed {
             stream: Box::new(Stream {
                 body,
+                scanner: is_event_stream(head).then(Scanner::default),
                 handle,
                 upstream: Some(upstream),
                 keep_alive,
@@ -72,14 +79,16 @@
         match hyper::body::Body::poll_frame(Pin::new(&mut self.body), context) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(frame))) => {
+                if let (Some(scanner), Some(data)) = (&mut self.scanner, frame.data_ref()) {
+                    scanner.feed(data);
+                }
                 self.handle.progress();
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(_))) => {
-                let reason = Reason::Truncated;
-                self.handle.finish(Verdict::MayHaveRun { reason });
-                Poll::Ready(Some(Err(Truncated)))
-            }
+            Poll::Ready(Some(Err(_))) => self.truncate(),
+            // The connection ended, and with it an answer without a length. Only the event
+            // that it cut off shows that there was more.
+            Poll::Ready(None) if self.ends_inside_event() => self.truncate(),
             Poll::Ready(None) => {
                 self.handle.finish(Verdict::Ran);
                 if let Some(upstream) = self.upstream.take() {
@@ -91,6 +100,27 @@
     }
 }
 
+impl<C: Clock + 'static, D: Codec> Stream<C, D> {
+    fn ends_inside_event(&self) -> bool {
+        let scanner = self.scanner.as_ref();
+        scanner.is_some_and(|scanner| !scanner.at_boundary())
+    }
+
+    /// Ends the attempt, and the response to the client before its regular end.
+    fn truncate(&mut self) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        let reason = Reason::Truncated;
+        self.handle.finish(Verdict::MayHaveRun { reason });
+        Poll::Ready(Some(Err(Truncated)))
+    }
+}
+
+/// Whether an answer is a stream of events.
+fn is_event_stream(head: &Parts) -> bool {
+    let content_type = head.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    content_type.is_some_and(|value| value.trim_start().starts_with("text/event-stream"))
+}
+
 impl<C: Clock + 'static, D: Codec> hyper::body::Body for Outgoing<C, D> {
     type Data = Bytes;
     type Error = Truncated;
--- a/crates/nutmegyoke-host/src/request/passthrough/mod.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/mod.rs
@@ -159,7 +159,7 @@
                         keep_alive,
                     })) => {
                         handle.begin_answer();
-                        let body = Outgoing::streamed(handle, body, upstream, keep_alive);
+                        let body = Outgoing::streamed(handle, &head, body, upstream, keep_alive);
                         return Response::from_parts(head, body);
                     }
                     Either::Left(Ok(Answer::Failed { response })) => {
--- a/crates/nutmegyoke-wire/src/request/mod.rs
+++ b/crates/nutmegyoke-wire/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claim;
 pub mod completion;
+pub mod events;
 pub mod failure;
 pub mod id;
 pub mod meter;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -167,6 +167,54 @@
     assert!(!answer.complete, "{answer:?}");
 }
 
+/// The head of an answer without a length, which ends with its connection.
+macro_rules! unframed {
+    ($content_type:literal, $body:literal) => {
+        concat!(
+            "HTTP/1.1 200 OK\r\nX-Nutmegyoke-Request-Id: {id}\r\nX-Nutmegyoke-Server-Stamp: s1\r\n",
+            "Content-Type: ",
+            $content_type,
+            "\r\n\r\n",
+            $body
+        )
+    };
+}
+
+/// An answer without a length is complete if its connection ends in an orderly way, unless
+/// that cuts an event off.
+fn unframed_answer_is_passed_through(path: &str, answer: &'static str, body: &str, complete: bool) {
+    let (gateway, _upstreams) = Gateway::spawn_with_endpoints(&[Action::SendAndClose(answer)]);
+    for number in 0..2 {
+        let answer = gateway.request(path, &format!("r{number}"));
+        assert_eq!(answer.status, 200);
+        assert_eq!(String::from_utf8(answer.body).unwrap(), body);
+        assert_eq!(answer.complete, complete);
+    }
+}
+
+cases!(unframed_answer_is_passed_through {
+    booking: ("/book/1", unframed!("text/plain", "booked"), "booked", true),
+    empty_booking: ("/book/1", unframed!("text/plain", ""), "", true),
+    stream: (
+        "/chat/1",
+        unframed!("text/event-stream", "data: 1\n\ndata: 2\n\n"),
+        "data: 1\n\ndata: 2\n\n",
+        true
+    ),
+    stream_that_ends_inside_an_event: (
+        "/chat/1",
+        unframed!("text/event-stream", "data: 1\n\ndata: "),
+        "data: 1\n\ndata: ",
+        false
+    ),
+    stream_that_ends_after_a_line_of_an_event: (
+        "/chat/1",
+        unframed!("text/event-stream", "data: 1\n\nid: 2\n"),
+        "data: 1\n\nid: 2\n",
+        false
+    ),
+});
+
 #[test]
 fn gateway_without_a_document_refuses_requests_and_is_not_ready() {
     let gateway = Gateway::spawn();
