--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -107,7 +107,7 @@
             }
         }
         tracker.in_flight += 1;
-        self.dispatch(now, number, endpoint, out);
+        self.send(now, number, endpoint, out);
     }
 
     /// Sends the request to `endpoint`, and starts its slow-request timer if it is
@@ -248,10 +248,9 @@
             return;
         };
         if let Some(tracker) = self.trackers.get_mut(&endpoint) {
-            if let Stage::Preparing { .. } = call.stage {
-                tracker.release();
-            } else {
-                tracker.record_end(now);
+            match call.stage {
+                Stage::Preparing { .. } | Stage::Throttled { .. } => tracker.release(),
+                _ => tracker.record_end(now),
             }
             if let Stage::Running { uncached, .. } = call.stage {
                 tracker.ahead = tracker.ahead.saturating_sub(uncached);
@@ -265,6 +264,12 @@
                 }
             }
         }
+        if let Stage::Throttled {
+            until: Some(until), ..
+        } = call.stage
+        {
+            self.turns.remove(&(until, number));
+        }
         call.stage = Stage::Idle;
         call.tried.push(endpoint);
     }
--- a/crates/nutmegyoke-core/src/process/gateway/call.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -56,6 +56,11 @@
     Idle,
     /// The steward of the chosen engine, which loads the adapter.
     Preparing { endpoint: String },
+    /// A permit for the chosen endpoint, or its turn there if `until` is set.
+    Throttled {
+        endpoint: String,
+        until: Option<Instant>,
+    },
     /// The beginning of the answer; `uncached` prompt tokens have to be prefilled first.
     Running { endpoint: String, uncached: u64 },
     /// The end of the answer, which is being passed on `since` it began.
@@ -101,6 +106,7 @@
         match &self.stage {
             Stage::Idle => None,
             Stage::Preparing { endpoint }
+            | Stage::Throttled { endpoint, .. }
             | Stage::Running { endpoint, .. }
             | Stage::Answering { endpoint, .. } => Some(endpoint),
         }
--- a/crates/nutmegyoke-core/src/process/gateway/crash.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/crash.rs
@@ -56,7 +56,7 @@
         let is_suspect = match call.stage {
             Stage::Running { .. } => true,
             Stage::Answering { since, .. } => now < since + SUSPICION_TIME,
-            Stage::Idle | Stage::Preparing { .. } => false,
+            Stage::Idle | Stage::Preparing { .. } | Stage::Throttled { .. } => false,
         };
         // The shutdown of an endpoint breaks connections, too, but is announced.
         let endpoint = call.endpoint().and_then(|id| self.registry.row(id));
--- a/crates/nutmegyoke-core/src/process/gateway/demand.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/demand.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use crate::process::throttle::Statement;
 use crate::version::Model;
 
 /// The time constants of the two moving averages of demand; the higher average counts. The
@@ -23,13 +24,15 @@
 /// once it has decayed below this.
 const MIN_TOKENS_PER_SECOND: f64 = 1.0;
 
-/// The demand and the backlogs of one gateway.
+/// The demand and the backlogs of one gateway, and the limits that it knows.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Work {
     /// The demand for each model, in prompt tokens per second.
     pub models: Vec<(Model, f64)>,
     /// The gateway's requests at each endpoint, by the endpoint's id.
     pub endpoints: Vec<(String, Backlog)>,
+    /// The limits that endpoints name.
+    pub limits: Vec<Statement>,
 }
 
 /// The requests at one endpoint.
--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -11,6 +11,7 @@
 use crate::process::placement::Step;
 use crate::process::quarantine::{Crash, Culprit, Evidence};
 use crate::process::registry::{Announcement, Rumor};
+use crate::process::throttle::{Notice, Permit};
 use crate::request::{Passthrough, Verdict};
 use crate::version::routing::Pool;
 use crate::version::{Model, Routing};
@@ -30,6 +31,23 @@
     AnswerStarted { call: u64 },
     /// Another part of the answer came.
     Progressed { call: u64 },
+    /// The endpoint's answer begins; `notice` is what it says of the endpoint's limit.
+    Replied { call: u64, notice: Notice },
+    /// Another gateway asks for a permit to send a request to an endpoint that this gateway
+    /// owns. `rate` is the limit as the other knows it.
+    PermitAsked {
+        call: u64,
+        endpoint: &'a str,
+        rate: f64,
+        max_wait: Duration,
+    },
+    /// The owner of an endpoint answered [`Command::Admit`]; `None` if it did not answer in
+    /// time.
+    Admitted {
+        call: u64,
+        owner: SocketAddr,
+        permit: Option<Permit>,
+    },
     /// The current attempt ended.
     AttemptEnded { call: u64, verdict: Verdict },
     /// The client disconnected.
@@ -96,6 +114,28 @@
         /// The most adapters that the engine has room for beside its models.
         adapter_capacity: u32,
     },
+    /// Ask the `owner` of an endpoint for a permit, and feed [`Event::Admitted`].
+    Admit {
+        call: u64,
+        owner: SocketAddr,
+        endpoint: String,
+        /// The endpoint's limit, in requests a second.
+        rate: f64,
+        /// How long the request can wait for its turn.
+        max_wait: Duration,
+    },
+    /// Answer [`Event::PermitAsked`].
+    Permit { call: u64, permit: Permit },
+    /// Log that the request got no permit for an endpoint.
+    Throttled {
+        call: u64,
+        endpoint: String,
+        retry_after: Duration,
+    },
+    /// Log that an endpoint's limit began, or ended if `rate` is `None`.
+    ReportLimit { endpoint: String, rate: Option<f64> },
+    /// Log that an endpoint names a limit that is not a number that is 0 or more.
+    ReportMalformedLimit { endpoint: String },
     /// Send the request to an endpoint.
     Dispatch {
         call: u64,
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! * [`prepare`]: loading adapters before a request is sent;
 //! * [`crash`]: crashes of endpoints;
 //! * [`slow`]: retries of slow requests, and progress of answers;
+//! * [`throttle`]: permits for endpoints that limit their requests;
 //! * [`refusal`]: requests that end without an answer;
 //! * [`queue`]: requests that wait for an endpoint;
 //! * [`pick`]: the choice of an endpoint;
@@ -34,9 +35,11 @@
 mod refusal;
 pub mod retry_budget;
 mod slow;
+mod throttle;
 pub mod tracker;
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -50,6 +53,7 @@
 pub use tracker::Tracker;
 
 use super::registry::{Content, Gossip, Revision};
+use super::throttle::{Limits, Pacer};
 use super::{DataCentre, Machine, Placement, Quarantine, Registry, Sink};
 use crate::version::{Routing, Service};
 
@@ -60,6 +64,8 @@
     pub data_centre: DataCentre,
     /// The period of the endpoints' heartbeats.
     pub heartbeat_period: Duration,
+    /// The address where the gateway receives gossip.
+    pub address: SocketAddr,
     /// The bound on retries.
     pub retry_bound: Bound,
     /// The seed of the random numbers.
@@ -99,6 +105,14 @@
     breaks: HashMap<String, Break>,
     /// The prompt parts that crash endpoints.
     quarantine: Quarantine,
+    /// The limits that endpoints name.
+    limits: Limits,
+    /// The admissions to the endpoints that this gateway owns.
+    pacer: Pacer,
+    /// Until when each gateway that did not answer is not asked for permits.
+    suspended_owners: HashMap<SocketAddr, Instant>,
+    /// When the turn of each request with a permit comes.
+    turns: BTreeSet<(Instant, u64)>,
 }
 
 impl Gateway {
@@ -124,6 +138,10 @@
             queue: Queue::default(),
             breaks: HashMap::new(),
             quarantine: Quarantine::default(),
+            limits: Limits::default(),
+            pacer: Pacer::default(),
+            suspended_owners: HashMap::new(),
+            turns: BTreeSet::new(),
         }
     }
 
@@ -228,6 +246,9 @@
                 evidence,
             } => {
                 self.demand.receive(now, from, work);
+                for statement in &work.limits {
+                    self.limits.apply(now, statement);
+                }
                 for rumor in rumors {
                     let changed = self.registry.apply(now, rumor);
                     if let Content::Announced(announcement) = &rumor.content {
@@ -252,7 +273,22 @@
                 started_ms,
                 refused,
             } => self.endpoint_probed(now, endpoint, started_ms, refused, out),
+            Event::Replied { call, notice } => return self.record_limit(now, call, notice, out),
+            Event::PermitAsked {
+                call,
+                endpoint,
+                rate,
+                max_wait,
+            } => return self.admit(now, call, endpoint, rate, max_wait, out),
+            Event::Admitted {
+                call,
+                owner,
+                permit,
+            } => self.admitted(now, call, owner, permit, out),
             Event::Ticked => {
+                self.limits.expire(now);
+                self.pacer.expire(now);
+                self.suspended_owners.retain(|_, &mut until| now < until);
                 self.expire_breaks(now);
                 self.refute_crashes(now);
                 self.quarantine.expire(now);
@@ -261,6 +297,7 @@
                     .retain(|id, tracker| tracker.in_flight > 0 || self.registry.row(id).is_some());
             }
         }
+        self.send_due(now, out);
         self.serve_queue(now, out);
         self.expire(now, out);
         self.retry_slow(now, out);
@@ -282,7 +319,15 @@
         let placement = placements.filter_map(Placement::deadline).min();
         let queue = self.queue.deadline();
         let slow = self.slow_at.first().map(|&(at, _)| at);
-        let all = [slow, timeout, self.gossip.deadline(), placement, queue];
+        let turn = self.turns.first().map(|&(at, _)| at);
+        let all = [
+            slow,
+            timeout,
+            self.gossip.deadline(),
+            placement,
+            queue,
+            turn,
+        ];
         all.into_iter().flatten().min()
     }
 }
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -51,6 +51,10 @@
 /// engine and in thousandths of a full load for a plain endpoint.
 const WARMING_COST: u64 = 500;
 
+/// The cost of an engine that limits its requests, in prompt tokens: about two prompts, so
+/// that engines without a limit take what they can.
+const LIMITED_COST_TOKENS: u64 = 15_000;
+
 /// The cost of an engine without a free slot, in prompt tokens.
 const SLOTS_FULL_COST_TOKENS: u64 = 100_000;
 
@@ -58,6 +62,7 @@
     /// The endpoint with the lowest cost that has not been tried, and the number of candidates.
     pub(super) fn pick(&self, now: Instant, call: &Call) -> Option<(Rc<Announcement>, usize)> {
         let rows = self.registry.rows().filter(|row| is_usable(call, row));
+        let rows = rows.filter(|row| self.denied_until(now, row).is_none());
         let rows: Vec<&Row> = rows.collect();
         let healthy: Vec<&Row> = rows
             .iter()
@@ -143,13 +148,18 @@
         if announcement.warmup > Duration::ZERO {
             cost += WARMING_COST;
         }
+        let limited = self.limit(now, announcement).is_some();
         let Some(model) = &call.model else {
+            cost += if limited { FULL_LOAD_PERMILLE } else { 0 };
             let distance = if remote { REMOTE_COST_PERMILLE } else { 0 };
             return cost + distance + in_flight * FULL_LOAD_PERMILLE / slots;
         };
         if remote {
             cost += REMOTE_COST_TOKENS;
         }
+        if limited {
+            cost += LIMITED_COST_TOKENS;
+        }
         let cached = tracker.map_or(0, |tracker| tracker.cache.cached_tokens(now, &call.prompt));
         let uncached = u64::from(call.prompt.tokens - cached);
         cost += backlog.ahead
@@ -176,7 +186,7 @@
 }
 
 /// Whether an endpoint can take the request and has not been tried, healthy or not.
-fn is_usable(call: &Call, row: &Row) -> bool {
+pub(super) fn is_usable(call: &Call, row: &Row) -> bool {
     let announcement = &row.announcement;
     let held = |model| announcement.models.contains(model);
     row.accepts_requests()
--- a/crates/nutmegyoke-core/src/process/gateway/place.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/place.rs
@@ -72,6 +72,7 @@
                     (id.clone(), Backlog { ahead, in_flight })
                 })
                 .collect(),
+            limits: self.limits.statements(now),
         }
     }
 
--- a/crates/nutmegyoke-core/src/process/gateway/prepare.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/prepare.rs
@@ -41,7 +41,7 @@
             .filter(|row| row.accepts_requests());
         let known = known.map(|row| Rc::clone(&row.announcement));
         match known.filter(|_| held) {
-            Some(endpoint) => self.dispatch(now, number, endpoint, out),
+            Some(endpoint) => self.send(now, number, endpoint, out),
             None => self.reroute_declined(now, number, out),
         }
     }
--- a/crates/nutmegyoke-core/src/process/gateway/queue.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/queue.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use super::refusal::refuse;
+use super::refusal::{RETRY_AFTER, refuse, refuse_until};
 use super::{Command, Gateway, Halt, Sink};
 use crate::process::endpoint::Target;
 use crate::request::passthrough::Part;
@@ -123,13 +123,17 @@
     where
         S: Sink<Command = Command>,
     {
+        let call = self.calls.get(&number);
+        let call = call.filter(|call| call.declined.is_empty());
+        let turn = call.and_then(|call| self.next_turn(now, call));
         let Some(call) = self.calls.get_mut(&number) else {
             return;
         };
         let total = call.deadline.saturating_duration_since(call.arrived);
         let mut deadline = call.arrived + (total / MAX_WAIT_DIVISOR).min(MAX_WAIT);
-        // After a failed attempt, another endpoint is unlikely to come in time.
-        if now < deadline && call.tried.is_empty() {
+        // After a failed attempt, another endpoint is unlikely to come in time, and those that
+        // deny requests would have admitted it if its turn came soon.
+        if now < deadline && call.tried.is_empty() && turn.is_none() {
             if !call.declined.is_empty() {
                 call.declined.clear();
                 deadline = deadline.min(now + DECLINED_RETRY_DELAY);
@@ -152,7 +156,9 @@
         } else {
             Halt::NoOther
         };
-        let reason = if call.declined.is_empty() {
+        let reason = if turn.is_some() {
+            Reason::EndpointLimited
+        } else if call.declined.is_empty() {
             Reason::NoEndpoint
         } else {
             Reason::NotHeld
@@ -164,7 +170,9 @@
             let tokens = u64::from(call.prompt.tokens);
             self.demand.count_tokens(now, model, tokens);
         }
-        self.give_up(number, verdict, halt, out);
+        self.remove_call(number);
+        let delay = turn.map_or(RETRY_AFTER, |turn| turn.saturating_duration_since(now));
+        refuse_until(number, verdict, halt, delay, out);
     }
 
     /// Routes the requests that arrived before the first routing document.
--- a/crates/nutmegyoke-core/src/process/gateway/refusal.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/refusal.rs
@@ -9,7 +9,7 @@
 /// How long a client should wait before it repeats a request that [`refuse`] ended and that
 /// did not run. An unknown path gets no such delay, nor does a request body that could not be
 /// read, which is refused before it gets here.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
+pub(super) const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 impl Gateway {
     /// Ends the request and refuses it.
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/gateway/throttle.rs
@@ -0,0 +1,240 @@
+//! Asks for a permit before a request is sent to an endpoint that limits its requests.
+//!
+//! All gateways compute the same owner of an endpoint, among those that they reach. If the
+//! owner does not answer, the next one in the order is asked, and at last the gateway itself
+//! admits its requests.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rapidhash::v3::rapidhash_v3;
+
+use super::call::{Call, Stage};
+use super::{Command, Gateway, Sink};
+use crate::process::registry::{Announcement, Row};
+use crate::process::throttle::{Notice, Permit};
+
+/// How long a gateway that did not answer is not asked for permits. Gossip finds out within
+/// this time whether it can be reached.
+const OWNER_SUSPENSION: Duration = Duration::from_secs(1);
+
+/// A request waits for its turn at an endpoint for its objective divided by this, so that
+/// enough of it is left for the answer.
+const MAX_WAIT_DIVISOR: u32 = 2;
+
+impl Gateway {
+    /// Records what the endpoint of a request says of its limit.
+    pub(super) fn record_limit<S>(&mut self, now: Instant, number: u64, notice: Notice, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let id = self.calls.get(&number).and_then(Call::endpoint);
+        let Some(row) = id.and_then(|id| self.registry.row(id)) else {
+            return;
+        };
+        let (id, started_ms) = (row.announcement.id.as_str(), row.stamp.started_ms);
+        if notice == Notice::Malformed {
+            out.push(Command::ReportMalformedLimit {
+                endpoint: id.to_owned(),
+            });
+        }
+        if self.limits.record(now, id, started_ms, notice) {
+            out.push(Command::ReportLimit {
+                endpoint: id.to_owned(),
+                rate: self.limits.rate(now, id, started_ms),
+            });
+            self.gossip.expedite(now);
+        }
+    }
+
+    /// The limit in force of an endpoint, in requests a second.
+    pub(super) fn limit(&self, now: Instant, endpoint: &Announcement) -> Option<f64> {
+        let started_ms = endpoint.stamp.started_ms;
+        self.limits.rate(now, &endpoint.id, started_ms)
+    }
+
+    /// Sends the request to `endpoint`, once it has a permit if the endpoint limits its
+    /// requests.
+    pub(super) fn send<S>(
+        &mut self,
+        now: Instant,
+        number: u64,
+        endpoint: Rc<Announcement>,
+        out: &mut S,
+    ) where
+        S: Sink<Command = Command>,
+    {
+        let Some(rate) = self.limit(now, &endpoint) else {
+            return self.dispatch(now, number, endpoint, out);
+        };
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let id = endpoint.id.clone();
+        let max_wait = call.route.objective / MAX_WAIT_DIVISOR;
+        call.stage = Stage::Throttled {
+            endpoint: id.clone(),
+            until: None,
+        };
+        if let Some(owner) = self.owner(now, &id) {
+            out.push(Command::Admit {
+                call: number,
+                owner,
+                endpoint: id,
+                rate,
+                max_wait,
+            });
+        } else {
+            let permit = self.pacer.admit(now, &id, rate, max_wait);
+            self.apply_permit(now, number, permit, out);
+        }
+    }
+
+    /// Admits a request of another gateway to an endpoint that this gateway owns. What it
+    /// knows of the limit itself goes before the `rate` that the other knows.
+    pub(super) fn admit<S>(
+        &mut self,
+        now: Instant,
+        number: u64,
+        endpoint: &str,
+        rate: f64,
+        max_wait: Duration,
+        out: &mut S,
+    ) where
+        S: Sink<Command = Command>,
+    {
+        let row = self.registry.row(endpoint);
+        let known = row.and_then(|row| self.limit(now, &row.announcement));
+        let rate = known.unwrap_or(rate);
+        let permit = self.pacer.admit(now, endpoint, rate, max_wait);
+        out.push(Command::Permit {
+            call: number,
+            permit,
+        });
+    }
+
+    /// Applies the answer of the `owner`; `None` if it did not answer.
+    pub(super) fn admitted<S>(
+        &mut self,
+        now: Instant,
+        number: u64,
+        owner: SocketAddr,
+        permit: Option<Permit>,
+        out: &mut S,
+    ) where
+        S: Sink<Command = Command>,
+    {
+        if let Some(permit) = permit {
+            return self.apply_permit(now, number, permit, out);
+        }
+        self.suspended_owners.insert(owner, now + OWNER_SUSPENSION);
+        match self.throttled_endpoint(number) {
+            Some(endpoint) => self.send(now, number, endpoint, out),
+            None => self.reroute(now, number, out),
+        }
+    }
+
+    /// Sends the requests whose turn has come.
+    pub(super) fn send_due<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        while let Some(&(at, number)) = self.turns.first() {
+            if at > now {
+                return;
+            }
+            self.turns.pop_first();
+            match self.throttled_endpoint(number) {
+                Some(endpoint) => self.dispatch(now, number, endpoint, out),
+                None => self.reroute(now, number, out),
+            }
+        }
+    }
+
+    /// When the first of the endpoints that could take the request admits requests again;
+    /// `None` if none of them has denied one.
+    pub(super) fn next_turn(&self, now: Instant, call: &Call) -> Option<Instant> {
+        let rows = self.registry.rows();
+        let rows = rows.filter(|row| super::pick::is_usable(call, row));
+        rows.filter_map(|row| self.denied_until(now, row)).min()
+    }
+
+    /// When an endpoint that has denied a request admits requests again.
+    pub(super) fn denied_until(&self, now: Instant, row: &Row) -> Option<Instant> {
+        self.limit(now, &row.announcement)?;
+        let tracker = self.trackers.get(&row.announcement.id)?;
+        tracker.denied_until.filter(|&until| now < until)
+    }
+
+    fn apply_permit<S>(&mut self, now: Instant, number: u64, permit: Permit, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let Stage::Throttled { endpoint, until } = &mut call.stage else {
+            return;
+        };
+        match permit {
+            Permit::Granted { wait } => {
+                *until = Some(now + wait);
+                self.turns.insert((now + wait, number));
+                self.send_due(now, out);
+            }
+            Permit::Denied { retry_after } => {
+                if let Some(tracker) = self.trackers.get_mut(endpoint.as_str()) {
+                    tracker.denied_until = Some(now + retry_after);
+                }
+                out.push(Command::Throttled {
+                    call: number,
+                    endpoint: endpoint.clone(),
+                    retry_after,
+                });
+                self.reroute(now, number, out);
+            }
+        }
+    }
+
+    /// The endpoint of a request that waits for a permit or its turn, unless it has left.
+    fn throttled_endpoint(&self, number: u64) -> Option<Rc<Announcement>> {
+        let Stage::Throttled { endpoint, .. } = &self.calls.get(&number)?.stage else {
+            return None;
+        };
+        let row = self.registry.row(endpoint);
+        let row = row.filter(|row| row.accepts_requests())?;
+        Some(Rc::clone(&row.announcement))
+    }
+
+    /// Chooses another endpoint for a request that was not sent.
+    fn reroute<S>(&mut self, now: Instant, number: u64, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let Stage::Throttled { endpoint, .. } = std::mem::replace(&mut call.stage, Stage::Idle)
+        else {
+            return;
+        };
+        if let Some(tracker) = self.trackers.get_mut(&endpoint) {
+            tracker.release();
+        }
+        self.attempt(now, number, out);
+    }
+
+    /// The gateway that admits requests to an endpoint; `None` if it is this one.
+    fn owner(&self, now: Instant, endpoint: &str) -> Option<SocketAddr> {
+        let own = self.setup.address;
+        let peers = self.gossip.reachable().filter(|address| {
+            let suspended = self.suspended_owners.get(address);
+            suspended.is_none_or(|&until| until <= now)
+        });
+        let owner = peers
+            .chain([own])
+            .max_by_key(|address| rapidhash_v3(format!("{endpoint} {address}").as_bytes()));
+        owner.filter(|&owner| owner != own)
+    }
+}
--- a/crates/nutmegyoke-core/src/process/gateway/tracker.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/tracker.rs
@@ -55,6 +55,8 @@
     steward_answered: Option<Instant>,
     /// When the steward last declined an adapter or did not answer.
     declined_at: Option<Instant>,
+    /// Until when the endpoint admits no requests, because of its limit.
+    pub denied_until: Option<Instant>,
     /// Failures since the last success. An unreachable or silent endpoint counts as
     /// [`FAILURES_TO_EJECT`] failures.
     consecutive_failures: u32,
@@ -75,6 +77,7 @@
             self.adapters.clear();
             self.steward_answered = None;
             self.declined_at = None;
+            self.denied_until = None;
             self.consecutive_failures = 0;
             self.ejected_until = None;
             self.silent_since = None;
--- a/crates/nutmegyoke-core/src/process/mod.rs
+++ b/crates/nutmegyoke-core/src/process/mod.rs
@@ -5,7 +5,8 @@
 //! whose rows are a [`member`] with its [`vm`], [`data_centre`] and [`endpoint`]s, and
 //! sends its changes in an [`update`]. It changes what engines hold by an [`order`] and
 //! learns of the result from a [`report`]. Gateways list endpoints in a [`registry`],
-//! decide on models by [`placement`] and keep [`quarantine`] of what crashes endpoints.
+//! decide on models by [`placement`] and keep [`quarantine`] of what crashes endpoints and
+//! [`throttle`] the requests to endpoints that ask for it.
 
 pub mod agent;
 pub mod clock;
@@ -24,6 +25,7 @@
 pub mod registry;
 pub mod report;
 pub mod steward;
+pub mod throttle;
 pub mod update;
 pub mod vm;
 
--- a/crates/nutmegyoke-core/src/process/registry/gossip.rs
+++ b/crates/nutmegyoke-core/src/process/registry/gossip.rs
@@ -57,6 +57,12 @@
         self.peers.is_empty()
     }
 
+    /// The gateways that acknowledged the latest message.
+    pub fn reachable(&self) -> impl Iterator<Item = SocketAddr> {
+        let peers = self.peers.iter().filter(|(_, peer)| peer.run.is_some());
+        peers.map(|(&address, _)| address)
+    }
+
     /// Replaces the list of the other gateways.
     pub fn set_peers(&mut self, now: Instant, addresses: &[SocketAddr]) {
         self.peers.retain(|address, _| addresses.contains(address));
--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -57,6 +57,8 @@
     NoEndpoint,
     /// The prompt has a part that crashed several endpoints.
     Quarantined,
+    /// All endpoints that could take the request are at the limits that they name.
+    EndpointLimited,
     /// The agent could not be reached.
     Unreachable,
     /// The link broke after the request had been sent.
--- a/crates/nutmegyoke-core/tests/fleet/mod.rs
+++ b/crates/nutmegyoke-core/tests/fleet/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "not every test file uses every helper")]
 
+pub mod gateways;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -42,6 +42,7 @@
     fn empty() -> Self {
         let setup = Setup {
             data_centre: "alp-a".into(),
+            address: fleet::address(200),
             heartbeat_period: SECOND,
             retry_bound: RETRY_BOUND,
             seed: 1,
--- a/crates/nutmegyoke-host/src/process/codec.rs
+++ b/crates/nutmegyoke-host/src/process/codec.rs
@@ -9,6 +9,7 @@
 use http::{Method, StatusCode};
 use nutmegyoke_core::process::endpoint::Target;
 use nutmegyoke_core::process::registry::Announcement;
+use nutmegyoke_core::process::throttle::Notice;
 use nutmegyoke_core::request::passthrough::Part;
 use nutmegyoke_core::version::routing::Draft;
 
@@ -86,7 +87,7 @@
 }
 
 /// The status and headers of an endpoint's response, decoded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Reply<'a> {
     /// The id of the request that the response belongs to, if given.
     pub id: Option<&'a str>,
@@ -94,6 +95,8 @@
     pub outcome: Outcome,
     /// How long the endpoint keeps an idle connection open, if given.
     pub keep_alive: Option<Duration>,
+    /// What it says of the requests that the endpoint takes.
+    pub notice: Notice,
 }
 
 /// The outcome of a request at an endpoint.
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -116,6 +116,13 @@
         crashes: usize,
         latest_ms: u64,
     },
+    /// A pass-through request got no permit for an endpoint, because of the endpoint's limit.
+    Throttled {
+        request: &'a str,
+        endpoint: &'a str,
+        /// The time until the endpoint admits requests again, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// A pass-through request ended.
     Passed {
         request: &'a str,
@@ -164,6 +171,11 @@
         /// The shared prompt parts of the first of them, in hexadecimal.
         parts: &'a [Vec<String>],
     },
+    /// An endpoint began to limit its requests; `rate` is in requests a second, `None` when
+    /// the limit ended.
+    LimitChanged { id: &'a str, rate: Option<f64> },
+    /// An endpoint named a limit that is not a number that is 0 or more.
+    LimitMalformed { id: &'a str },
     /// The steward of an engine did not answer.
     StewardSilent { address: SocketAddr, why: &'a str },
     /// The steward sent an order to its engine.
@@ -244,6 +256,9 @@
             Self::EndpointHeard => 503,
             Self::EndpointLeft => 504,
             Self::EndpointCrashed => 505,
+            Self::LimitChanged => 506,
+            Self::LimitMalformed => 507,
+            Self::Throttled => 308,
             Self::StewardSilent => 403,
             Self::EngineOrdered => 602,
             Self::EngineSilent => 603,
@@ -274,6 +289,7 @@
             | Self::EngineSilent { .. }
             | Self::EndpointCrashed { .. }
             | Self::PartQuarantined { .. }
+            | Self::LimitMalformed { .. }
             | Self::Volatile
             | Self::DiskFull { .. }
             | Self::AnnouncementRefused { .. } => Level::Warn,
--- a/crates/nutmegyoke-host/src/process/gateway/gossip.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/gossip.rs
@@ -12,6 +12,8 @@
 use nutmegyoke_core::process::gateway::{Command, Event as Input, Work};
 use nutmegyoke_core::process::quarantine::Evidence;
 use nutmegyoke_core::process::registry::Rumor;
+use nutmegyoke_core::process::throttle::Permit;
+use nutmegyoke_wire::connection::convert::{milliseconds, text};
 use nutmegyoke_wire::connection::mesh_capnp::gateway;
 use nutmegyoke_wire::process::{evidence, rumor, work};
 
@@ -24,6 +26,10 @@
 /// that an adapter is in use.
 const RPC_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long the owner of an endpoint may take to answer. It decides at once, so this is the
+/// time that a request loses if the owner is gone.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Serves connections from other gateways, which send their gossip on them.
 pub struct Service<C: Clock + 'static, D: Codec>(pub Rc<Gateway<C, D>>);
 
@@ -59,6 +65,60 @@
         results.get().set_run(self.0.member.vm.run_id());
         Ok(())
     }
+
+    async fn admit(
+        self: Rc<Self>,
+        params: gateway::AdmitParams,
+        mut results: gateway::AdmitResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let mut mailbox = self.0.driver.open();
+        self.0.driver.feed(Input::PermitAsked {
+            call: mailbox.number(),
+            endpoint: text(params.get_endpoint())?,
+            rate: params.get_requests_per_second(),
+            max_wait: Duration::from_millis(params.get_wait_ms()),
+        });
+        if let Some(Command::Permit { permit, .. }) = mailbox.next().await {
+            let (granted, wait) = match permit {
+                Permit::Granted { wait } => (true, wait),
+                Permit::Denied { retry_after } => (false, retry_after),
+            };
+            results.get().set_granted(granted);
+            results.get().set_wait_ms(milliseconds(wait));
+        }
+        Ok(())
+    }
+}
+
+impl<C: Clock + 'static, D: Codec> Gateway<C, D> {
+    /// Asks the `owner` of an endpoint for a permit to send it a request; `None` if it does
+    /// not answer in time.
+    pub(crate) async fn ask_permit(
+        &self,
+        owner: SocketAddr,
+        endpoint: &str,
+        rate: f64,
+        max_wait: Duration,
+    ) -> Option<Permit> {
+        let call = async {
+            let client = self.gateways.get(owner).await?;
+            let mut request = client.admit_request();
+            request.get().set_endpoint(endpoint);
+            request.get().set_requests_per_second(rate);
+            request.get().set_wait_ms(milliseconds(max_wait));
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            let wait = Duration::from_millis(results.get_wait_ms());
+            capnp::Result::Ok(if results.get_granted() {
+                Permit::Granted { wait }
+            } else {
+                Permit::Denied { retry_after: wait }
+            })
+        };
+        // Not logged: gossip to a gateway that is gone fails as well.
+        compio::time::timeout(PERMIT_TIMEOUT, call).await.ok()?.ok()
+    }
 }
 
 /// Executes the state machine's background commands.
@@ -112,6 +172,17 @@
                 compio::runtime::spawn(async move { gateway.probe(&endpoint).await }).detach();
             }
             Command::ReportCrash { crash } => telemetry::log_crash(&crash),
+            Command::ReportLimit { endpoint, rate } => {
+                Event::LimitChanged {
+                    id: &endpoint,
+                    rate,
+                }
+                .log();
+            }
+            Command::ReportMalformedLimit { endpoint } => {
+                let event = Event::LimitMalformed { id: &endpoint };
+                gateway.log_sampled(&event, false);
+            }
             Command::ReportCulprit { culprit } => gateway.log_culprit(&culprit),
             Command::Record { demand } => gateway.control.record_demand(&demand),
             Command::CountRetry { verdict, allowed } => {
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -84,6 +84,9 @@
             | Self::Queued { call }
             | Self::Dispatch { call, .. }
             | Self::Withheld { call, .. }
+            | Self::Admit { call, .. }
+            | Self::Permit { call, .. }
+            | Self::Throttled { call, .. }
             | Self::Refuse { call, .. }
             | Self::Cancel { call } => Some(*call),
             Self::Touch { .. }
@@ -92,6 +95,8 @@
             | Self::Probe { .. }
             | Self::ReportCrash { .. }
             | Self::ReportCulprit { .. }
+            | Self::ReportLimit { .. }
+            | Self::ReportMalformedLimit { .. }
             | Self::Record { .. }
             | Self::CountRetry { .. } => None,
         }
@@ -116,6 +121,7 @@
         let control = Control::spawn_with(settings, &options, clock.clone(), registry).await?;
         let machine = decision::Gateway::open(Setup {
             data_centre: settings.data_centre.clone(),
+            address: role_settings.exchange,
             heartbeat_period: role_settings.heartbeat_period,
             retry_bound: role_settings.retry_bound,
             seed: member.vm.run_id(),
--- a/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response};
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::registry::Announcement;
+use nutmegyoke_core::process::throttle::Notice;
 use nutmegyoke_core::request::{Reason, Verdict};
 
 use super::headers;
@@ -59,7 +60,8 @@
     Failed { response: Response<Bytes> },
 }
 
-/// Sends the request, over an idle connection if there is one, and receives the answer.
+/// Sends the request, over an idle connection if there is one, and receives the answer. Calls
+/// `on_notice` with what the answer says of the endpoint's limit.
 ///
 /// # Errors
 ///
@@ -69,6 +71,7 @@
     upstreams: &Upstreams,
     template: &Template<'_>,
     choice: &Choice,
+    on_notice: impl FnOnce(Notice),
 ) -> Result<Answer, Verdict> {
     let address = choice.endpoint.address;
     let started = clock.now();
@@ -99,6 +102,7 @@
             Verdict::not_run(Reason::Unreachable)
         }
     })?;
+    on_notice(D::decode_reply(response.status(), response.headers()).notice);
     classify::<D>(clock, upstreams, template, choice, response, upstream).await
 }
 
--- a/crates/nutmegyoke-host/src/request/passthrough/handle.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/handle.rs
@@ -80,12 +80,21 @@
         self.gateway.log_sampled(event, false);
     }
 
-    /// Logs a command to queue, withhold or dispatch the request. A command to dispatch it also begins
+    /// Logs a command to queue, throttle, withhold or dispatch the request. A command to dispatch it also begins
     /// an attempt in the trail.
     pub fn record_command(&mut self, command: &Command) {
         let request = &self.label.request;
         match command {
             Command::Queued { .. } => self.log(&Event::PutOff { request }),
+            Command::Throttled {
+                endpoint,
+                retry_after,
+                ..
+            } => self.log(&Event::Throttled {
+                request,
+                endpoint,
+                retry_after_ms: milliseconds(*retry_after),
+            }),
             Command::Withheld { culprit, .. } => {
                 let age = self.now().saturating_duration_since(culprit.latest);
                 self.log(&Event::Withheld {
--- a/crates/nutmegyoke-host/src/request/passthrough/mod.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/mod.rs
@@ -12,6 +12,7 @@
 mod headers;
 mod trail;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use hyper::{Request, Response, StatusCode};
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::gateway::{Command, Event as Input, Halt, Refusal};
+use nutmegyoke_core::process::registry::Announcement;
 use nutmegyoke_core::request::{Passthrough, Reason, Verdict};
 use nutmegyoke_wire::request::Failure;
 
@@ -115,23 +117,14 @@
                 adapter,
                 adapter_capacity,
                 ..
-            }) => {
-                let asked_at = gateway.driver().clock().now();
-                let prepared = gateway.prepare(&endpoint, &model, &adapter, adapter_capacity);
-                let prepared = compio::time::timeout(PREPARE_TIMEOUT, prepared);
-                match race(&mut handle, prepared).await {
-                    Either::Left(adapters) => {
-                        let adapters = adapters.ok().flatten();
-                        let adapters = adapters.as_deref();
-                        let name = format!("{model}/{adapter}");
-                        let loaded = adapters.is_some_and(|names| names.contains(&name));
-                        handle.log_prepared(&endpoint.id, &name, asked_at, loaded);
-                        handle.feed(Input::Prepared { call, adapters });
-                        handle.next().await
-                    }
-                    Either::Right(command) => command,
-                }
-            }
+            }) => prepare(&mut handle, &endpoint, &model, &adapter, adapter_capacity).await,
+            Some(Command::Admit {
+                owner,
+                endpoint,
+                rate,
+                max_wait,
+                ..
+            }) => ask_permit(&mut handle, owner, &endpoint, rate, max_wait).await,
             Some(Command::Dispatch {
                 endpoint,
                 timeout,
@@ -146,7 +139,9 @@
                     streams,
                 };
                 let clock = gateway.driver().clock();
-                let running = attempt::run::<D>(clock, gateway.upstreams(), &template, &choice);
+                let on_notice = |notice| gateway.driver().feed(Input::Replied { call, notice });
+                let running =
+                    attempt::run::<D>(clock, gateway.upstreams(), &template, &choice, on_notice);
                 match race(&mut handle, running).await {
                     Either::Left(Ok(Answer::Buffered { response })) => {
                         handle.finish(Verdict::Ran);
@@ -187,7 +182,9 @@
                     None => refuse::<C, D>(refusal),
                 };
             }
-            Some(Command::Queued { .. } | Command::Withheld { .. }) => handle.next().await,
+            Some(Command::Queued { .. } | Command::Throttled { .. } | Command::Withheld { .. }) => {
+                handle.next().await
+            }
             // There is no other command: only an answer that is being streamed is cancelled,
             // and the mailbox stays open, since the state machine lives as long as the
             // process.
@@ -196,6 +193,56 @@
     }
 }
 
+/// Asks the steward of an engine to load an adapter, and returns the next command.
+async fn prepare<C: Clock + 'static, D: Codec>(
+    handle: &mut Handle<C, D>,
+    endpoint: &Announcement,
+    model: &str,
+    adapter: &str,
+    adapter_capacity: u32,
+) -> Option<Command> {
+    let gateway = Rc::clone(handle.gateway());
+    let asked_at = gateway.driver().clock().now();
+    let prepared = gateway.prepare(endpoint, model, adapter, adapter_capacity);
+    let prepared = compio::time::timeout(PREPARE_TIMEOUT, prepared);
+    match race(handle, prepared).await {
+        Either::Left(adapters) => {
+            let adapters = adapters.ok().flatten();
+            let adapters = adapters.as_deref();
+            let name = format!("{model}/{adapter}");
+            let loaded = adapters.is_some_and(|names| names.contains(&name));
+            handle.log_prepared(&endpoint.id, &name, asked_at, loaded);
+            let call = handle.number();
+            handle.feed(Input::Prepared { call, adapters });
+            handle.next().await
+        }
+        Either::Right(command) => command,
+    }
+}
+
+/// Asks the owner of an endpoint to admit the request, and returns the next command.
+async fn ask_permit<C: Clock + 'static, D: Codec>(
+    handle: &mut Handle<C, D>,
+    owner: SocketAddr,
+    endpoint: &str,
+    rate: f64,
+    max_wait: Duration,
+) -> Option<Command> {
+    let gateway = Rc::clone(handle.gateway());
+    let asked = gateway.ask_permit(owner, endpoint, rate, max_wait);
+    match race(handle, asked).await {
+        Either::Left(permit) => {
+            handle.feed(Input::Admitted {
+                call: handle.number(),
+                owner,
+                permit,
+            });
+            handle.next().await
+        }
+        Either::Right(command) => command,
+    }
+}
+
 /// Waits for `work` or for the state machine's next command, whichever comes first. A command
 /// cancels `work`.
 async fn race<C: Clock + 'static, D: Codec, F: Future>(
--- a/crates/nutmegyoke-wire/schema/mesh.capnp
+++ b/crates/nutmegyoke-wire/schema/mesh.capnp
@@ -44,9 +44,21 @@
   inFlight @2 :UInt32;
 }
 
+# The rate of requests that an endpoint takes from all gateways together.
+struct Limit {
+  endpoint @0 :Text;
+  born @1 :UInt64;
+  ageMs @2 :UInt64;
+  union {
+    ended @3 :Void;
+    requestsPerSecond @4 :Float64;
+  }
+}
+
 struct Work {
   models @0 :List(Demand);
   endpoints @1 :List(Backlog);
+  limits @2 :List(Limit);
 }
 
 struct Size {
@@ -85,6 +97,9 @@
 interface Gateway {
   # `from` and `run` identify the runs of the processes that ask and answer.
   spread @0 (from :UInt64, rumors :List(Rumor), work :Work, evidence :Evidence) -> (run :UInt64);
+  # Asks the owner of an endpoint to admit a request within the wait. `waitMs` of the answer is
+  # the wait if it is granted, or the time until a request would be.
+  admit @1 (endpoint :Text, requestsPerSecond :Float64, waitMs :UInt64) -> (granted :Bool, waitMs :UInt64);
 }
 
 interface Steward {
--- a/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
@@ -1933,7 +1933,9 @@
     }
 }
 
-pub mod work {
+pub mod limit {
+    pub use self::Which::{Ended,RequestsPerSecond};
+
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1995,26 +1997,42 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_models(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::demand::Owned>> {
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_models(&self) -> bool {
+        pub fn has_endpoint(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::backlog::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_born(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_endpoints(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(8) {
+                0 => {
+                    ::core::result::Result::Ok(Ended(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(RequestsPerSecond(
+                        self.reader.get_data_field::<f64>(3)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2065,36 +2083,61 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_models(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::demand::Owned>> {
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_models(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::demand::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_models(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::demand::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_models(&self) -> bool {
+        pub fn has_endpoint(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::backlog::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_born(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_endpoints(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::backlog::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn set_born(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_endpoints(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::backlog::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        pub fn get_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn has_endpoints(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_age_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn set_ended(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(8, 0);
+        }
+        #[inline]
+        pub fn set_requests_per_second(&mut self, value: f64)  {
+            self.builder.set_data_field::<u16>(8, 1);
+            self.builder.set_data_field::<f64>(3, value);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(8) {
+                0 => {
+                    ::core::result::Result::Ok(Ended(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(RequestsPerSecond(
+                        self.builder.get_data_field::<f64>(3)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
         }
     }
 
@@ -2107,67 +2150,110 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 55] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(96, 3, 18, 169, 183, 81, 52, 206),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(157, 38, 113, 207, 30, 253, 14, 151),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(23, 61, 139, 74, 110, 31, 210, 201),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 2, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 87, 111, 114, 107, 0),
+            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(109, 111, 100, 101, 108, 115, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(78, 145, 8, 18, 187, 153, 158, 195),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 254, 255, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 78, 103, 41, 225, 5, 18, 231),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
+            ::capnp::word(80, 101, 114, 83, 101, 99, 111, 110),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::struct_list::Owned<crate::mesh_capnp::demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::mesh_capnp::backlog::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2181,14 +2267,20 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0xce34_51b7_a912_0360;
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0,4];
+        pub(crate) const TYPE_ID: u64 = 0x970e_fd1e_cf71_269d;
+    }
+    pub enum Which {
+        Ended(()),
+        RequestsPerSecond(f64),
     }
+    pub type WhichReader = Which;
+    pub type WhichBuilder = Which;
 }
 
-pub mod size {
+pub mod work {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2250,22 +2342,34 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_model(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_models(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::demand::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_model(&self) -> bool {
+        pub fn has_models(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_megabytes(self) -> f64 {
-            self.reader.get_data_field::<f64>(0)
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::backlog::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoints(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::limit::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2316,28 +2420,52 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_model(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_models(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::demand::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_model(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_models(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::demand::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_model(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_models(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::demand::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
         }
         #[inline]
-        pub fn has_model(&self) -> bool {
+        pub fn has_models(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_megabytes(self) -> f64 {
-            self.builder.get_data_field::<f64>(0)
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::backlog::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_megabytes(&mut self, value: f64)  {
-            self.builder.set_data_field::<f64>(0, value);
+        pub fn set_endpoints(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::backlog::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_endpoints(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::backlog::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_endpoints(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::limit::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limits(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::limit::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_limits(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::limit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
         }
     }
 
@@ -2350,57 +2478,320 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 74] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(72, 74, 107, 215, 204, 201, 242, 212),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(96, 3, 18, 169, 183, 81, 52, 206),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(23, 61, 139, 74, 110, 31, 210, 201),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 83, 105, 122, 101, 0),
+            ::capnp::word(110, 112, 58, 87, 111, 114, 107, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(109, 111, 100, 101, 108, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(109, 111, 100, 101, 108, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(78, 145, 8, 18, 187, 153, 158, 195),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 101, 103, 97, 98, 121, 116, 101),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ];
-        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-            match index {
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 78, 103, 41, 225, 5, 18, 231),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 38, 113, 207, 30, 253, 14, 151),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::mesh_capnp::demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::mesh_capnp::backlog::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::mesh_capnp::limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) const TYPE_ID: u64 = 0xce34_51b7_a912_0360;
+    }
+}
+
+pub mod size {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_model(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_model(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_megabytes(self) -> f64 {
+            self.reader.get_data_field::<f64>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_model(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_model(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_model(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_model(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_megabytes(self) -> f64 {
+            self.builder.get_data_field::<f64>(0)
+        }
+        #[inline]
+        pub fn set_megabytes(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(72, 74, 107, 215, 204, 201, 242, 212),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(23, 61, 139, 74, 110, 31, 210, 201),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 105, 122, 101, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(109, 111, 100, 101, 108, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 103, 97, 98, 121, 116, 101),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
@@ -3585,6 +3976,8 @@
     #![allow(unused_variables)]
     pub type SpreadParams<> = ::capnp::capability::Params<crate::mesh_capnp::gateway::spread_params::Owned>;
     pub type SpreadResults<> = ::capnp::capability::Results<crate::mesh_capnp::gateway::spread_results::Owned>;
+    pub type AdmitParams<> = ::capnp::capability::Params<crate::mesh_capnp::gateway::admit_params::Owned>;
+    pub type AdmitResults<> = ::capnp::capability::Results<crate::mesh_capnp::gateway::admit_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -3637,9 +4030,13 @@
         pub fn spread_request(&self) -> ::capnp::capability::Request<crate::mesh_capnp::gateway::spread_params::Owned,crate::mesh_capnp::gateway::spread_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
-    }
+        pub fn admit_request(&self) -> ::capnp::capability::Request<crate::mesh_capnp::gateway::admit_params::Owned,crate::mesh_capnp::gateway::admit_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+    }
     pub trait Server<> : 'static  {
         fn spread(self: ::capnp::capability::Rc<Self>, _: SpreadParams<>, _: SpreadResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::spread not implemented".to_string()))) }
+        fn admit(self: ::capnp::capability::Rc<Self>, _: AdmitParams<>, _: AdmitResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::admit not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3663,22 +4060,546 @@
                 _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
-        }
-        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
-    }
-    impl <_T :Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::spread(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::spread(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::admit(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xf079_f148_9ba7_73f9;
+    }
+
+    pub mod spread_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_from(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_rumors(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::rumor::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_rumors(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_work(self) -> ::capnp::Result<crate::mesh_capnp::work::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_work(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_evidence(self) -> ::capnp::Result<crate::mesh_capnp::evidence::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_evidence(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_from(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_from(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_rumors(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::rumor::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_rumors(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::rumor::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_rumors(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::rumor::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_rumors(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_work(self) -> ::capnp::Result<crate::mesh_capnp::work::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_work(&mut self, value: crate::mesh_capnp::work::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_work(self, ) -> crate::mesh_capnp::work::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_work(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_evidence(self) -> ::capnp::Result<crate::mesh_capnp::evidence::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_evidence(&mut self, value: crate::mesh_capnp::evidence::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_evidence(self, ) -> crate::mesh_capnp::evidence::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+            }
+            #[inline]
+            pub fn has_evidence(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_work(&self) -> crate::mesh_capnp::work::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
+            pub fn get_evidence(&self) -> crate::mesh_capnp::evidence::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(112, 109, 34, 206, 78, 212, 108, 205),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 71, 97, 116, 101, 119),
+                ::capnp::word(97, 121, 46, 115, 112, 114, 101, 97),
+                ::capnp::word(100, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(121, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 117, 109, 111, 114, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(75, 34, 205, 4, 5, 58, 214, 198),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 3, 18, 169, 183, 81, 52, 206),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 118, 105, 100, 101, 110, 99, 101),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 86, 170, 43, 120, 125, 31, 162),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::mesh_capnp::rumor::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::mesh_capnp::work::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::mesh_capnp::evidence::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2];
+            pub(crate) const TYPE_ID: u64 = 0xcd6c_d44e_ce22_6d70;
+        }
+    }
+
+    pub mod spread_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_run(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_run(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_run(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(20, 113, 182, 59, 13, 6, 89, 130),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 71, 97, 116, 101, 119),
+                ::capnp::word(97, 121, 46, 115, 112, 114, 101, 97),
+                ::capnp::word(100, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x8259_060d_3bb6_7114;
         }
     }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xf079_f148_9ba7_73f9;
-    }
 
-    pub mod spread_params {
+    pub mod admit_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3740,38 +4661,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_from(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_rumors(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::mesh_capnp::rumor::Owned>> {
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_rumors(&self) -> bool {
+            pub fn has_endpoint(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_work(self) -> ::capnp::Result<crate::mesh_capnp::work::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_work(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
-            #[inline]
-            pub fn get_evidence(self) -> ::capnp::Result<crate::mesh_capnp::evidence::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            pub fn get_requests_per_second(self) -> f64 {
+                self.reader.get_data_field::<f64>(0)
             }
             #[inline]
-            pub fn has_evidence(&self) -> bool {
-                !self.reader.get_pointer_field(2).is_null()
+            pub fn get_wait_ms(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3822,60 +4731,36 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_from(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_from(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_rumors(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::mesh_capnp::rumor::Owned>> {
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_rumors(&mut self, value: ::capnp::struct_list::Reader<'_,crate::mesh_capnp::rumor::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_rumors(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::mesh_capnp::rumor::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_rumors(&self) -> bool {
+            pub fn has_endpoint(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_work(self) -> ::capnp::Result<crate::mesh_capnp::work::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_work(&mut self, value: crate::mesh_capnp::work::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-            }
-            #[inline]
-            pub fn init_work(self, ) -> crate::mesh_capnp::work::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
-            }
-            #[inline]
-            pub fn has_work(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
-            #[inline]
-            pub fn get_evidence(self) -> ::capnp::Result<crate::mesh_capnp::evidence::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            pub fn get_requests_per_second(self) -> f64 {
+                self.builder.get_data_field::<f64>(0)
             }
             #[inline]
-            pub fn set_evidence(&mut self, value: crate::mesh_capnp::evidence::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            pub fn set_requests_per_second(&mut self, value: f64)  {
+                self.builder.set_data_field::<f64>(0, value);
             }
             #[inline]
-            pub fn init_evidence(self, ) -> crate::mesh_capnp::evidence::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+            pub fn get_wait_ms(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn has_evidence(&self) -> bool {
-                !self.builder.is_pointer_field_null(2)
+            pub fn set_wait_ms(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
             }
         }
 
@@ -3886,105 +4771,80 @@
             }
         }
         impl Pipeline  {
-            pub fn get_work(&self) -> crate::mesh_capnp::work::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
-            }
-            pub fn get_evidence(&self) -> crate::mesh_capnp::evidence::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(112, 109, 34, 206, 78, 212, 108, 205),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(200, 125, 57, 82, 199, 161, 243, 148),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 71, 97, 116, 101, 119),
-                ::capnp::word(97, 121, 46, 115, 112, 114, 101, 97),
-                ::capnp::word(100, 36, 80, 97, 114, 97, 109, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(97, 121, 46, 97, 100, 109, 105, 116),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 146, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(121, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 117, 109, 111, 114, 115, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(75, 34, 205, 4, 5, 58, 214, 198),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
+                ::capnp::word(80, 101, 114, 83, 101, 99, 111, 110),
+                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 3, 18, 169, 183, 81, 52, 206),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 118, 105, 100, 101, 110, 99, 101),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(6, 86, 170, 43, 120, 125, 31, 162),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::struct_list::Owned<crate::mesh_capnp::rumor::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <crate::mesh_capnp::work::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <crate::mesh_capnp::evidence::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3998,14 +4858,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2];
-            pub(crate) const TYPE_ID: u64 = 0xcd6c_d44e_ce22_6d70;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) const TYPE_ID: u64 = 0x94f3_a1c7_5239_7dc8;
         }
     }
 
-    pub mod spread_results {
+    pub mod admit_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4067,14 +4927,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_run(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_granted(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4125,12 +4989,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_run(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_granted(self) -> bool {
+                self.builder.get_bool_field(0)
             }
             #[inline]
-            pub fn set_run(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_granted(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
             }
         }
 
@@ -4143,33 +5015,48 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(20, 113, 182, 59, 13, 6, 89, 130),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(30, 90, 110, 176, 192, 97, 42, 189),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 71, 97, 116, 101, 119),
-                ::capnp::word(97, 121, 46, 115, 112, 114, 101, 97),
-                ::capnp::word(100, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(97, 121, 46, 97, 100, 109, 105, 116),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4180,7 +5067,8 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4194,10 +5082,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x8259_060d_3bb6_7114;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xbd2a_61c0_b06e_5a1e;
         }
     }
 }
--- a/crates/nutmegyoke-wire/src/process/work.rs
+++ b/crates/nutmegyoke-wire/src/process/work.rs
@@ -1,13 +1,16 @@
 //! The demand and backlogs that gateways exchange, and the leader's directives to stewards.
 
+use std::time::Duration;
+
 use capnp::struct_list;
 use nutmegyoke_core::process::gateway::Work;
 use nutmegyoke_core::process::gateway::demand::Backlog;
 use nutmegyoke_core::process::steward::Directive;
+use nutmegyoke_core::process::throttle::Statement;
 use nutmegyoke_core::version::Model;
 
-use crate::connection::convert::{length, set_texts, strings, text};
-use crate::connection::mesh_capnp::{demand, directive, work};
+use crate::connection::convert::{length, milliseconds, set_texts, strings, text};
+use crate::connection::mesh_capnp::{demand, directive, limit, work};
 
 /// Reads the demand and the backlogs of a gateway.
 ///
@@ -25,6 +28,11 @@
     Ok(Work {
         models: read_demand(reader.get_models()?)?,
         endpoints: endpoints.collect::<capnp::Result<_>>()?,
+        limits: reader
+            .get_limits()?
+            .iter()
+            .map(read_limit)
+            .collect::<capnp::Result<_>>()?,
     })
 }
 
@@ -32,6 +40,10 @@
 pub fn write(work: &Work, mut builder: work::Builder<'_>) {
     let list = builder.reborrow().init_models(length(work.models.len()));
     write_demand(&work.models, list);
+    let mut list = builder.reborrow().init_limits(length(work.limits.len()));
+    for (index, statement) in (0..).zip(&work.limits) {
+        write_limit(statement, list.reborrow().get(index));
+    }
     let mut list = builder.init_endpoints(length(work.endpoints.len()));
     for (index, (id, backlog)) in (0..).zip(&work.endpoints) {
         let mut row = list.reborrow().get(index);
@@ -41,6 +53,28 @@
     }
 }
 
+fn read_limit(reader: limit::Reader<'_>) -> capnp::Result<Statement> {
+    Ok(Statement {
+        endpoint: text(reader.get_endpoint())?.to_owned(),
+        started_ms: reader.get_born(),
+        rate: match reader.which()? {
+            limit::Ended(()) => None,
+            limit::RequestsPerSecond(rate) => Some(rate),
+        },
+        age: Duration::from_millis(reader.get_age_ms()),
+    })
+}
+
+fn write_limit(statement: &Statement, mut builder: limit::Builder<'_>) {
+    builder.set_endpoint(&statement.endpoint);
+    builder.set_born(statement.started_ms);
+    builder.set_age_ms(milliseconds(statement.age));
+    match statement.rate {
+        Some(rate) => builder.set_requests_per_second(rate),
+        None => builder.set_ended(()),
+    }
+}
+
 /// Reads the demand for each model, in prompt tokens per second.
 pub(super) fn read_demand<T: FromIterator<(Model, f64)>>(
     list: struct_list::Reader<'_, demand::Owned>,
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -116,6 +116,7 @@
         Reason::RateLimited | Reason::ConcurrencyLimited | Reason::TokensLimited => 429,
         Reason::NoEndpoint
         | Reason::Quarantined
+        | Reason::EndpointLimited
         | Reason::NoConfiguration
         | Reason::Unreachable
         | Reason::QueueFull
@@ -165,6 +166,9 @@
         Reason::Quarantined => {
             "a part of the prompt crashed several endpoints; send it without that part"
         }
+        Reason::EndpointLimited => {
+            "the endpoints take no more requests for now; try again as Retry-After says"
+        }
         Reason::Unreachable => "no agent could be reached; try again",
         Reason::LinkLost => "the link to the endpoint broke after the request was sent",
         Reason::QueueFull => "the endpoints are busy; try again",
