Stop reading answers that do not end

What callers saw: a request whose endpoint refused it, or answered without the stamp of endpoints, ended only at its timeout if bytes went on to come slowly behind the head, and then as one that may have run; a stream without the end of an event was forwarded until the timeout. A steward read an engine's report for 0.8 s, whatever its length.

Cause: the bounds were on the length of buffered bodies alone. The body of a refusal was read to its end before the refusal counted; events and replies to stewards had no bound.

--- a/crates/nutmegyoke-host/src/connection/mod.rs
+++ b/crates/nutmegyoke-host/src/connection/mod.rs
@@ -4,13 +4,15 @@
 //! * [`listener`]: accepts connections, which [`http`] or [`link`] serves;
 //! * [`latch`]: the event upon which idle HTTP connections are closed;
 //! * [`link`], [`pool`]: capnp-rpc connections to other processes;
-//! * [`upstream`]: HTTP connections to endpoints.
+//! * [`upstream`]: HTTP connections to endpoints;
+//! * [`reply`]: replies of engines to calls of nutmegyoke itself.
 
 pub mod http;
 pub mod latch;
 pub mod link;
 pub mod listener;
 pub mod pool;
+pub mod reply;
 pub mod upstream;
 
 pub use latch::Latch;
--- a/crates/nutmegyoke-host/src/connection/upstream.rs
+++ b/crates/nutmegyoke-host/src/connection/upstream.rs
@@ -26,6 +26,9 @@
 /// the endpoint doesn't close it while a request is being sent.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
 
+/// The longest head of a response, in bytes. A longer one fails the request.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// The most idle connections kept for one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 32;
 
@@ -95,7 +98,10 @@
     pub async fn dial(address: SocketAddr) -> io::Result<Self> {
         let stream = link::connect(address, CONNECT_TIMEOUT).await?;
         let io = HyperStream::new_plain(stream);
-        let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(io);
+        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         compio::runtime::spawn(async move {
             // Not logged: the request in flight fails with the same error.
             let _ = connection.await;
--- a/crates/nutmegyoke-host/src/process/engine.rs
+++ b/crates/nutmegyoke-host/src/process/engine.rs
@@ -11,6 +11,8 @@
 use nutmegyoke_core::process::report::Inventory;
 use nutmegyoke_wire::process::engine as wire;
 
+use crate::connection::reply;
+
 /// The client side of the protocol.
 pub trait Engine {
     /// Why there is no usable answer from the engine.
@@ -55,6 +57,9 @@
     /// The connection or the HTTP exchange failed.
     #[display("HTTP call to the engine failed: {_0}")]
     Call(cyper::Error),
+    /// The engine's reply could not be read.
+    #[display("HTTP call to the engine failed: {_0}")]
+    Reply(reply::Failure),
     /// The engine did not answer within the time to live of an order.
     #[display("the engine did not answer within {ORDER_TTL:?}")]
     Timeout(compio::time::Elapsed),
@@ -79,11 +84,11 @@
         let exchange = async {
             let response = request.send().await?;
             let status = response.status();
-            Ok::<_, cyper::Error>((status, response.bytes().await?))
+            Ok::<_, reply::Failure>((status, reply::read(response).await?))
         };
         let (status, body) = compio::time::timeout(ORDER_TTL, exchange).await??;
         if status == StatusCode::OK {
-            return Ok(body.to_vec());
+            return Ok(body);
         }
         let why = String::from_utf8_lossy(&body).into_owned();
         Err(Failure::Refused { status, why })
--- a/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
@@ -25,6 +25,13 @@
 /// its length, and fails as truncated if it doesn't.
 const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
 
+/// The longest body that is read only to reuse its connection, in bytes. Refusals are shorter.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024;
+
+/// How long such a body may take. Usually it comes with its head; a new connection takes
+/// about 1 ms.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// The client's request, from which the request of each attempt is built.
 pub struct Template<'a> {
     pub head: &'a Parts,
@@ -162,21 +169,35 @@
             keep_alive,
         });
     }
-    let limit = usize::try_from(MAX_BUFFERED_BYTES).unwrap_or(usize::MAX);
-    let buffered = Limited::new(body, limit).collect().await;
-    if buffered.is_ok() {
-        upstreams.put(clock.now(), upstream, keep_alive);
-    }
-    match (outcome, buffered) {
-        (Outcome::Declined, _) => Err(Verdict::not_run(Reason::QueueFull)),
-        (Outcome::NotHeld, _) => Err(Verdict::not_run(Reason::NotHeld)),
-        (Outcome::Unstamped, _) => Err(Verdict::may_have_run(Reason::EndpointFailed)),
-        (_, Err(_)) => Err(Verdict::may_have_run(Reason::Truncated)),
-        (Outcome::Failed, Ok(body)) => Ok(Answer::Failed {
-            response: Response::from_parts(head, body.to_bytes()),
-        }),
-        (Outcome::Answered, Ok(body)) => Ok(Answer::Buffered {
-            response: Response::from_parts(head, body.to_bytes()),
-        }),
+    let verdict = match outcome {
+        Outcome::Declined => Some(Verdict::not_run(Reason::QueueFull)),
+        Outcome::NotHeld => Some(Verdict::not_run(Reason::NotHeld)),
+        Outcome::Unstamped => Some(Verdict::may_have_run(Reason::EndpointFailed)),
+        Outcome::Answered | Outcome::Failed => None,
+    };
+    if let Some(verdict) = verdict {
+        if discard(body).await {
+            upstreams.put(clock.now(), upstream, keep_alive);
+        }
+        return Err(verdict);
     }
+    let limit = usize::try_from(MAX_BUFFERED_BYTES).unwrap_or(usize::MAX);
+    let Ok(body) = Limited::new(body, limit).collect().await else {
+        return Err(Verdict::may_have_run(Reason::Truncated));
+    };
+    upstreams.put(clock.now(), upstream, keep_alive);
+    let response = Response::from_parts(head, body.to_bytes());
+    Ok(if outcome == Outcome::Failed {
+        Answer::Failed { response }
+    } else {
+        Answer::Buffered { response }
+    })
+}
+
+/// Reads a body that is of no use, so that the connection can be reused. Returns false if the
+/// body is too long or comes too slowly for that.
+async fn discard(body: Incoming) -> bool {
+    let read = Limited::new(body, MAX_DISCARDED_BYTES).collect();
+    let read = compio::time::timeout(DISCARD_TIMEOUT, read).await;
+    read.is_ok_and(|body| body.is_ok())
 }
--- a/crates/nutmegyoke-host/src/request/passthrough/body.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/body.rs
@@ -19,6 +19,10 @@
 use crate::request::Body;
 use crate::request::body::Truncated;
 
+/// The longest event that is forwarded, in bytes. Events of engines hold a few tokens, so
+/// bytes without the end of an event are no answer.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// The body of a response to a client, buffered or read from an endpoint.
 pub enum Outgoing<C: Clock + 'static, D: Codec> {
     /// The complete body.
@@ -81,6 +85,9 @@
             Poll::Ready(Some(Ok(frame))) => {
                 if let (Some(scanner), Some(data)) = (&mut self.scanner, frame.data_ref()) {
                     scanner.feed(data);
+                    if scanner.event_length() > MAX_EVENT_BYTES {
+                        return self.truncate();
+                    }
                 }
                 self.handle.progress();
                 Poll::Ready(Some(Ok(frame)))
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -137,6 +137,15 @@
         self.child.wait().unwrap().code()
     }
 
+    /// Returns the largest resident memory so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Returns the user and system processor time used so far, in clock ticks.
     pub fn cpu_ticks(&self) -> u64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -25,6 +25,13 @@
     SendAndClose(&'static str),
     /// Sends the parts one by one, each after a delay.
     Trickle(&'static [&'static str], Duration),
+    /// Sends these bytes, and then repeats others, with a delay, until the caller closes the
+    /// connection.
+    Endless {
+        start: &'static str,
+        filler: &'static str,
+        delay: Duration,
+    },
     /// Closes the connection.
     Close,
     /// Sends nothing until the caller closes the connection.
@@ -63,8 +70,8 @@
         self.received.lock().unwrap().clone()
     }
 
-    /// Waits until a caller closes the connection of a stalled request, and returns the time
-    /// at which it did.
+    /// Waits until a caller closes the connection of a stalled request or an endless answer, and
+    /// returns the time at which it did.
     pub fn wait_for_disconnect(&self) -> Instant {
         self.disconnects
             .recv_timeout(ANSWER_TIMEOUT)
@@ -97,6 +104,18 @@
                     }
                 }
             }
+            Action::Endless {
+                start,
+                filler,
+                delay,
+            } => {
+                stream.write_all(fill_in_id(start).as_bytes()).unwrap();
+                while stream.write_all(filler.as_bytes()).is_ok() {
+                    std::thread::sleep(*delay);
+                }
+                let _ = disconnects.send(Instant::now());
+                return;
+            }
             Action::Close => return,
             Action::Stall => {
                 let mut byte = [0];
