--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,9 +2,11 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod engines;
 pub mod fleet;
 pub mod fragile;
 pub mod gateway;
+pub mod gateways;
 pub mod replicas;
 pub mod scripted;
 pub mod upstream;
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -204,7 +204,7 @@
 }
 
 /// Parses the answer in `raw`, `None` if it is incomplete and the connection is open.
-fn parse_answer(raw: &[u8], closed: bool) -> Option<Answer> {
+pub fn parse_answer(raw: &[u8], closed: bool) -> Option<Answer> {
     let end = raw.windows(4).position(|part| part == b"\r\n\r\n")? + 4;
     let head = String::from_utf8(raw[..end].to_vec()).unwrap();
     let status = head.split(' ').nth(1).unwrap().parse().unwrap();
