Bound the clearances of the quarantine and name its parts plainly

A success looks only at parts that are suspects, and a crash without suspects is not gossiped: whoever has suspects reports it. Clearances have a bound of their own.

--- a/crates/nutmegyoke-core/src/process/gateway/crash.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/crash.rs
@@ -13,7 +13,7 @@
 use super::call::Stage;
 use super::refusal::refuse_until;
 use super::{Command, Gateway, Halt, Sink};
-use crate::process::quarantine::{Crash, Culprit, Effect, Evidence, Origin, crash};
+use crate::process::quarantine::{Crash, Culprit, Evidence, Origin, crash};
 use crate::process::registry::Announcement;
 use crate::request::{Reason, Verdict};
 
@@ -142,7 +142,9 @@
         if let Some(Break { crash, .. }) = self.breaks.remove(id) {
             let before = self.quarantine.culprits().to_vec();
             self.quarantine.record(now, &crash);
-            self.gossip.expedite(now);
+            if !crash.suspects.is_empty() {
+                self.gossip.expedite(now);
+            }
             out.push(Command::ReportCrash { crash });
             self.enforce(now, &before, out);
         }
@@ -165,7 +167,7 @@
             return;
         };
         let parts = call.prompt.shared_parts();
-        if self.quarantine.record_success(now, parts) == Effect::Cleared {
+        if self.quarantine.record_success(now, parts) {
             self.gossip.expedite(now);
         }
     }
--- a/crates/nutmegyoke-core/src/process/quarantine/mod.rs
+++ b/crates/nutmegyoke-core/src/process/quarantine/mod.rs
@@ -9,7 +9,7 @@
 pub mod culprit;
 pub mod evidence;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use crash::add_suspect;
@@ -27,11 +27,14 @@
 /// The most crashes that are kept; the oldest are dropped.
 const MAX_CRASHES: usize = culprit::MAX_CRASHES;
 
-/// The most parts whose latest success is remembered, and the most clearances.
+/// The most parts whose latest success is remembered.
 const MAX_SUCCESSES: usize = 8192;
 
-/// How long a success is remembered. A gateway that was cut off for longer than this may
-/// bring old evidence against sound parts.
+/// The most clearances that are kept: more than the parts of the suspects of ten crashes.
+const MAX_CLEARANCES: usize = 8192;
+
+/// How long a success is remembered at least. A gateway that was cut off for longer may bring
+/// old evidence against sound parts.
 const SUCCESS_TTL: Duration = Duration::from_mins(1);
 
 /// The crashes that this gateway knows of, and its conclusions.
@@ -41,7 +44,9 @@
     /// When this gateway last saw a request with each part succeed.
     successes: HashMap<u64, Instant>,
     /// The parts that were suspects before they were cleared.
-    clearances: HashMap<u64, Acquittal>,
+    clearances: HashMap<u64, Cleared>,
+    /// The parts of all suspects, and some that were cleared since.
+    suspected: HashSet<u64>,
     culprits: Vec<Culprit>,
     /// How often this gateway collected evidence.
     collected: u64,
@@ -52,7 +57,7 @@
 struct Record {
     crash: Crash,
     /// The suspects that this gateway saw itself, which it sends to the others.
-    witnessed: Vec<Vec<u64>>,
+    own_suspects: Vec<Vec<u64>>,
     /// The revision of the latest suspect that this gateway saw itself.
     revision: u64,
     /// Whether the endpoint turned out not to have crashed.
@@ -61,21 +66,12 @@
 
 /// When a part was cleared.
 #[derive(Clone, Copy, Debug)]
-struct Acquittal {
+struct Cleared {
     at: Instant,
     /// The revision, if this gateway saw the success itself; 0 otherwise.
     revision: u64,
 }
 
-/// What a success changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// Nothing that other gateways have to know.
-    None,
-    /// It cleared a part that is a culprit, or would be after another crash.
-    Cleared,
-}
-
 impl Quarantine {
     /// The revision of the latest evidence that this gateway collected itself; 1 if there is
     /// none.
@@ -97,45 +93,50 @@
         culprits.find(|culprit| now < culprit.until() && culprit.matches(parts))
     }
 
-    /// Records a crash that this gateway saw.
+    /// Records a crash that this gateway saw. Without suspects it is not sent to the others,
+    /// which see it themselves if they have some.
     pub fn record(&mut self, now: Instant, crash: &Crash) {
-        self.collected += 1;
+        if !crash.suspects.is_empty() {
+            self.collected += 1;
+        }
         let revision = self.revision();
         let record = self.insert(&crash.origin, crash.at, &crash.suspects);
         record.revision = revision;
         let suspects = crash.suspects.iter().filter(|_| !record.refuted);
         for suspect in suspects {
-            add_suspect(&mut record.witnessed, suspect);
+            add_suspect(&mut record.own_suspects, suspect);
         }
         self.conclude(now);
     }
 
-    /// Records that this gateway saw a request with these shared parts succeed.
-    pub fn record_success(&mut self, now: Instant, parts: &[u64]) -> Effect {
+    /// Records that this gateway saw a request with these shared parts succeed. Returns whether
+    /// that cleared a part that is a culprit, or would be after another crash, so that other
+    /// gateways should know of it soon.
+    pub fn record_success(&mut self, now: Instant, parts: &[u64]) -> bool {
         if self.successes.len() >= MAX_SUCCESSES {
             self.successes.retain(|_, &mut at| now < at + SUCCESS_TTL);
             if self.successes.len() >= MAX_SUCCESSES {
                 self.successes.clear();
             }
         }
-        let mut effect = Effect::None;
+        let mut urgent = false;
         for &part in parts {
             self.successes.insert(part, now);
+            if !self.suspected.contains(&part) {
+                continue;
+            }
             let pending = self.crashes_with(part) + 1 >= culprit::MIN_MOMENTS;
             if self.clear(part, now) {
                 self.collected += 1;
                 let revision = self.revision();
-                self.clearances
-                    .insert(part, Acquittal { at: now, revision });
-                if pending {
-                    effect = Effect::Cleared;
-                }
+                self.add_clearance(part, Cleared { at: now, revision });
+                urgent |= pending;
             }
         }
-        if effect == Effect::Cleared {
+        if urgent {
             self.conclude(now);
         }
-        effect
+        urgent
     }
 
     /// Applies the evidence of another gateway.
@@ -152,8 +153,7 @@
             self.clear(clearance.part, at);
             let known = self.clearances.get(&clearance.part);
             if known.is_none_or(|known| known.at < at) {
-                let acquittal = Acquittal { at, revision: 0 };
-                self.clearances.insert(clearance.part, acquittal);
+                self.add_clearance(clearance.part, Cleared { at, revision: 0 });
             }
         }
         self.conclude(now);
@@ -167,7 +167,7 @@
             if !record.refuted && is_none(&record.crash) {
                 record.refuted = true;
                 record.crash.suspects.clear();
-                record.witnessed.clear();
+                record.own_suspects.clear();
                 refuted = true;
             }
         }
@@ -190,18 +190,18 @@
             suspects: if everything {
                 record.crash.suspects.clone()
             } else {
-                record.witnessed.clone()
+                record.own_suspects.clone()
             },
         });
         let clearances = self.clearances.iter();
         let clearances =
-            clearances.filter(|(_, acquittal)| everything || acquittal.revision > revision);
+            clearances.filter(|(_, cleared)| everything || cleared.revision > revision);
         Evidence {
             crashes: crashes.collect(),
             clearances: clearances
-                .map(|(&part, acquittal)| Clearance {
+                .map(|(&part, cleared)| Clearance {
                     part,
-                    age: now.saturating_duration_since(acquittal.at),
+                    age: now.saturating_duration_since(cleared.at),
                 })
                 .collect(),
         }
@@ -214,7 +214,7 @@
             .retain(|_, record| now < record.crash.at + EVIDENCE_TTL);
         let oldest = self.crashes.values().map(|record| record.crash.at).min();
         self.clearances
-            .retain(|_, acquittal| oldest.is_some_and(|oldest| oldest <= acquittal.at));
+            .retain(|_, cleared| oldest.is_some_and(|oldest| oldest <= cleared.at));
         if self.crashes.len() != before {
             self.conclude(now);
         }
@@ -238,7 +238,7 @@
                     at,
                     suspects: Vec::new(),
                 },
-                witnessed: Vec::new(),
+                own_suspects: Vec::new(),
                 revision: 0,
                 refuted: false,
             });
@@ -247,14 +247,25 @@
         for suspect in suspects {
             let parts = suspect.iter().copied().filter(|part| {
                 let success = self.successes.get(part).copied();
-                let clearance = self.clearances.get(part).map(|acquittal| acquittal.at);
+                let clearance = self.clearances.get(part).map(|cleared| cleared.at);
                 success.max(clearance).is_none_or(|cleared| cleared < at)
             });
-            add_suspect(&mut record.crash.suspects, &parts.collect::<Vec<u64>>());
+            let parts: Vec<u64> = parts.collect();
+            self.suspected.extend(&parts);
+            add_suspect(&mut record.crash.suspects, &parts);
         }
         record
     }
 
+    /// Adds a clearance. If there are too many, all others are dropped; then other gateways
+    /// learn of them only from their own successes.
+    fn add_clearance(&mut self, part: u64, cleared: Cleared) {
+        if self.clearances.len() >= MAX_CLEARANCES {
+            self.clearances.clear();
+        }
+        self.clearances.insert(part, cleared);
+    }
+
     /// The number of crashes with `part` among the suspects.
     fn crashes_with(&self, part: u64) -> usize {
         let records = self.crashes.values();
@@ -274,10 +285,10 @@
                 cleared |= suspect.len() < length;
             }
             record.crash.suspects.retain(|suspect| !suspect.is_empty());
-            for suspect in &mut record.witnessed {
+            for suspect in &mut record.own_suspects {
                 suspect.retain(|&id| id != part);
             }
-            record.witnessed.retain(|suspect| !suspect.is_empty());
+            record.own_suspects.retain(|suspect| !suspect.is_empty());
         }
         cleared
     }
@@ -285,6 +296,8 @@
     fn conclude(&mut self, now: Instant) {
         let records = self.crashes.values().filter(|record| !record.refuted);
         let crashes = records.map(|record| &record.crash);
+        let suspects = crashes.clone().flat_map(|crash| &crash.suspects);
+        self.suspected = suspects.flatten().copied().collect();
         self.culprits = culprit::find(crashes, QUARANTINE_TIME);
         self.culprits.retain(|culprit| now < culprit.until());
     }
