Suspect streams that had answered for up to half a second

On a slow engine the time between the head of an answer and the crash is longer, so the deadly request could miss being a suspect; not observed.

--- a/crates/nutmegyoke-core/src/process/gateway/crash.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/crash.rs
@@ -19,7 +19,7 @@
 
 /// A request whose answer began longer before the crash is no suspect: an engine that crashes
 /// on a request does so when it begins to answer.
-const SUSPICION_TIME: Duration = Duration::from_millis(300);
+const SUSPICION_TIME: Duration = Duration::from_millis(500);
 
 /// Connections that break within this time broke for one reason.
 const BREAK_TIME: Duration = Duration::from_secs(1);
