--- a/crates/nutmegyoke-core/src/process/throttle/pacer.rs
+++ b/crates/nutmegyoke-core/src/process/throttle/pacer.rs
@@ -44,6 +44,8 @@
     /// The bucket of an endpoint that is not known begins empty, because another gateway may
     /// have admitted requests until now.
     pub fn admit(&mut self, now: Instant, endpoint: &str, rate: f64, max_wait: Duration) -> Permit {
+        // Another gateway's rate may be anything.
+        let rate = if rate.is_nan() { MIN_RATE } else { rate };
         let rate = rate.clamp(MIN_RATE, MAX_RATE);
         let interval = Duration::from_secs_f64(1.0 / rate);
         let burst = MIN_BURST.max(rate * BURST_TIME.as_secs_f64());
--- a/crates/nutmegyoke-core/tests/throttle.rs
+++ b/crates/nutmegyoke-core/tests/throttle.rs
@@ -308,6 +308,25 @@
     assert_eq!(limits.rate(now + 30 * SECOND, "engine-1", 1), None);
 }
 
+/// Another gateway may send any number as a rate, which must not end this one.
+fn any_rate_is_admitted(rate: f64) {
+    let mut pacer = Pacer::default();
+    let permit = pacer.admit(Instant::now(), "engine-1", rate, SECOND);
+    assert_eq!(
+        permit,
+        Permit::Granted {
+            wait: Duration::ZERO
+        }
+    );
+}
+
+cases!(any_rate_is_admitted {
+    not_a_number: (f64::NAN),
+    negative: (-1.0),
+    infinite: (f64::INFINITY),
+    least: (f64::MIN_POSITIVE),
+});
+
 proptest! {
     #![proptest_config(config(300))]
 
