Probe an endpoint only for requests that may have crashed it

A connection that broke on a request without a prompt, or long into an answer, was followed by a connection attempt that could show nothing of use. A crash now always has suspects, so the case of one without is gone.

--- a/crates/nutmegyoke-core/src/process/gateway/crash.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/crash.rs
@@ -32,7 +32,7 @@
 /// again, did not crash. An earlier heartbeat may have been delayed.
 const HEARTBEATS_TO_REFUTE: u32 = 2;
 
-/// An endpoint whose connections broke, and that may have crashed.
+/// An endpoint whose connections broke, and that may have crashed because of a request.
 #[derive(Debug)]
 pub struct Break {
     /// The endpoint as it was known.
@@ -42,15 +42,14 @@
 }
 
 impl Gateway {
-    /// Notes the endpoint of a request whose connection broke, and has it probed.
+    /// If a request whose connection broke may have crashed its endpoint, notes it, and has the
+    /// endpoint probed.
     pub(super) fn note_break<S>(&mut self, now: Instant, number: u64, verdict: Verdict, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
-        if !matches!(verdict.reason(), Some(Reason::LinkLost | Reason::Truncated)) {
-            return;
-        }
-        let Some(call) = self.calls.get(&number) else {
+        let broke = matches!(verdict.reason(), Some(Reason::LinkLost | Reason::Truncated));
+        let Some(call) = self.calls.get(&number).filter(|_| broke) else {
             return;
         };
         let is_suspect = match call.stage {
@@ -58,38 +57,41 @@
             Stage::Answering { since, .. } => now < since + SUSPICION_TIME,
             Stage::Idle | Stage::Preparing { .. } | Stage::Throttled { .. } => false,
         };
+        let parts = call.prompt.shared_parts();
+        if !is_suspect || parts.is_empty() {
+            return;
+        }
         // The shutdown of an endpoint breaks connections, too, but is announced.
-        let endpoint = call.endpoint().and_then(|id| self.registry.row(id));
-        let endpoint = endpoint.filter(|row| row.accepts_requests());
-        let Some(endpoint) = endpoint.map(|row| Rc::clone(&row.announcement)) else {
+        let row = call.endpoint().and_then(|id| self.registry.row(id));
+        let Some(row) = row.filter(|row| row.accepts_requests()) else {
             return;
         };
+        let endpoint = &row.announcement;
         let origin = Origin {
             endpoint: endpoint.id.clone(),
             started_ms: endpoint.stamp.started_ms,
         };
-        let known = self.breaks.get(&endpoint.id);
-        let known =
-            known.filter(|known| known.crash.origin == origin && now < known.crash.at + BREAK_TIME);
-        if known.is_none() {
-            out.push(Command::Probe {
-                endpoint: Rc::clone(&endpoint),
-            });
-            let crash = Crash {
+        let known = self
+            .breaks
+            .get_mut(&endpoint.id)
+            .map(|known| &mut known.crash);
+        let known = known.filter(|crash| crash.origin == origin && now < crash.at + BREAK_TIME);
+        if let Some(crash) = known {
+            crash::add_suspect(&mut crash.suspects, parts);
+            return;
+        }
+        out.push(Command::Probe {
+            endpoint: Rc::clone(endpoint),
+        });
+        let noted = Break {
+            endpoint: Rc::clone(endpoint),
+            crash: Crash {
                 origin,
                 at: now,
-                suspects: Vec::new(),
-            };
-            let noted = Break { endpoint, crash };
-            self.breaks.insert(noted.endpoint.id.clone(), noted);
-        }
-        let id = call.endpoint();
-        if let Some(noted) = id
-            .and_then(|id| self.breaks.get_mut(id))
-            .filter(|_| is_suspect)
-        {
-            crash::add_suspect(&mut noted.crash.suspects, call.prompt.shared_parts());
-        }
+                suspects: vec![parts.to_vec()],
+            },
+        };
+        self.breaks.insert(endpoint.id.clone(), noted);
     }
 
     /// Records a crash if the probed endpoint `refused` a connection.
@@ -142,9 +144,7 @@
         if let Some(Break { crash, .. }) = self.breaks.remove(id) {
             let before = self.quarantine.culprits().to_vec();
             self.quarantine.record(now, &crash);
-            if !crash.suspects.is_empty() {
-                self.gossip.expedite(now);
-            }
+            self.gossip.expedite(now);
             out.push(Command::ReportCrash { crash });
             self.enforce(now, &before, out);
         }
--- a/crates/nutmegyoke-core/src/process/quarantine/crash.rs
+++ b/crates/nutmegyoke-core/src/process/quarantine/crash.rs
@@ -15,7 +15,7 @@
     pub started_ms: u64,
 }
 
-/// A crash of an endpoint while it had requests.
+/// A crash of an endpoint while it had requests that may have caused it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
     /// What crashed.
--- a/crates/nutmegyoke-core/src/process/quarantine/mod.rs
+++ b/crates/nutmegyoke-core/src/process/quarantine/mod.rs
@@ -93,12 +93,9 @@
         culprits.find(|culprit| now < culprit.until() && culprit.matches(parts))
     }
 
-    /// Records a crash that this gateway saw. Without suspects it is not sent to the others,
-    /// which see it themselves if they have some.
+    /// Records a crash that this gateway saw.
     pub fn record(&mut self, now: Instant, crash: &Crash) {
-        if !crash.suspects.is_empty() {
-            self.collected += 1;
-        }
+        self.collected += 1;
         let revision = self.revision();
         let record = self.insert(&crash.origin, crash.at, &crash.suspects);
         record.revision = revision;
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -161,7 +161,7 @@
     },
     /// An endpoint without an agent signed off.
     EndpointLeft { id: &'a str },
-    /// An endpoint crashed while it had requests.
+    /// An endpoint crashed while it had requests that may have caused it.
     EndpointCrashed {
         id: &'a str,
         /// When the endpoint had started, in milliseconds since the Unix epoch.
