--- a/crates/nutmegyoke-core/tests/crash.rs
+++ b/crates/nutmegyoke-core/tests/crash.rs
@@ -11,12 +11,18 @@
 use nutmegyoke_core::process::gateway::{Command, Event, Halt};
 use nutmegyoke_core::process::registry::{Announcement, Stamp};
 use nutmegyoke_core::request::{Reason, Verdict};
+use nutmegyoke_core::version::Routing;
+use nutmegyoke_core::version::routing::Semantics;
 
 const SECOND: Duration = Duration::from_secs(1);
 
 /// The part that crashes engines in these tests.
 const DEADLY: u64 = 0xDEAD;
 
+const LINK_LOST: Verdict = Verdict::MayHaveRun {
+    reason: Reason::LinkLost,
+};
+
 const WITHHELD: Fate = Fate::Refused {
     reason: Some(Reason::Quarantined),
     halt: Halt::Quarantined,
@@ -79,6 +85,58 @@
     assert_eq!(fleet.gateways[0].in_flight(), 0);
 }
 
+/// A fleet of one gateway whose streams may go on at another engine.
+fn fleet_with_resumable_streams() -> Fleet {
+    let mut draft = fleet::draft();
+    draft.number = 2;
+    for route in &mut draft.routes {
+        if let Semantics::Stream { resumable } = &mut route.semantics {
+            *resumable = true;
+            route.max_attempts = 2;
+        }
+    }
+    let mut fleet = Fleet::open(1, &engines(9));
+    let routing = &Routing::open(draft).unwrap();
+    fleet.feed(0, Event::Configured { routing });
+    fleet
+}
+
+fn is_dispatched(out: &[Command]) -> bool {
+    let mut out = out.iter();
+    out.any(|command| matches!(command, Command::Dispatch { .. }))
+}
+
+/// It is a suspect like the request that caused the crash, but nothing is known yet.
+#[test]
+fn sound_request_beside_a_crash_is_retried() {
+    let mut fleet = fleet_with_resumable_streams();
+    let Fate::Sent { call, .. } = fleet.ask(0, &[1, 5]) else {
+        panic!("refused");
+    };
+    let verdict = LINK_LOST;
+    assert!(is_dispatched(
+        &fleet.feed(0, Event::AttemptEnded { call, verdict })
+    ));
+}
+
+/// The retry after the third crash is under way when the probe shows the crash.
+#[test]
+fn retry_is_cancelled_once_the_crash_before_it_is_known() {
+    let mut fleet = fleet_with_resumable_streams();
+    fleet.crash_by(0, &[1, DEADLY]);
+    fleet.crash_by(0, &[2, DEADLY]);
+    let Fate::Sent { endpoint, call } = fleet.ask(0, &[3, DEADLY]) else {
+        panic!("refused");
+    };
+    let verdict = LINK_LOST;
+    assert!(is_dispatched(
+        &fleet.feed(0, Event::AttemptEnded { call, verdict })
+    ));
+    let out = fleet.probe(0, &endpoint, true);
+    let cancelled = Verdict::may_have_run(Reason::Quarantined);
+    assert_eq!(refusal(&out, call), Some(cancelled));
+}
+
 /// What a gateway sees after the connection of a request broke.
 #[derive(Clone, Copy, Debug)]
 enum Sign {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -50,4 +50,16 @@
     assert_eq!(last.status, 503, "the request did not run: {last:?}");
     let retry_after: f64 = header(&last.head, "retry-after").parse().unwrap();
     assert!(retry_after > 60.0, "{retry_after}");
+    let error: serde_json::Value = serde_json::from_slice(&last.body).unwrap();
+    assert_eq!(error["error"]["code"], "quarantined");
+    assert_eq!(error["error"]["ran"], "no");
+    let log = gateway.daemon.log();
+    let line = log.iter().find(|line| line.contains("NY0306")).unwrap();
+    let line: serde_json::Value = serde_json::from_str(line).unwrap();
+    let parts = line["parts"].as_array().unwrap();
+    assert!(parts.iter().any(|part| part == DEADLY_PART), "{line}");
+    assert!(
+        line["crashes"].as_u64().unwrap() >= 3 && line["latest-ms"].is_u64(),
+        "{line}"
+    );
 }
