--- a/crates/nutmegyoke-core/src/process/quarantine/mod.rs
+++ b/crates/nutmegyoke-core/src/process/quarantine/mod.rs
@@ -30,7 +30,8 @@
 /// The most parts whose latest success is remembered.
 const MAX_SUCCESSES: usize = 8192;
 
-/// The most clearances that are kept: more than the parts of the suspects of ten crashes.
+/// The most clearances that are kept: as many as the suspects of eight crashes
+/// can have parts.
 const MAX_CLEARANCES: usize = 8192;
 
 /// How long a success is remembered at least. A gateway that was cut off for longer may bring
--- a/crates/nutmegyoke-core/tests/crash.rs
+++ b/crates/nutmegyoke-core/tests/crash.rs
@@ -43,6 +43,27 @@
     }
 }
 
+/// All gateways get deadly requests at the same moment, ten times a second. Crashes close in
+/// time count as one, and must still suffice within the seconds that the gateways have.
+#[test]
+fn deadly_requests_at_all_gateways_at_once_are_refused_within_a_second() {
+    let mut fleet = Fleet::open(6, &engines(90));
+    for _ in 0..10 {
+        for gateway in 0..6 {
+            let Fate::Sent { endpoint, call } = fleet.ask(gateway, &[1, DEADLY]) else {
+                continue;
+            };
+            let verdict = TRUNCATED;
+            fleet.feed(gateway, Event::AttemptEnded { call, verdict });
+            fleet.probe(gateway, &endpoint, true);
+        }
+        fleet.now += SECOND / 10;
+    }
+    for gateway in 0..6 {
+        assert_eq!(fleet.ask(gateway, &[1, DEADLY]), WITHHELD);
+    }
+}
+
 /// The evidence was collected before it started.
 #[test]
 fn gateway_that_starts_after_the_crashes_refuses_what_caused_them() {
