Log calls between processes that get no answer

When a gateway routed by an old document after a cut, no line told whether the leader sent it newer ones, or whether they got lost on the way. NY0404 tells the first call on a connection that is not answered; a pool counts connections, so that a line per message is not needed.

--- a/crates/nutmegyoke-host/src/connection/pool.rs
+++ b/crates/nutmegyoke-host/src/connection/pool.rs
@@ -1,24 +1,50 @@
 //! Keeps one capnp-rpc connection to each process that is called.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use capnp::capability::FromClientHook;
+use derive_more::{Display, Error, From};
+use nutmegyoke_wire::connection::convert::milliseconds;
 
 use super::link::{self, Link};
+use crate::process::Event;
 
 /// Clients by address. A lost connection is opened again by the next [`Pool::get`].
 pub struct Pool<T> {
-    clients: RefCell<HashMap<SocketAddr, T>>,
+    connections: RefCell<HashMap<SocketAddr, Rc<Connection<T>>>>,
+}
+
+/// An open connection.
+struct Connection<T> {
+    client: T,
+    /// Whether a call on it went unanswered, which is logged once for each connection.
+    stalled: Cell<bool>,
+}
+
+/// Why a call failed.
+#[derive(Debug, Display, Error, From)]
+pub enum Failure {
+    /// Connecting failed, so nothing was sent.
+    #[display("{_0}")]
+    Connect(io::Error),
+    /// The call failed, or the connection was lost.
+    #[display("{_0}")]
+    Call(capnp::Error),
+    /// There was no answer in time.
+    #[from(skip)]
+    #[display("no answer in {} ms", milliseconds(*timeout))]
+    Unanswered { timeout: Duration },
 }
 
 impl<T> Default for Pool<T> {
     fn default() -> Self {
         Self {
-            clients: RefCell::default(),
+            connections: RefCell::default(),
         }
     }
 }
@@ -30,19 +56,67 @@
     ///
     /// Connecting failed. No data was sent.
     pub async fn get(self: &Rc<Self>, address: SocketAddr) -> io::Result<T> {
-        if let Some(client) = self.clients.borrow().get(&address) {
-            return Ok(client.clone());
+        let connection = self.connection(address).await?;
+        Ok(connection.client.clone())
+    }
+
+    /// Makes a call on the connection to `address`, and connects if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Connecting or the call failed, or there was no answer within `timeout`.
+    pub async fn call<R, F>(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        timeout: Duration,
+        call: impl FnOnce(T) -> F,
+    ) -> Result<R, Failure>
+    where
+        F: Future<Output = capnp::Result<R>>,
+    {
+        let connection = self.connection(address).await?;
+        let answered = compio::time::timeout(timeout, call(connection.client.clone())).await;
+        let Ok(answer) = answered else {
+            if !connection.stalled.replace(true) {
+                Event::CallUnanswered {
+                    address,
+                    timeout_ms: milliseconds(timeout),
+                }
+                .log();
+            }
+            return Err(Failure::Unanswered { timeout });
+        };
+        Ok(answer?)
+    }
+
+    async fn connection(self: &Rc<Self>, address: SocketAddr) -> io::Result<Rc<Connection<T>>> {
+        if let Some(connection) = self.connections.borrow().get(&address) {
+            return Ok(Rc::clone(connection));
         }
         let Link { client, lost } = link::dial::<T>(address).await?;
-        // Replaces the connection of a concurrent call to `get`, if there was one. The
-        // replaced connection closes after its last call.
-        self.clients.borrow_mut().insert(address, client.clone());
-        let pool = Rc::clone(self);
+        let connection = Rc::new(Connection {
+            client,
+            stalled: Cell::new(false),
+        });
+        // Replaces the connection of a concurrent call, if there was one. The replaced
+        // connection closes after its last call.
+        let mut connections = self.connections.borrow_mut();
+        connections.insert(address, Rc::clone(&connection));
+        let (pool, opened) = (Rc::clone(self), Rc::clone(&connection));
         compio::runtime::spawn(async move {
             let _ = lost.await;
-            pool.clients.borrow_mut().remove(&address);
+            pool.remove(address, &opened);
         })
         .detach();
-        Ok(client)
+        Ok(connection)
+    }
+
+    /// Removes `connection`, unless another one has replaced it.
+    fn remove(&self, address: SocketAddr, connection: &Rc<Connection<T>>) {
+        let mut connections = self.connections.borrow_mut();
+        let current = connections.get(&address);
+        if current.is_some_and(|current| Rc::ptr_eq(current, connection)) {
+            connections.remove(&address);
+        }
     }
 }
--- a/crates/nutmegyoke-host/src/process/control/transport.rs
+++ b/crates/nutmegyoke-host/src/process/control/transport.rs
@@ -55,14 +55,13 @@
 }
 
 async fn send(pool: Rc<Pool<replica::Client>>, address: SocketAddr, message: Message<Store>) {
-    let delivery = async {
-        let client = pool.get(address).await.ok()?;
+    let delivery = pool.call(address, SEND_TIMEOUT, |client: replica::Client| {
         let mut request = client.deliver_request();
         wire::write(&message, request.get().init_message());
-        request.send().promise.await.ok()
-    };
+        async move { request.send().promise.await.map(drop) }
+    });
     // The machine repeats lost messages at the next heartbeat.
-    let _ = compio::time::timeout(SEND_TIMEOUT, delivery).await;
+    let _ = delivery.await;
 }
 
 /// Writes batches in order. While one is synced, the machine collects the next.
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -56,6 +56,11 @@
     ControlFound { address: SocketAddr },
     /// A connection ended with an error.
     ConnectionFailed { peer: SocketAddr, why: &'a str },
+    /// A call to another process got no answer in time, the first on its connection.
+    CallUnanswered {
+        address: SocketAddr,
+        timeout_ms: u64,
+    },
     /// The process has no data folder and keeps its state in memory only.
     Volatile,
     /// The journal's disk is full.
@@ -260,6 +265,7 @@
             Self::LimitMalformed => 507,
             Self::Throttled => 308,
             Self::StewardSilent => 403,
+            Self::CallUnanswered => 404,
             Self::EngineOrdered => 602,
             Self::EngineSilent => 603,
             Self::Placed => 604,
@@ -286,6 +292,7 @@
             | Self::OrderLost { .. }
             | Self::LinesDropped { .. }
             | Self::StewardSilent { .. }
+            | Self::CallUnanswered { .. }
             | Self::EngineSilent { .. }
             | Self::EndpointCrashed { .. }
             | Self::PartQuarantined { .. }
--- a/crates/nutmegyoke-host/src/process/gateway/gossip.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/gossip.rs
@@ -206,18 +206,17 @@
     work: Work,
     evidence: Evidence,
 ) {
-    let delivery = async {
-        let client = gateway.gateways.get(to).await?;
+    let from = gateway.member.vm.run_id();
+    let delivery = gateway.gateways.call(to, RPC_TIMEOUT, |client| async move {
         let mut request = client.spread_request();
-        request.get().set_from(gateway.member.vm.run_id());
+        request.get().set_from(from);
         rumor::write(&rumors, |length| request.get().init_rumors(length));
         work::write(&work, request.get().init_work());
         evidence::write(&evidence, request.get().init_evidence());
         let response = request.send().promise.await?;
-        capnp::Result::Ok(response.get()?.get_run())
-    };
-    let run = compio::time::timeout(RPC_TIMEOUT, delivery).await;
+        Ok(response.get()?.get_run())
+    });
     // The next message repeats everything that was not acknowledged.
-    let run = run.ok().and_then(Result::ok);
+    let run = delivery.await.ok();
     gateway.driver.feed(Input::Delivered { to, run });
 }
