Let a process advertise another address than the one it listens at

Tests put a relay between gateways, whose connections can then go silent without a reset. A VM behind address translation needs the same setting.

--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -151,7 +151,7 @@
             id: journal.id(),
             seed: Seed {
                 name: settings.name.clone(),
-                address: settings.listen,
+                address: settings.advertised(),
                 observer: options.observer,
             },
             roster: options.roster.clone(),
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -121,7 +121,7 @@
         let control = Control::spawn_with(settings, &options, clock.clone(), registry).await?;
         let machine = decision::Gateway::open(Setup {
             data_centre: settings.data_centre.clone(),
-            address: role_settings.exchange,
+            address: SocketAddr::new(settings.advertise, role_settings.exchange.port()),
             heartbeat_period: role_settings.heartbeat_period,
             retry_bound: role_settings.retry_bound,
             seed: member.vm.run_id(),
--- a/crates/nutmegyoke-host/src/process/mod.rs
+++ b/crates/nutmegyoke-host/src/process/mod.rs
@@ -78,7 +78,7 @@
         },
         role,
         data_centre: settings.data_centre.clone(),
-        address: settings.listen,
+        address: settings.advertised(),
         endpoints: Vec::new(),
         configuration: 0,
     }
--- a/crates/nutmegyoke-wire/src/process/settings.rs
+++ b/crates/nutmegyoke-wire/src/process/settings.rs
@@ -15,7 +15,7 @@
 pub mod gateway;
 pub mod steward;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -52,6 +52,9 @@
     pub data_centre: DataCentre,
     /// The address for other processes of the fleet; in an entry, the one for callers.
     pub listen: SocketAddr,
+    /// The IP address at which other processes reach this one, by default that of `listen`.
+    /// Another one may forward connections to it.
+    pub advertise: IpAddr,
     /// The address for operators: metrics, health checks and the command-line tool.
     pub operators: SocketAddr,
     /// The addresses of the control processes.
@@ -143,6 +146,9 @@
             name: process.required("name", "the name of the VM")?,
             data_centre: data_centre.as_str().into(),
             listen,
+            advertise: process
+                .optional("advertise", "an IP address, such as 127.0.0.1")?
+                .unwrap_or(listen.ip()),
             operators: process.required("operators", ADDRESS_FORMAT)?,
             control,
             drain_limit: process
@@ -157,6 +163,14 @@
     }
 }
 
+impl Settings {
+    /// The address at which other processes reach this one.
+    #[must_use]
+    pub fn advertised(&self) -> SocketAddr {
+        SocketAddr::new(self.advertise, self.listen.port())
+    }
+}
+
 fn read_planner(file: &File<'_>) -> Result<Planner, Fault> {
     let section = file.sections().find(|section| section.name == "planner");
     section.map_or(Ok(Planner::default()), Planner::read)
--- a/crates/nutmegyoke-wire/tests/settings.rs
+++ b/crates/nutmegyoke-wire/tests/settings.rs
@@ -45,6 +45,10 @@
         &format!("{PROCESS}[entry]\ncallers = here\n"),
         "e.ini: [entry] callers: `here` is not valid: write an IP address and port, such as 127.0.0.1:8470",
     ),
+    invalid_advertised_address: (
+        &format!("{PROCESS}advertise = 127.0.0.1:8470\n{ENTRY}"),
+        "e.ini: [process] advertise: `127.0.0.1:8470` is not valid: write an IP address, such as 127.0.0.1",
+    ),
     invalid_control_address: (
         &format!("{}{ENTRY}", PROCESS.replace("127.0.0.1:8481", "there")),
         "e.ini: [process] control: `there` is not valid: write an IP address and port, such as 127.0.0.1:8470",
--- a/src/bin/nutmegyoked/demo.rs
+++ b/src/bin/nutmegyoked/demo.rs
@@ -170,6 +170,7 @@
         name: name.to_owned(),
         data_centre: "alp-a".into(),
         listen: EPHEMERAL_LOOPBACK,
+        advertise: EPHEMERAL_LOOPBACK.ip(),
         operators,
         control: control.to_vec(),
         drain_limit: None,
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -16,7 +16,7 @@
 
 use support::engines::{Arrival, DEADLY_PART, Engines, LIMIT};
 use support::gateway::{call, config, poll_until};
-use support::gateways::{Gateways, clients, health, registrar};
+use support::gateways::{Addresses, Gateways};
 use support::upstream::{Answer, parse_answer};
 
 const ENGINES: usize = 16;
@@ -48,6 +48,7 @@
 struct Soak {
     engines: Arc<Engines>,
     gateways: usize,
+    addresses: Addresses,
     start: Instant,
     outcomes: Mutex<Vec<Outcome>>,
     /// When each gateway was disturbed, and when it had recovered.
@@ -78,7 +79,8 @@
                 None => rng.usize(..self.gateways),
             };
             let stream = connection.take().map(|(_, stream)| stream);
-            let stream = stream.or_else(|| TcpStream::connect(clients(gateway)).ok());
+            let stream =
+                stream.or_else(|| TcpStream::connect(self.addresses.clients(gateway)).ok());
             let Some(mut stream) = stream else {
                 std::thread::sleep(Duration::from_millis(20));
                 continue;
@@ -176,7 +178,7 @@
         let body = config(version).to_string();
         let length = body.len();
         let head = format!("PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
-        if let Ok(mut stream) = TcpStream::connect(registrar(gateway)) {
+        if let Ok(mut stream) = TcpStream::connect(self.addresses.registrar(gateway)) {
             let _ = stream.write_all([head, body].concat().as_bytes());
         }
     }
@@ -284,19 +286,26 @@
     let seed = env_number("NUTMEGYOKE_SEED", DEFAULT_SEED);
     let count = usize::try_from(env_number("NUTMEGYOKE_SOAK_GATEWAYS", DEFAULT_GATEWAYS)).unwrap();
     let duration = Duration::from_secs(env_number("NUTMEGYOKE_SOAK_SECONDS", DEFAULT_SECONDS));
-    let mut gateways = Gateways::spawn(count);
-    let registrars = (0..count).map(registrar).collect();
+    let mut gateways = Gateways::spawn(count, 0);
+    let addresses = gateways.addresses;
+    let registrars = (0..count)
+        .map(|gateway| addresses.registrar(gateway))
+        .collect();
     let engines = Engines::spawn(ENGINES, registrars);
     let body = config(1).to_string();
-    let publish = || call(registrar(0), "PUT", "/config", body.as_bytes());
+    let publish = || call(addresses.registrar(0), "PUT", "/config", body.as_bytes());
     poll_until(publish, |answer| answer.status == 200);
     for gateway in 0..count {
         let is_ready = |answer: &Answer| answer.status == 200;
-        poll_until(|| call(health(gateway), "GET", "/ready", b""), is_ready);
+        poll_until(
+            || call(addresses.health(gateway), "GET", "/ready", b""),
+            is_ready,
+        );
     }
     let soak = Soak {
         engines,
         gateways: count,
+        addresses,
         start: Instant::now(),
         outcomes: Mutex::default(),
         faults: Mutex::default(),
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -2,34 +2,59 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::Command;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use tempfile::TempDir;
 
 use super::Daemon;
+use super::relay::Relay;
 
-/// The ports of every gateway.
-const LISTEN_PORT: u16 = 28_000;
-const EXCHANGE_PORT: u16 = 28_001;
-const OPERATORS_PORT: u16 = 28_002;
-const CLIENTS_PORT: u16 = 28_003;
-const HEALTH_PORT: u16 = 28_004;
-const REGISTRAR_PORT: u16 = 28_005;
+/// The ports of a gateway, counted from the first port of its fleet.
+const LISTEN: u16 = 0;
+const EXCHANGE: u16 = 1;
+const OPERATORS: u16 = 2;
+const CLIENTS: u16 = 3;
+const HEALTH: u16 = 4;
+const REGISTRAR: u16 = 5;
+
+/// The number of ports of a fleet.
+const PORTS: u16 = 6;
+
+/// The first port of the first fleet of a test process.
+const FIRST_PORT: u16 = 28_000;
 
 /// The number of gateways that vote.
 const VOTERS: usize = 3;
 
+/// The addresses of the gateways of a fleet, by their numbers.
+#[derive(Clone, Copy)]
+pub struct Addresses {
+    first_port: u16,
+}
+
 /// A fleet of gateways, whose processes may be stopped.
 pub struct Gateways {
     folder: TempDir,
+    pub addresses: Addresses,
     daemons: Vec<Option<Daemon>>,
+    /// What the other gateways reach the first gateways through.
+    pub relays: Vec<Relay>,
 }
 
 impl Gateways {
-    /// Spawns `count` gateways.
-    pub fn spawn(count: usize) -> Self {
+    /// Spawns `count` gateways, the first `relayed` of them behind relays.
+    pub fn spawn(count: usize, relayed: usize) -> Self {
+        static FLEETS: AtomicU16 = AtomicU16::new(0);
+        let addresses = Addresses {
+            first_port: FIRST_PORT + PORTS * FLEETS.fetch_add(1, Ordering::Relaxed),
+        };
+        let ports = [LISTEN, EXCHANGE].map(|port| addresses.first_port + port);
+        let relay = |number| Relay::spawn(relay_ip(number), &ports, ip(number));
         let mut gateways = Self {
             folder: TempDir::new().unwrap(),
+            addresses,
             daemons: Vec::new(),
+            relays: (0..relayed.min(count)).map(relay).collect(),
         };
         for number in 0..count {
             gateways.daemons.push(None);
@@ -40,18 +65,23 @@
 
     /// Starts the process of a gateway. Only at its first start it may found the fleet.
     pub fn start(&mut self, number: usize, first: bool) {
-        let ip = ip(number);
+        let [listen, exchange, operators, clients, health, registrar] =
+            [LISTEN, EXCHANGE, OPERATORS, CLIENTS, HEALTH, REGISTRAR]
+                .map(|port| self.addresses.of(number, port));
         let contacts: Vec<String> = (0..VOTERS)
-            .map(|voter| registrar(voter).to_string())
+            .map(|voter| {
+                SocketAddr::from((self.advertised(voter), self.addresses.first_port)).to_string()
+            })
             .collect();
+        let advertised = self.advertised(number);
         let folder = self.folder.path();
         let data = folder.join(format!("data-{number}"));
         let voter = number < VOTERS;
         let text = format!(
             "[process]\nrole = gateway\nname = front-{number}\ndata-centre = alp-a\n\
-             listen = {ip}:{LISTEN_PORT}\noperators = {ip}:{OPERATORS_PORT}\n[gateway]\n\
-             clients = {ip}:{CLIENTS_PORT}\nhealth = {ip}:{HEALTH_PORT}\n\
-             registrar = {ip}:{REGISTRAR_PORT}\nexchange = {ip}:{EXCHANGE_PORT}\n\
+             listen = {listen}\nadvertise = {advertised}\noperators = {operators}\n[gateway]\n\
+             clients = {clients}\nhealth = {health}\nregistrar = {registrar}\n\
+             exchange = {exchange}\n\
              contacts = {contacts}\nsteward-port = 1\nvoter = {voter}\nfound = {first}\n\
              data = {data}\nheartbeat-ms = 400\nelection-timeout-ms = 400\n",
             contacts = contacts.join(", "),
@@ -64,6 +94,15 @@
         self.daemons[number] = Some(Daemon::spawn(command, "\"gateway\""));
     }
 
+    /// The address at which the other gateways reach one.
+    fn advertised(&self, number: usize) -> Ipv4Addr {
+        if number < self.relays.len() {
+            relay_ip(number)
+        } else {
+            ip(number)
+        }
+    }
+
     /// Sends a signal, given without `SIG`, to the process of a gateway, if it runs.
     pub fn signal(&self, number: usize, name: &str) {
         if let Some(daemon) = &self.daemons[number] {
@@ -86,19 +125,31 @@
     }
 }
 
-/// The address of a gateway for clients.
-pub fn clients(number: usize) -> SocketAddr {
-    SocketAddr::from((ip(number), CLIENTS_PORT))
-}
+impl Addresses {
+    /// The address of a gateway for clients.
+    pub fn clients(self, number: usize) -> SocketAddr {
+        self.of(number, CLIENTS)
+    }
+
+    /// The address of a gateway for heartbeats and documents.
+    pub fn registrar(self, number: usize) -> SocketAddr {
+        self.of(number, REGISTRAR)
+    }
 
-/// The address of a gateway for heartbeats and documents.
-pub fn registrar(number: usize) -> SocketAddr {
-    SocketAddr::from((ip(number), REGISTRAR_PORT))
+    /// The address of a gateway for its health check.
+    pub fn health(self, number: usize) -> SocketAddr {
+        self.of(number, HEALTH)
+    }
+
+    fn of(self, number: usize, port: u16) -> SocketAddr {
+        SocketAddr::from((ip(number), self.first_port + port))
+    }
 }
 
-/// The address of a gateway for its health check.
-pub fn health(number: usize) -> SocketAddr {
-    SocketAddr::from((ip(number), HEALTH_PORT))
+/// The loopback address of the relay before a gateway.
+fn relay_ip(number: usize) -> Ipv4Addr {
+    let [.., middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + u8::try_from(number).unwrap(), middle, low)
 }
 
 /// The loopback address of a gateway, which no other test process uses.
