Replace connections on which calls are not answered

What callers saw: for up to 10 s after a cut of a gateway without a vote had ended, it answered 404 for routes that had been added, or passed requests to the old service, though the document was acknowledged more than two seconds before. Where connections to the voters went silent, no document was accepted at all.

Cause: a call between processes that timed out left its connection in the pool, which handed it out for all later messages. A connection that was held up by a cut carries nothing until its next retransmission, at intervals that double; one that went silent without a reset never does.

The fix: a call without an answer in time removes its connection from the pool, so the next one connects; messages between replicas are sent once more on the new connection. All calls between processes go through `Pool::call`, those to agents, stewards and the leader included, except submissions of requests, which have no bound of their own, and permits, whose bound is too short to tell. Sockets between processes get a user timeout and a keep-alive, so that both ends close what is left.

Evidence: the regression test failed with 4 of 4 cases: one gateway without the document for good, three without an acknowledgement.

--- a/crates/nutmegyoke-host/src/connection/link.rs
+++ b/crates/nutmegyoke-host/src/connection/link.rs
@@ -11,10 +11,24 @@
 use compio::net::TcpStream;
 use futures_channel::oneshot;
 use futures_util::AsyncReadExt;
+use rustix::net::sockopt;
 
 /// How long connecting to another process may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long data may stay unacknowledged before a connection between processes is closed: several
+/// retransmissions within and between regions.
+const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// How long a connection between processes may be idle before it is probed, and the interval of
+/// the probes, whole seconds both. Without probes the end that only waits never notices that
+/// the other one is gone.
+const KEEP_ALIVE_IDLE: Duration = Duration::from_secs(2);
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The number of unanswered probes after which a connection is closed.
+const KEEP_ALIVE_PROBES: u32 = 2;
+
 /// An outgoing connection to a process that serves the interface `T`.
 #[derive(Debug)]
 pub struct Link<T> {
@@ -43,6 +57,7 @@
 /// Connecting failed or took longer than `CONNECT_TIMEOUT`. No data was sent.
 pub async fn dial<T: FromClientHook>(address: SocketAddr) -> io::Result<Link<T>> {
     let stream = connect(address, CONNECT_TIMEOUT).await?;
+    bound_silence(&stream)?;
     let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
     let client = system.bootstrap(Side::Server);
     let (closed, lost) = oneshot::channel();
@@ -61,9 +76,21 @@
 ///
 /// The connection failed or the peer violated the protocol.
 pub async fn serve(stream: TcpStream, bootstrap: Client) -> capnp::Result<()> {
+    bound_silence(&stream)?;
     RpcSystem::new(Box::new(network(stream, Side::Server)), Some(bootstrap)).await
 }
 
+/// Has the system close a connection whose other end no longer acknowledges anything.
+fn bound_silence(stream: &TcpStream) -> io::Result<()> {
+    let user_timeout_ms = u32::try_from(USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    sockopt::set_tcp_user_timeout(stream, user_timeout_ms)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, KEEP_ALIVE_IDLE)?;
+    sockopt::set_tcp_keepintvl(stream, KEEP_ALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(stream, KEEP_ALIVE_PROBES)?;
+    Ok(())
+}
+
 type Reader = futures_util::io::ReadHalf<AsyncStream<TcpStream>>;
 
 fn network(stream: TcpStream, side: Side) -> twoparty::VatNetwork<Reader> {
--- a/crates/nutmegyoke-host/src/connection/pool.rs
+++ b/crates/nutmegyoke-host/src/connection/pool.rs
@@ -1,4 +1,8 @@
 //! Keeps one capnp-rpc connection to each process that is called.
+//!
+//! A connection may go silent without a reset, and one that a partition held up carries nothing
+//! until the next retransmission, long after the partition. So a connection on which a call is
+//! not answered in time is replaced.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,7 +18,7 @@
 use super::link::{self, Link};
 use crate::process::Event;
 
-/// Clients by address. A lost connection is opened again by the next [`Pool::get`].
+/// Clients by address. A connection that was lost or replaced is opened again by the next call.
 pub struct Pool<T> {
     connections: RefCell<HashMap<SocketAddr, Rc<Connection<T>>>>,
 }
@@ -22,7 +26,7 @@
 /// An open connection.
 struct Connection<T> {
     client: T,
-    /// Whether a call on it went unanswered, which is logged once for each connection.
+    /// Whether a call on it went unanswered.
     stalled: Cell<bool>,
 }
 
@@ -60,7 +64,8 @@
         Ok(connection.client.clone())
     }
 
-    /// Makes a call on the connection to `address`, and connects if there is none.
+    /// Makes a call on the connection to `address`, and connects if there is none. If there is
+    /// no answer in time, later calls use a new connection; calls in flight go on.
     ///
     /// # Errors
     ///
@@ -78,6 +83,7 @@
         let answered = compio::time::timeout(timeout, call(connection.client.clone())).await;
         let Ok(answer) = answered else {
             if !connection.stalled.replace(true) {
+                self.remove(address, &connection);
                 Event::CallUnanswered {
                     address,
                     timeout_ms: milliseconds(timeout),
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -295,13 +295,12 @@
 
     /// The leader's status, or that of this process if no leader answers.
     async fn status(&self) -> Status {
-        let call = compio::time::timeout(STATUS_TIMEOUT, async {
-            let leader = self.leader_client().await?;
-            let response = leader.status_request().send().promise.await.ok()?;
-            Status::decode(response.get().ok()?.get_json().ok()?).ok()
+        let status = self.call_leader(STATUS_TIMEOUT, |leader| async move {
+            let response = leader.status_request().send().promise.await?;
+            let status = Status::decode(response.get()?.get_json()?);
+            status.map_err(|error| capnp::Error::failed(error.to_string()))
         });
-        let status = call.await.ok().flatten();
-        status.unwrap_or_else(|| self.local_status())
+        status.await.unwrap_or_else(|| self.local_status())
     }
 
     /// Serves an operator's request to withdraw an endpoint or to end its withdrawal, which
--- a/crates/nutmegyoke-host/src/process/control/proposal.rs
+++ b/crates/nutmegyoke-host/src/process/control/proposal.rs
@@ -29,8 +29,12 @@
 /// The delay between two tries.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// How long the leader may take to answer a forwarded proposal.
-const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the leader may take to answer a forwarded proposal, or another forwarded call.
+pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How long the leader may take to answer a forwarded proposal about routing: half of
+/// [`ROUTING_TIMEOUT`], so that there is time for another try on a new connection.
+const ROUTING_FORWARD_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// A change proposed to the replicated log, or another call for the leader, with its answer.
 pub trait Proposal {
@@ -40,6 +44,9 @@
     /// How long the proposal is retried before it fails.
     const TIMEOUT: Duration = PROPOSAL_TIMEOUT;
 
+    /// How long the leader may take to answer if it is another process.
+    const FORWARD_TIMEOUT: Duration = FORWARD_TIMEOUT;
+
     /// Builds the event that makes the proposal to this process's state machine. The answer
     /// goes to the mailbox with the number `call`.
     fn event<C: Clock>(&self, call: u64, clock: &C) -> Input<'_>;
@@ -72,26 +79,31 @@
             if let Some(answer) = mailbox.next().await.and_then(P::answer) {
                 return answer;
             }
-            if let Some(leader) = self.leader_client().await {
-                let forwarded =
-                    compio::time::timeout(FORWARD_TIMEOUT, proposal.forward(&leader)).await;
-                if let Ok(Ok(answer)) = forwarded {
-                    return answer;
-                }
+            let forward = |leader: replica::Client| async move { proposal.forward(&leader).await };
+            if let Some(answer) = self.call_leader(P::FORWARD_TIMEOUT, forward).await {
+                return answer;
             }
             compio::time::sleep(RETRY_DELAY).await;
         }
     }
 
-    /// A client of the leader, if the leader is known and is another process.
-    pub(super) async fn leader_client(&self) -> Option<replica::Client> {
+    /// Makes a call to the leader; `None` if the leader is not known or is this process, or the
+    /// call fails.
+    pub(super) async fn call_leader<R, F>(
+        &self,
+        timeout: Duration,
+        call: impl FnOnce(replica::Client) -> F,
+    ) -> Option<R>
+    where
+        F: Future<Output = capnp::Result<R>>,
+    {
         let address = {
             let machine = self.driver.machine();
             let replica = machine.replica();
             let leader = replica.leader().filter(|peer| peer.id != replica.id())?;
             leader.seed.address
         };
-        self.peers.get(address).await.ok()
+        self.peers.call(address, timeout, call).await.ok()
     }
 }
 
@@ -130,6 +142,7 @@
     type Answer = Option<u64>;
 
     const TIMEOUT: Duration = ROUTING_TIMEOUT;
+    const FORWARD_TIMEOUT: Duration = ROUTING_FORWARD_TIMEOUT;
 
     fn event<C: Clock>(&self, call: u64, _: &C) -> Input<'_> {
         Input::Published {
@@ -161,6 +174,7 @@
     type Answer = Option<u64>;
 
     const TIMEOUT: Duration = ROUTING_TIMEOUT;
+    const FORWARD_TIMEOUT: Duration = ROUTING_FORWARD_TIMEOUT;
 
     fn event<C: Clock>(&self, call: u64, _: &C) -> Input<'_> {
         Input::Read { call }
--- a/crates/nutmegyoke-host/src/process/control/server.rs
+++ b/crates/nutmegyoke-host/src/process/control/server.rs
@@ -19,6 +19,7 @@
 use nutmegyoke_wire::request as wire;
 use nutmegyoke_wire::version::{acceptance, document, lists};
 
+use super::proposal::FORWARD_TIMEOUT;
 use super::{Control, proposal};
 
 /// Serves the calls of other processes. A separate type, because capnp takes ownership
@@ -59,11 +60,13 @@
             update::write(&update, results.get().init_news());
             return Ok(());
         }
-        let leader = self.0.leader_client().await.ok_or_else(no_leader)?;
-        let mut request = leader.cast_to::<control::Client>().exchange_request();
-        request.get().set_member(params.get_member()?)?;
-        request.get().set_known(params.get_known()?)?;
-        let response = request.send().promise.await?;
+        let exchanged = self.0.call_leader(FORWARD_TIMEOUT, |leader| async move {
+            let mut request = leader.cast_to::<control::Client>().exchange_request();
+            request.get().set_member(params.get_member()?)?;
+            request.get().set_known(params.get_known()?)?;
+            request.send().promise.await
+        });
+        let response = exchanged.await.ok_or_else(no_leader)?;
         results.get().set_news(response.get()?.get_news()?)
     }
 
--- a/crates/nutmegyoke-host/src/process/control/transport.rs
+++ b/crates/nutmegyoke-host/src/process/control/transport.rs
@@ -13,12 +13,15 @@
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::process::replica as wire;
 
-use crate::connection::Pool;
+use crate::connection::{Pool, pool};
 use crate::process::journal::{Failure, Journal, Medium};
 use crate::process::{Driver, Event};
 
-/// How long sending a message may take; the machine repeats lost ones.
-const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the receiver of a message may take to acknowledge it, which it does at once.
+const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How often a message is sent: once more, on a new connection, if the first is silent.
+const SENDS_PER_MESSAGE: usize = 2;
 
 /// The delay before a write is retried on a full disk.
 const DISK_FULL_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -55,13 +58,17 @@
 }
 
 async fn send(pool: Rc<Pool<replica::Client>>, address: SocketAddr, message: Message<Store>) {
-    let delivery = pool.call(address, SEND_TIMEOUT, |client: replica::Client| {
-        let mut request = client.deliver_request();
-        wire::write(&message, request.get().init_message());
-        async move { request.send().promise.await.map(drop) }
-    });
-    // The machine repeats lost messages at the next heartbeat.
-    let _ = delivery.await;
+    for _ in 0..SENDS_PER_MESSAGE {
+        let delivery = pool.call(address, SEND_TIMEOUT, |client: replica::Client| {
+            let mut request = client.deliver_request();
+            wire::write(&message, request.get().init_message());
+            async move { request.send().promise.await.map(drop) }
+        });
+        // The machine tolerates messages that arrive twice, and repeats lost ones.
+        if !matches!(delivery.await, Err(pool::Failure::Unanswered { .. })) {
+            return;
+        }
+    }
 }
 
 /// Writes batches in order. While one is synced, the machine collects the next.
--- a/crates/nutmegyoke-host/src/process/gateway/gossip.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/gossip.rs
@@ -116,7 +116,8 @@
                 Permit::Denied { retry_after: wait }
             })
         };
-        // Not logged: gossip to a gateway that is gone fails as well.
+        // Not logged: gossip to a gateway that is gone fails as well. Nor is the connection
+        // replaced: a busy owner may take longer, and gossip finds out whether it is silent.
         compio::time::timeout(PERMIT_TIMEOUT, call).await.ok()?.ok()
     }
 }
@@ -161,10 +162,11 @@
                 adapter_capacity,
             } => {
                 compio::runtime::spawn(async move {
-                    let prepared = gateway.prepare(&endpoint, &model, &adapter, adapter_capacity);
                     // The request doesn't depend on the result. A steward that isn't reached
                     // may evict the adapter while it is in use.
-                    let _ = compio::time::timeout(RPC_TIMEOUT, prepared).await;
+                    let _ = gateway
+                        .prepare(&endpoint, &model, &adapter, adapter_capacity, RPC_TIMEOUT)
+                        .await;
                 })
                 .detach();
             }
--- a/crates/nutmegyoke-host/src/process/gateway/stewards.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/stewards.rs
@@ -49,19 +49,17 @@
         }
         .log();
         let steward_address = SocketAddr::new(endpoint.address.ip(), self.steward_port);
-        let call = async {
-            let client = self.stewards.get(steward_address).await?;
-            let mut request = client.order_request();
-            request.get().set_term(term);
-            work::write_directive(&directive, request.get().init_directive());
-            let response = request.send().promise.await?;
-            capnp::Result::Ok(response.get()?.get_accepted())
-        };
-        let answer = compio::time::timeout(PLACE_TIMEOUT, call).await;
-        let (accepted, why) = match answer {
-            Ok(Ok(accepted)) => (accepted, String::new()),
-            Ok(Err(error)) => (false, error.to_string()),
-            Err(elapsed) => (false, elapsed.to_string()),
+        let call = self
+            .stewards
+            .call(steward_address, PLACE_TIMEOUT, |client| {
+                let mut request = client.order_request();
+                request.get().set_term(term);
+                work::write_directive(&directive, request.get().init_directive());
+                async move { Ok(request.send().promise.await?.get()?.get_accepted()) }
+            });
+        let (accepted, why) = match call.await {
+            Ok(accepted) => (accepted, String::new()),
+            Err(failure) => (false, failure.to_string()),
         };
         Event::Placed {
             endpoint: &endpoint.id,
@@ -76,26 +74,25 @@
     }
 
     /// Asks the steward of `endpoint` to load an adapter on its engine. Returns the adapters
-    /// that the engine holds afterwards; if the call failed, logs why and returns `None`.
-    /// The caller limits the time.
+    /// that the engine holds afterwards; if the call failed, or took longer than `timeout`,
+    /// logs why and returns `None`.
     pub async fn prepare(
         &self,
         endpoint: &Announcement,
         model: &str,
         adapter: &str,
         adapter_capacity: u32,
+        timeout: Duration,
     ) -> Option<Vec<String>> {
         let steward_address = SocketAddr::new(endpoint.address.ip(), self.steward_port);
-        let call = async {
-            let client = self.stewards.get(steward_address).await?;
+        let call = self.stewards.call(steward_address, timeout, |client| {
             let mut request = client.prepare_request();
             request.get().set_endpoint(&endpoint.id);
             request.get().set_model(model);
             request.get().set_adapter(adapter);
             request.get().set_slots(adapter_capacity);
-            let response = request.send().promise.await?;
-            strings(response.get()?.get_adapters())
-        };
+            async move { strings(request.send().promise.await?.get()?.get_adapters()) }
+        });
         match call.await {
             Ok(adapters) => Some(adapters),
             Err(error) => {
--- a/crates/nutmegyoke-host/src/process/heartbeat.rs
+++ b/crates/nutmegyoke-host/src/process/heartbeat.rs
@@ -3,7 +3,6 @@
 //! A heartbeat describes the process and states which configuration and which revision of
 //! the directory it has. The answer contains the changes since then.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +19,7 @@
 use nutmegyoke_wire::process::{member, update};
 
 use super::Event;
-use crate::connection::Pool;
+use crate::connection::{Pool, pool};
 
 /// The period of heartbeats.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
@@ -65,15 +64,13 @@
 /// Why a heartbeat failed.
 #[derive(Debug, Display, Error, From)]
 enum Failure {
-    #[display("cannot connect to control: {_0}")]
-    Dial(io::Error),
     #[display("call to control failed: {_0}")]
-    Call(capnp::Error),
+    Call(pool::Failure),
+    #[display("the answer of control is malformed: {_0}")]
+    Answer(capnp::Error),
     #[display("the update from control does not fit this process's configuration: {_0}")]
     #[from(ignore)]
     Update(capnp::Error),
-    #[display("control did not answer within {CALL_TIMEOUT:?}")]
-    Timeout(compio::time::Elapsed),
 }
 
 async fn run<S: Subscriber>(
@@ -120,16 +117,18 @@
     address: SocketAddr,
     full: bool,
 ) -> Result<(), Failure> {
-    let client = pool.get(address).await?;
-    let mut request = client.exchange_request();
-    let mut params = request.get();
-    member::write(&subscriber.member(), params.reborrow().init_member());
     let mut known = subscriber.known();
     if full {
         known.configuration = 0;
     }
-    update::write_known(known, params.init_known());
-    let response = compio::time::timeout(CALL_TIMEOUT, request.send().promise).await??;
+    let response = pool.call(address, CALL_TIMEOUT, |client| {
+        let mut request = client.exchange_request();
+        let mut params = request.get();
+        member::write(&subscriber.member(), params.reborrow().init_member());
+        update::write_known(known, params.init_known());
+        request.send().promise
+    });
+    let response = response.await?;
     let update = update::read(response.get()?.get_news()?, &subscriber.configuration());
     let update = update.map_err(Failure::Update)?;
     subscriber.apply(&update);
--- a/crates/nutmegyoke-host/src/process/reporter.rs
+++ b/crates/nutmegyoke-host/src/process/reporter.rs
@@ -3,7 +3,6 @@
 //! Only the leader accepts reports, so the addresses of control are tried in turn until one
 //! of them does.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +19,7 @@
 use nutmegyoke_wire::process::{order, report};
 
 use super::heartbeat::HEARTBEAT_PERIOD;
-use crate::connection::Pool;
+use crate::connection::{Pool, pool};
 
 /// The time after which a report without an answer has failed.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -44,12 +43,10 @@
 /// Why a report failed.
 #[derive(Debug, Display, Error, From)]
 enum Failure {
-    #[display("cannot connect to control: {_0}")]
-    Dial(io::Error),
     #[display("call to control failed: {_0}")]
-    Call(capnp::Error),
-    #[display("control did not answer within {CALL_TIMEOUT:?}")]
-    Timeout(compio::time::Elapsed),
+    Call(pool::Failure),
+    #[display("the answer of control is malformed: {_0}")]
+    Answer(capnp::Error),
     #[display("this control process does not lead")]
     #[from(ignore)]
     Follower,
@@ -105,18 +102,20 @@
     address: SocketAddr,
     reports: &[Report],
 ) -> Result<Reply, Failure> {
-    let client = pool.get(address).await?;
-    let client: scheduler::Client = capnp::capability::FromClientHook::new(client.client.hook);
     let member = source.member();
-    let mut request = client.report_request();
-    let mut params = request.get();
-    params.set_vm(&member.vm.name);
-    params.set_data_centre(member.data_centre.as_str());
-    let mut list = params.init_reports(u32::try_from(reports.len()).unwrap_or(u32::MAX));
-    for (index, row) in (0..).zip(reports) {
-        report::write(row, list.reborrow().get(index));
-    }
-    let response = compio::time::timeout(CALL_TIMEOUT, request.send().promise).await??;
+    let response = pool.call(address, CALL_TIMEOUT, |client| {
+        let client: scheduler::Client = capnp::capability::FromClientHook::new(client.client.hook);
+        let mut request = client.report_request();
+        let mut params = request.get();
+        params.set_vm(&member.vm.name);
+        params.set_data_centre(member.data_centre.as_str());
+        let mut list = params.init_reports(u32::try_from(reports.len()).unwrap_or(u32::MAX));
+        for (index, row) in (0..).zip(reports) {
+            report::write(row, list.reborrow().get(index));
+        }
+        request.send().promise
+    });
+    let response = response.await?;
     let answer = response.get()?;
     if !answer.get_leader() {
         return Err(Failure::Follower);
--- a/crates/nutmegyoke-host/src/process/withdrawal.rs
+++ b/crates/nutmegyoke-host/src/process/withdrawal.rs
@@ -3,7 +3,6 @@
 //! The agent has the authority over its endpoints, so it applies the withdrawal and
 //! keeps it in memory; a restarted agent offers its endpoints again.
 
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +16,7 @@
 use nutmegyoke_wire::process::Withdrawal;
 
 use super::operators::respond;
-use crate::connection::Pool;
+use crate::connection::{Pool, pool};
 use crate::request::Body;
 
 /// The maximum size of a withdrawal, in bytes of JSON.
@@ -29,12 +28,10 @@
 /// Why a call to an agent failed.
 #[derive(Debug, Display, Error, From)]
 enum Failure {
-    #[display("cannot connect: {_0}")]
-    Dial(io::Error),
     #[display("call failed: {_0}")]
-    Call(capnp::Error),
-    #[display("no answer in time")]
-    Timeout(compio::time::Elapsed),
+    Call(pool::Failure),
+    #[display("the answer is malformed: {_0}")]
+    Answer(capnp::Error),
 }
 
 /// Answers an operator's request; `member` looks up the process on the VM of that name.
@@ -79,12 +76,14 @@
     member: &Member,
     withdrawal: &Withdrawal,
 ) -> Result<bool, Failure> {
-    let client = agents.get(member.address).await?;
-    let mut request = client.withdraw_request();
-    let mut params = request.get();
-    params.set_endpoint(withdrawal.endpoint.as_deref().unwrap_or(""));
-    params.set_withdrawn(withdrawal.withdrawn);
-    let response = compio::time::timeout(CALL_TIMEOUT, request.send().promise).await??;
+    let response = agents.call(member.address, CALL_TIMEOUT, |client| {
+        let mut request = client.withdraw_request();
+        let mut params = request.get();
+        params.set_endpoint(withdrawal.endpoint.as_deref().unwrap_or(""));
+        params.set_withdrawn(withdrawal.withdrawn);
+        request.send().promise
+    });
+    let response = response.await?;
     Ok(response.get()?.get_known())
 }
 
--- a/crates/nutmegyoke-host/src/request/claimant.rs
+++ b/crates/nutmegyoke-host/src/request/claimant.rs
@@ -10,7 +10,7 @@
 use nutmegyoke_wire::connection::link_capnp::control;
 use nutmegyoke_wire::request::{claim, id, verdict};
 
-use crate::connection::Pool;
+use crate::connection::{Pool, pool};
 
 /// How long a control process may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -57,7 +57,7 @@
         for attempt in 0..self.control.len() * CLAIM_ROUNDS {
             self.delay_round(attempt).await;
             let call = self.call_claim(name, holder, digest);
-            if let Ok(Ok(outcome)) = compio::time::timeout(CALL_TIMEOUT, call).await {
+            if let Ok(outcome) = call.await {
                 return Some(outcome);
             }
             self.next_process();
@@ -74,7 +74,7 @@
         for attempt in 0..self.control.len() * CONCLUDE_ROUNDS {
             self.delay_round(attempt).await;
             let call = self.call_conclude(name, holder, verdict, vm);
-            if let Ok(Ok(())) = compio::time::timeout(CALL_TIMEOUT, call).await {
+            if let Ok(()) = call.await {
                 break;
             }
             self.next_process();
@@ -95,20 +95,22 @@
             .set((self.current.get() + 1) % self.control.len());
     }
 
-    async fn client(&self) -> capnp::Result<control::Client> {
-        let address = self.control[self.current.get()];
-        let connected = self.pool.get(address).await;
-        connected.map_err(|error| capnp::Error::disconnected(error.to_string()))
-    }
-
-    async fn call_claim(&self, name: &Name, holder: Id, digest: u64) -> capnp::Result<Outcome> {
-        let mut request = self.client().await?.claim_request();
-        let mut params = request.get();
-        claim::write_name(name, params.reborrow().init_name());
-        id::write(holder, params.reborrow().init_holder());
-        params.set_digest(digest);
-        let response = request.send().promise.await?;
-        claim::read_outcome(response.get()?.get_outcome()?)
+    async fn call_claim(
+        &self,
+        name: &Name,
+        holder: Id,
+        digest: u64,
+    ) -> Result<Outcome, pool::Failure> {
+        self.call(|client| async move {
+            let mut request = client.claim_request();
+            let mut params = request.get();
+            claim::write_name(name, params.reborrow().init_name());
+            id::write(holder, params.reborrow().init_holder());
+            params.set_digest(digest);
+            let response = request.send().promise.await?;
+            claim::read_outcome(response.get()?.get_outcome()?)
+        })
+        .await
     }
 
     async fn call_conclude(
@@ -117,14 +119,25 @@
         holder: Id,
         outcome: Verdict,
         vm: &str,
-    ) -> capnp::Result<()> {
-        let mut request = self.client().await?.conclude_request();
-        let mut params = request.get();
-        claim::write_name(name, params.reborrow().init_name());
-        id::write(holder, params.reborrow().init_holder());
-        verdict::write(outcome, params.reborrow().init_verdict());
-        params.set_vm(vm);
-        request.send().promise.await?;
-        Ok(())
+    ) -> Result<(), pool::Failure> {
+        self.call(|client| async move {
+            let mut request = client.conclude_request();
+            let mut params = request.get();
+            claim::write_name(name, params.reborrow().init_name());
+            id::write(holder, params.reborrow().init_holder());
+            verdict::write(outcome, params.reborrow().init_verdict());
+            params.set_vm(vm);
+            request.send().promise.await.map(drop)
+        })
+        .await
+    }
+
+    /// Calls the control process that is current.
+    async fn call<R, F>(&self, call: impl FnOnce(control::Client) -> F) -> Result<R, pool::Failure>
+    where
+        F: Future<Output = capnp::Result<R>>,
+    {
+        let address = self.control[self.current.get()];
+        self.pool.call(address, CALL_TIMEOUT, call).await
     }
 }
--- a/crates/nutmegyoke-host/src/request/passthrough/mod.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/mod.rs
@@ -203,11 +203,9 @@
 ) -> Option<Command> {
     let gateway = Rc::clone(handle.gateway());
     let asked_at = gateway.driver().clock().now();
-    let prepared = gateway.prepare(endpoint, model, adapter, adapter_capacity);
-    let prepared = compio::time::timeout(PREPARE_TIMEOUT, prepared);
+    let prepared = gateway.prepare(endpoint, model, adapter, adapter_capacity, PREPARE_TIMEOUT);
     match race(handle, prepared).await {
         Either::Left(adapters) => {
-            let adapters = adapters.ok().flatten();
             let adapters = adapters.as_deref();
             let name = format!("{model}/{adapter}");
             let loaded = adapters.is_some_and(|names| names.contains(&name));
--- /dev/null
+++ b/tests/stale_configuration.rs
@@ -0,0 +1,72 @@
+//! Gateways whose connections to each other go silent, and the documents they route by.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use nutmegyoke_cases::cases;
+use serde_json::{Value, json};
+use support::gateway::{call, config, poll_until, request_bytes};
+use support::gateways::Gateways;
+use support::upstream::{Answer, exchange};
+
+/// Three gateways that vote, and an observer.
+const GATEWAYS: usize = 4;
+
+/// The time after the acknowledgement of a document within which it must be in force.
+const IN_FORCE_TIME: Duration = Duration::from_secs(2);
+
+/// The document of [`config`] with the route `/new/`.
+fn config_with_new_route(version: u64) -> Value {
+    let mut document = config(version);
+    let route = json!({
+        "name": "new", "hostname": "desk.example", "path-prefix": "/new/",
+        "route-type": "idempotent", "timeout-ms": 400, "target-latency-ms": 300,
+        "backend": "desk", "max-attempts": 1,
+    });
+    document["routes"].as_array_mut().unwrap().push(route);
+    document
+}
+
+fn publish(registrar: SocketAddr, document: &Value) {
+    let body = document.to_string();
+    let put = || call(registrar, "PUT", "/config", body.as_bytes());
+    poll_until(put, |answer| answer.status == 200);
+}
+
+/// Waits until a gateway routes `path`. There are no endpoints, so it then answers 503.
+fn wait_until_routed(gateway: SocketAddr, path: &str) {
+    let request = || exchange(gateway, &request_bytes(path, "r1"));
+    let is_routed = |answer: &Answer| {
+        answer.status == 503 && String::from_utf8_lossy(&answer.body).contains("no_endpoint")
+    };
+    poll_until(request, is_routed);
+}
+
+/// A connection that goes silent without a reset was used for all later messages.
+fn silent_connections_keep_no_gateway_on_an_old_document(silent: &[usize]) {
+    let gateways = Gateways::spawn(GATEWAYS, GATEWAYS);
+    let addresses = gateways.addresses;
+    publish(addresses.registrar(0), &config(1));
+    for gateway in 0..GATEWAYS {
+        wait_until_routed(addresses.clients(gateway), "/look/1");
+    }
+    for &gateway in silent {
+        gateways.relays[gateway].silence();
+    }
+    publish(addresses.registrar(0), &config_with_new_route(2));
+    let acknowledged = Instant::now();
+    for gateway in 0..GATEWAYS {
+        wait_until_routed(addresses.clients(gateway), "/new/1");
+        let elapsed = acknowledged.elapsed();
+        assert!(elapsed < IN_FORCE_TIME, "gateway {gateway}: {elapsed:?}");
+    }
+}
+
+cases!(silent_connections_keep_no_gateway_on_an_old_document {
+    to_the_observer: (&[3]),
+    to_a_voter: (&[0]),
+    to_all_voters: (&[0, 1, 2]),
+    to_all: (&[0, 1, 2, 3]),
+});
