--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -65,6 +65,8 @@
         work: &'a Work,
         evidence: &'a Evidence,
     },
+    /// Another gateway has a routing document in force; `gateway` is where it receives gossip.
+    DocumentHeard { gateway: SocketAddr, number: u64 },
     /// The list of the other gateways may have changed. Each is given by the address where
     /// it receives gossip.
     PeersListed { gateways: &'a [SocketAddr] },
@@ -165,6 +167,9 @@
         work: Work,
         evidence: Evidence,
     },
+    /// Fetch the routing document from another gateway, if its number is above `above`, and feed
+    /// [`Event::Configured`].
+    Fetch { gateway: SocketAddr, above: u64 },
     /// Ask the steward of an engine to change its models, and feed [`Event::Placed`].
     Place {
         endpoint: Rc<Announcement>,
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! * [`queue`]: requests that wait for an endpoint;
 //! * [`pick`]: the choice of an endpoint;
 //! * [`basis`]: the inputs of that choice, for the log;
+//! * [`freshness`]: newer routing documents that other gateways have;
 //! * [`tracker`], [`prompt`]: the state of an endpoint as this gateway's requests show it;
 //! * [`demand`]: the demand for models and the backlog of endpoints;
 //! * [`place`]: placing models on engines and recording the demand, at the leader;
@@ -27,6 +28,7 @@
 mod crash;
 pub mod demand;
 pub mod event;
+mod freshness;
 mod pick;
 mod place;
 mod prepare;
@@ -48,6 +50,7 @@
 use crash::Break;
 pub use demand::{Demand, Work};
 pub use event::{Command, Event, Halt, Refusal};
+use freshness::Newer;
 use queue::Queue;
 pub use retry_budget::{Bound, Budget};
 pub use tracker::Tracker;
@@ -80,6 +83,8 @@
     /// The time of the first event, counted as the start of this gateway.
     started_at: Option<Instant>,
     routing: Option<Rc<Routing>>,
+    /// A newer routing document that another gateway has.
+    newer: Option<Newer>,
     registry: Registry,
     /// What each other gateway has acknowledged of the registry.
     gossip: Gossip,
@@ -124,6 +129,7 @@
             setup,
             started_at: None,
             routing: None,
+            newer: None,
             registry: Registry::default(),
             gossip: Gossip::default(),
             trackers: HashMap::new(),
@@ -176,6 +182,7 @@
         let revision = Revision {
             endpoints: self.registry.revision(),
             crashes: self.quarantine.revision(),
+            document: self.document(),
         };
         let due = self.gossip.due(now, revision, busy);
         for (to, acknowledged) in due {
@@ -227,6 +234,10 @@
             }
             Event::Configured { routing } => {
                 self.routing = Some(Rc::clone(routing));
+                if self.leader_term.is_some() {
+                    // The leader has it first, so the others need not repeat it to each other.
+                    self.gossip.expedite(now);
+                }
                 self.admit_unrouted(now, out);
             }
             Event::Announced { announcement } => {
@@ -260,6 +271,7 @@
                 // The rumors tell which of the endpoints did not crash.
                 self.receive_evidence(now, evidence, out);
             }
+            Event::DocumentHeard { gateway, number } => self.hear_document(now, gateway, number),
             Event::PeersListed { gateways } => self.gossip.set_peers(now, gateways),
             Event::Delivered { to, run } => self.gossip.record_delivery(now, to, run),
             Event::LeadershipChanged { term, demand } => self.set_leadership(now, term, demand),
@@ -297,6 +309,7 @@
                     .retain(|id, tracker| tracker.in_flight > 0 || self.registry.row(id).is_some());
             }
         }
+        self.fetch_document(now, out);
         self.send_due(now, out);
         self.serve_queue(now, out);
         self.expire(now, out);
@@ -320,7 +333,9 @@
         let queue = self.queue.deadline();
         let slow = self.slow_at.first().map(|&(at, _)| at);
         let turn = self.turns.first().map(|&(at, _)| at);
+        let newer = self.newer.as_ref().map(Newer::due);
         let all = [
+            newer,
             slow,
             timeout,
             self.gossip.deadline(),
--- a/crates/nutmegyoke-core/src/process/registry/gossip.rs
+++ b/crates/nutmegyoke-core/src/process/registry/gossip.rs
@@ -23,6 +23,8 @@
     pub endpoints: u64,
     /// The revision of the evidence on crashes.
     pub crashes: u64,
+    /// The number of the routing document in force.
+    pub document: u64,
 }
 
 /// The state of gossip with each other gateway, by the address where it receives gossip.
--- /dev/null
+++ b/crates/nutmegyoke-core/tests/freshness.rs
@@ -0,0 +1,117 @@
+//! Newer routing documents that a gateway hears of from others.
+
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use fleet::{address, draft};
+use nutmegyoke_cases::cases;
+use nutmegyoke_core::process::gateway::{Bound, Command, Event, Setup};
+use nutmegyoke_core::process::{Gateway, Machine};
+use nutmegyoke_core::version::Routing;
+
+/// A time that is longer than the log usually takes, but shorter than two fetches.
+const WAIT: Duration = Duration::from_millis(300);
+
+/// A gateway with document 1 and a simulated clock.
+struct Harness {
+    now: Instant,
+    gateway: Gateway,
+}
+
+impl Harness {
+    fn open() -> Self {
+        let setup = Setup {
+            data_centre: "alp-a".into(),
+            address: address(200),
+            heartbeat_period: Duration::from_secs(1),
+            retry_bound: Bound::default(),
+            seed: 1,
+        };
+        let mut harness = Self {
+            now: Instant::now(),
+            gateway: Gateway::open(setup),
+        };
+        harness.configure(1);
+        harness
+    }
+
+    fn feed(&mut self, event: Event<'_>) -> Vec<Command> {
+        let mut out = Vec::new();
+        self.gateway.handle(self.now, event, &mut out);
+        out
+    }
+
+    fn configure(&mut self, number: u64) {
+        let routing = &Routing::open(fleet_draft(number)).unwrap();
+        self.feed(Event::Configured { routing });
+    }
+
+    fn hear(&mut self, host: u8, number: u64) {
+        let gateway = address(host);
+        let out = self.feed(Event::DocumentHeard { gateway, number });
+        assert_eq!(fetches(&out), [], "the log may still bring it");
+    }
+
+    fn advance(&mut self, time: Duration) -> Vec<(u8, u64)> {
+        self.now += time;
+        let out = self.feed(Event::Ticked);
+        fetches(&out)
+    }
+}
+
+fn fleet_draft(number: u64) -> nutmegyoke_core::version::routing::Draft {
+    let mut draft = draft();
+    draft.number = number;
+    draft
+}
+
+/// The host of the gateway that each fetch goes to, and the number it has to be above.
+fn fetches(out: &[Command]) -> Vec<(u8, u64)> {
+    let fetches = out.iter().filter_map(|command| match command {
+        Command::Fetch { gateway, above } => Some((gateway, above)),
+        _ => None,
+    });
+    let hosts = fetches.map(|(gateway, &above)| match gateway.ip() {
+        std::net::IpAddr::V4(ip) => (ip.octets()[3], above),
+        std::net::IpAddr::V6(_) => panic!("{gateway}"),
+    });
+    hosts.collect()
+}
+
+/// What was heard in turn, as (host, number), and the fetch after the time that the log has.
+fn newer_document_is_fetched(heard: &[(u8, u64)], expected: &[(u8, u64)]) {
+    let mut harness = Harness::open();
+    for &(host, number) in heard {
+        harness.hear(host, number);
+    }
+    assert_eq!(harness.advance(WAIT), expected);
+}
+
+cases!(newer_document_is_fetched {
+    from_the_gateway_that_has_it: (&[(2, 3)], &[(2, 1)]),
+    from_the_gateway_with_the_newest: (&[(2, 3), (3, 7), (4, 5)], &[(3, 1)]),
+    from_the_last_of_several_that_have_it: (&[(2, 3), (3, 3)], &[(3, 1)]),
+    unless_it_is_in_force: (&[(2, 1)], &[]),
+    unless_it_is_older: (&[(2, 0)], &[]),
+});
+
+#[test]
+fn document_from_the_log_is_not_fetched() {
+    let mut harness = Harness::open();
+    harness.hear(2, 3);
+    harness.configure(3);
+    assert_eq!(harness.advance(WAIT), []);
+}
+
+/// A lost fetch would leave the gateway on the old document until the next gossip.
+#[test]
+fn fetch_is_repeated_until_the_document_is_in_force() {
+    let mut harness = Harness::open();
+    harness.hear(2, 3);
+    assert_eq!(harness.advance(WAIT), [(2, 1)]);
+    assert_eq!(harness.advance(WAIT), []);
+    assert_eq!(harness.advance(WAIT), [(2, 1)]);
+    harness.configure(3);
+    assert_eq!(harness.advance(WAIT * 3), []);
+}
--- a/crates/nutmegyoke-core/tests/registry.rs
+++ b/crates/nutmegyoke-core/tests/registry.rs
@@ -239,11 +239,12 @@
     }
 }
 
-/// A revision of the registry, and the same of the evidence on crashes.
+/// A revision of the registry, and the same of the evidence on crashes and of the document.
 fn revision(number: u64) -> Revision {
     Revision {
         endpoints: number,
         crashes: number,
+        document: number,
     }
 }
 
--- a/crates/nutmegyoke-host/src/process/control/gateway.rs
+++ b/crates/nutmegyoke-host/src/process/control/gateway.rs
@@ -2,14 +2,20 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::StreamExt;
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::control::Event as Input;
 use nutmegyoke_core::version::{Document, Model};
 
+use nutmegyoke_wire::version::document;
+
 use super::{Control, HANDOVER_DELAY, proposal};
 
+/// How long another process may take to send its routing document.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl<C: Clock + 'static> Control<C> {
     /// Publishes a routing document. Returns the number of the document in force
     /// afterwards, `None` if no leader answered.
@@ -29,6 +35,24 @@
         self.driver.machine().document().cloned()
     }
 
+    /// Fetches the routing document of the process with a replica at `address`; `None` if its
+    /// number is not above `above`, or if there is no answer.
+    pub async fn fetch_document(&self, address: SocketAddr, above: u64) -> Option<Rc<Document>> {
+        let fetched = self
+            .peers
+            .call(address, FETCH_TIMEOUT, |client| async move {
+                let mut request = client.fetch_request();
+                request.get().set_above(above);
+                let response = request.send().promise.await?;
+                let response = response.get()?;
+                if !response.has_document() {
+                    return Ok(None);
+                }
+                document::read(response.get_document()?).map(Some)
+            });
+        fetched.await.ok().flatten()
+    }
+
     /// The last recorded demand for models, in prompt tokens per second.
     #[must_use]
     pub fn demand(&self) -> Rc<[(Model, f64)]> {
--- a/crates/nutmegyoke-host/src/process/control/server.rs
+++ b/crates/nutmegyoke-host/src/process/control/server.rs
@@ -175,6 +175,19 @@
         Ok(())
     }
 
+    async fn fetch(
+        self: Rc<Self>,
+        params: replica::FetchParams,
+        mut results: replica::FetchResults,
+    ) -> capnp::Result<()> {
+        let above = params.get()?.get_above();
+        let held = self.0.document();
+        if let Some(held) = held.filter(|held| held.number > above) {
+            document::write(&held, results.get().init_document());
+        }
+        Ok(())
+    }
+
     async fn status(
         self: Rc<Self>,
         _: replica::StatusParams,
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -155,6 +155,14 @@
     /// An operator's routing document was acknowledged; `held` is the number of the
     /// document in force.
     Published { number: u64, held: u64 },
+    /// A newer routing document came into force, fetched from another gateway because the log did
+    /// not bring it in time.
+    DocumentFetched {
+        number: u64,
+        /// The number of the document that was in force before, if there was one.
+        previous: Option<u64>,
+        gateway: SocketAddr,
+    },
     /// An endpoint without an agent announced itself for the first time, or with other
     /// properties than before.
     EndpointHeard {
@@ -258,6 +266,7 @@
             Self::PartQuarantined => 306,
             Self::Withheld => 307,
             Self::Published => 203,
+            Self::DocumentFetched => 204,
             Self::EndpointHeard => 503,
             Self::EndpointLeft => 504,
             Self::EndpointCrashed => 505,
@@ -293,6 +302,7 @@
             | Self::LinesDropped { .. }
             | Self::StewardSilent { .. }
             | Self::CallUnanswered { .. }
+            | Self::DocumentFetched { .. }
             | Self::EngineSilent { .. }
             | Self::EndpointCrashed { .. }
             | Self::PartQuarantined { .. }
--- a/crates/nutmegyoke-host/src/process/gateway/gossip.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/gossip.rs
@@ -62,7 +62,14 @@
             work: &work,
             evidence: &evidence,
         });
+        if let Ok(gateway) = text(params.get_address())?.parse() {
+            let number = params.get_document();
+            self.0.driver.feed(Input::DocumentHeard { gateway, number });
+        }
         results.get().set_run(self.0.member.vm.run_id());
+        results
+            .get()
+            .set_document(self.0.driver.machine().document());
         Ok(())
     }
 
@@ -170,6 +177,13 @@
                 })
                 .detach();
             }
+            Command::Fetch {
+                gateway: from,
+                above,
+            } => {
+                compio::runtime::spawn(async move { gateway.fetch_document(from, above).await })
+                    .detach();
+            }
             Command::Probe { endpoint } => {
                 compio::runtime::spawn(async move { gateway.probe(&endpoint).await }).detach();
             }
@@ -209,16 +223,28 @@
     evidence: Evidence,
 ) {
     let from = gateway.member.vm.run_id();
+    let address = SocketAddr::new(gateway.member.address.ip(), gateway.gossip_port);
+    let document = gateway.driver.machine().document();
     let delivery = gateway.gateways.call(to, RPC_TIMEOUT, |client| async move {
         let mut request = client.spread_request();
         request.get().set_from(from);
+        request.get().set_address(address.to_string());
+        request.get().set_document(document);
         rumor::write(&rumors, |length| request.get().init_rumors(length));
         work::write(&work, request.get().init_work());
         evidence::write(&evidence, request.get().init_evidence());
         let response = request.send().promise.await?;
-        Ok(response.get()?.get_run())
+        Ok((response.get()?.get_run(), response.get()?.get_document()))
     });
     // The next message repeats everything that was not acknowledged.
-    let run = delivery.await.ok();
+    let answer = delivery.await.ok();
+    let run = answer.map(|(run, _)| run);
     gateway.driver.feed(Input::Delivered { to, run });
+    if let Some((_, number)) = answer {
+        let heard = Input::DocumentHeard {
+            gateway: to,
+            number,
+        };
+        gateway.driver.feed(heard);
+    }
 }
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -68,6 +68,8 @@
     stewards: Rc<Pool<steward::Client>>,
     metrics: Metrics,
     sampler: RefCell<Sampler>,
+    /// The routing document in force.
+    document: RefCell<Option<Rc<Document>>>,
     member: Member,
     gossip_port: u16,
     steward_port: u16,
@@ -92,6 +94,7 @@
             Self::Touch { .. }
             | Self::Gossip { .. }
             | Self::Place { .. }
+            | Self::Fetch { .. }
             | Self::Probe { .. }
             | Self::ReportCrash { .. }
             | Self::ReportCulprit { .. }
@@ -135,6 +138,7 @@
             stewards: Rc::default(),
             metrics: Metrics::open(registry, &member)?,
             sampler: RefCell::default(),
+            document: RefCell::default(),
             member,
             gossip_port: role_settings.exchange.port(),
             steward_port: role_settings.steward_port,
@@ -160,13 +164,10 @@
     /// Feeds changes of the replicated log to the machine: the routing document, the other
     /// gateways and the leadership.
     async fn follow_log(self: Rc<Self>) {
-        let mut applied: Option<Rc<Document>> = None;
         let mut leading_term = None;
         loop {
-            let document = self.control.document();
-            if let Some(document) = document.filter(|document| applied.as_ref() != Some(document)) {
-                self.apply_document(&document);
-                applied = Some(document);
+            if let Some(document) = self.control.document() {
+                self.apply_document(&document, None);
             }
             let own_address = self.member.address;
             let peers = self.control.peers();
@@ -186,22 +187,6 @@
         }
     }
 
-    /// Applies a committed routing document.
-    fn apply_document(&self, document: &Document) {
-        let number = document.number;
-        match decode::<D>(&document.source) {
-            Ok(routing) => {
-                self.driver.feed(Input::Configured { routing: &routing });
-                let gauge = i64::try_from(number).unwrap_or(i64::MAX);
-                self.metrics.configuration.set(gauge);
-                Event::Configured { number }.log();
-            }
-            // The gateway that published the document found it valid, so it runs another
-            // version.
-            Err(why) => Event::Rejected { number, why: &why }.log(),
-        }
-    }
-
     /// Applies the settings that may change while the process runs: the contacts.
     pub fn reload(&self, settings: &Settings) {
         if let settings::RoleSettings::Gateway(role_settings) = &settings.role_settings {
@@ -230,6 +215,51 @@
         &self.driver
     }
 
+    /// Applies a committed routing document, unless one with the same or a higher number is in
+    /// force. `source` is the gateway that it was fetched from; `None` if it is from the log.
+    fn apply_document(&self, document: &Rc<Document>, source: Option<SocketAddr>) {
+        let number = document.number;
+        let previous = self.document().map(|document| document.number);
+        if previous.is_some_and(|previous| number <= previous) {
+            return;
+        }
+        *self.document.borrow_mut() = Some(Rc::clone(document));
+        match decode::<D>(&document.source) {
+            Ok(routing) => {
+                self.driver.feed(Input::Configured { routing: &routing });
+                let gauge = i64::try_from(number).unwrap_or(i64::MAX);
+                self.metrics.configuration.set(gauge);
+                match source {
+                    None => Event::Configured { number }.log(),
+                    Some(gateway) => Event::DocumentFetched {
+                        number,
+                        previous,
+                        gateway,
+                    }
+                    .log(),
+                }
+            }
+            // The gateway that published the document found it valid, so it runs another
+            // version.
+            Err(why) => Event::Rejected { number, why: &why }.log(),
+        }
+    }
+
+    /// The newest routing document that this gateway has.
+    fn document(&self) -> Option<Rc<Document>> {
+        self.document.borrow().clone()
+    }
+
+    /// Fetches and applies the routing document of another gateway, which receives gossip at
+    /// `gateway`, if its number is above `above`.
+    async fn fetch_document(&self, gateway: SocketAddr, above: u64) {
+        // All replicas listen at the same port.
+        let replica = SocketAddr::new(gateway.ip(), self.member.address.port());
+        if let Some(document) = self.control.fetch_document(replica, above).await {
+            self.apply_document(&document, Some(gateway));
+        }
+    }
+
     /// The gateway's replica of the replicated log.
     pub fn control(&self) -> &Rc<Control<C>> {
         &self.control
--- a/crates/nutmegyoke-host/src/process/gateway/registrar.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/registrar.rs
@@ -147,7 +147,7 @@
         };
         let caught_up = async {
             loop {
-                let document = self.0.control.document();
+                let document = self.0.document();
                 if let Some(document) = document.filter(|document| document.number >= newest) {
                     return document;
                 }
--- a/crates/nutmegyoke-wire/schema/mesh.capnp
+++ b/crates/nutmegyoke-wire/schema/mesh.capnp
@@ -95,8 +95,10 @@
 }
 
 interface Gateway {
-  # `from` and `run` identify the runs of the processes that ask and answer.
-  spread @0 (from :UInt64, rumors :List(Rumor), work :Work, evidence :Evidence) -> (run :UInt64);
+  # `from` and `run` identify the runs of the processes that ask and answer, `address` is where the
+  # one that asks receives gossip. `document` is the number of the routing document that each of
+  # them has in force; 0: none.
+  spread @0 (from :UInt64, rumors :List(Rumor), work :Work, evidence :Evidence, address :Text, document :UInt64) -> (run :UInt64, document :UInt64);
   # Asks the owner of an endpoint to admit a request within the wait. `waitMs` of the answer is
   # the wait if it is granted, or the time until a request would be.
   admit @1 (endpoint :Text, requestsPerSecond :Float64, waitMs :UInt64) -> (granted :Bool, waitMs :UInt64);
--- a/crates/nutmegyoke-wire/schema/replica.capnp
+++ b/crates/nutmegyoke-wire/schema/replica.capnp
@@ -174,4 +174,6 @@
   status @3 () -> (json :Data);
   publish @4 (document :Document) -> (published :Bool, number :UInt64);
   read @5 () -> (published :Bool, number :UInt64);
+  # Returns the committed document that this process has, if its number is above `above`.
+  fetch @6 (above :UInt64) -> (document :Document);
 }
--- a/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
@@ -4165,11 +4165,23 @@
             pub fn has_evidence(&self) -> bool {
                 !self.reader.get_pointer_field(2).is_null()
             }
+            #[inline]
+            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_address(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
+            #[inline]
+            pub fn get_document(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4275,6 +4287,30 @@
             pub fn has_evidence(&self) -> bool {
                 !self.builder.is_pointer_field_null(2)
             }
+            #[inline]
+            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_address(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(3).init_text(size)
+            }
+            #[inline]
+            pub fn has_address(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
+            #[inline]
+            pub fn get_document(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_document(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4292,17 +4328,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(112, 109, 34, 206, 78, 212, 108, 205),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
@@ -4310,35 +4346,49 @@
                 ::capnp::word(97, 121, 46, 115, 112, 114, 101, 97),
                 ::capnp::word(100, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(121, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(177, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4376,6 +4426,23 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -4383,6 +4450,8 @@
                     1 => <::capnp::struct_list::Owned<crate::mesh_capnp::rumor::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     2 => <crate::mesh_capnp::work::Owned as ::capnp::introspect::Introspect>::introspect(),
                     3 => <crate::mesh_capnp::evidence::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4396,9 +4465,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,5,3,0,1,2];
             pub(crate) const TYPE_ID: u64 = 0xcd6c_d44e_ce22_6d70;
         }
     }
@@ -4468,11 +4537,15 @@
             pub fn get_run(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
+            #[inline]
+            pub fn get_document(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4530,6 +4603,14 @@
             pub fn set_run(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
+            #[inline]
+            pub fn get_document(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_document(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4541,17 +4622,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(20, 113, 182, 59, 13, 6, 89, 130),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
@@ -4559,14 +4640,21 @@
                 ::capnp::word(97, 121, 46, 115, 112, 114, 101, 97),
                 ::capnp::word(100, 36, 82, 101, 115, 117, 108, 116),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4575,10 +4663,20 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4592,9 +4690,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0x8259_060d_3bb6_7114;
         }
     }
--- a/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/replica_capnp.rs
@@ -7169,6 +7169,8 @@
     pub type PublishResults<> = ::capnp::capability::Results<crate::replica_capnp::replica::publish_results::Owned>;
     pub type ReadParams<> = ::capnp::capability::Params<crate::replica_capnp::replica::read_params::Owned>;
     pub type ReadResults<> = ::capnp::capability::Results<crate::replica_capnp::replica::read_results::Owned>;
+    pub type FetchParams<> = ::capnp::capability::Params<crate::replica_capnp::replica::fetch_params::Owned>;
+    pub type FetchResults<> = ::capnp::capability::Results<crate::replica_capnp::replica::fetch_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -7236,6 +7238,9 @@
         pub fn read_request(&self) -> ::capnp::capability::Request<crate::replica_capnp::replica::read_params::Owned,crate::replica_capnp::replica::read_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
         }
+        pub fn fetch_request(&self) -> ::capnp::capability::Request<crate::replica_capnp::replica::fetch_params::Owned,crate::replica_capnp::replica::fetch_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : crate::order_capnp::scheduler::Server + crate::link_capnp::control::Server + 'static  {
         fn deliver(self: ::capnp::capability::Rc<Self>, _: DeliverParams<>, _: DeliverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method replica::Server::deliver not implemented".to_string()))) }
@@ -7244,6 +7249,7 @@
         fn status(self: ::capnp::capability::Rc<Self>, _: StatusParams<>, _: StatusResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method replica::Server::status not implemented".to_string()))) }
         fn publish(self: ::capnp::capability::Rc<Self>, _: PublishParams<>, _: PublishResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method replica::Server::publish not implemented".to_string()))) }
         fn read(self: ::capnp::capability::Rc<Self>, _: ReadParams<>, _: ReadResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method replica::Server::read not implemented".to_string()))) }
+        fn fetch(self: ::capnp::capability::Rc<Self>, _: FetchParams<>, _: FetchResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method replica::Server::fetch not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -7281,6 +7287,7 @@
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::status(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::publish(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::read(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::fetch(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -9688,4 +9695,412 @@
             pub(crate) const TYPE_ID: u64 = 0xf841_65d5_09b7_7ebb;
         }
     }
+
+    pub mod fetch_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_above(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_above(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_above(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(29, 111, 198, 197, 109, 83, 130, 217),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 82, 101),
+                ::capnp::word(112, 108, 105, 99, 97, 46, 102, 101),
+                ::capnp::word(116, 99, 104, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 98, 111, 118, 101, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd982_536d_c5c6_6f1d;
+        }
+    }
+
+    pub mod fetch_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_document(self) -> ::capnp::Result<crate::replica_capnp::document::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_document(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_document(self) -> ::capnp::Result<crate::replica_capnp::document::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_document(&mut self, value: crate::replica_capnp::document::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_document(self, ) -> crate::replica_capnp::document::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_document(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_document(&self) -> crate::replica_capnp::document::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(230, 244, 223, 189, 194, 211, 74, 177),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 112, 108, 105, 99, 97, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 82, 101),
+                ::capnp::word(112, 108, 105, 99, 97, 46, 102, 101),
+                ::capnp::word(116, 99, 104, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(166, 173, 179, 57, 246, 116, 69, 239),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::replica_capnp::document::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb14a_d3c2_bddf_f4e6;
+        }
+    }
 }
--- a/tests/stale_configuration.rs
+++ b/tests/stale_configuration.rs
@@ -44,17 +44,19 @@
     poll_until(request, is_routed);
 }
 
-/// A connection that goes silent without a reset was used for all later messages.
-fn silent_connections_keep_no_gateway_on_an_old_document(silent: &[usize]) {
+/// Spawns gateways that route by document 1.
+fn spawn() -> Gateways {
     let gateways = Gateways::spawn(GATEWAYS, GATEWAYS);
-    let addresses = gateways.addresses;
-    publish(addresses.registrar(0), &config(1));
+    publish(gateways.addresses.registrar(0), &config(1));
     for gateway in 0..GATEWAYS {
-        wait_until_routed(addresses.clients(gateway), "/look/1");
-    }
-    for &gateway in silent {
-        gateways.relays[gateway].silence();
+        wait_until_routed(gateways.addresses.clients(gateway), "/look/1");
     }
+    gateways
+}
+
+/// Publishes document 2, which has to be in force at all gateways in time.
+fn check_next_document(gateways: &Gateways) {
+    let addresses = gateways.addresses;
     publish(addresses.registrar(0), &config_with_new_route(2));
     let acknowledged = Instant::now();
     for gateway in 0..GATEWAYS {
@@ -64,9 +66,26 @@
     }
 }
 
+/// A connection that goes silent without a reset was used for all later messages.
+fn silent_connections_keep_no_gateway_on_an_old_document(silent: &[usize]) {
+    let gateways = spawn();
+    for &gateway in silent {
+        gateways.relays[gateway].silence();
+    }
+    check_next_document(&gateways);
+}
+
 cases!(silent_connections_keep_no_gateway_on_an_old_document {
     to_the_observer: (&[3]),
     to_a_voter: (&[0]),
     to_all_voters: (&[0, 1, 2]),
     to_all: (&[0, 1, 2, 3]),
 });
+
+/// A gateway that no message of the log reaches had no other way to a newer document.
+#[test]
+fn gateway_that_the_log_does_not_reach_gets_documents_from_others() {
+    let gateways = spawn();
+    gateways.relays[GATEWAYS - 1].replica.cut();
+    check_next_document(&gateways);
+}
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -32,13 +32,29 @@
     first_port: u16,
 }
 
+/// The relays before a gateway.
+pub struct Relays {
+    /// Before its replica.
+    pub replica: Relay,
+    /// Before where it receives gossip.
+    pub gossip: Relay,
+}
+
+impl Relays {
+    /// Lets all open connections go silent for good. New ones work.
+    pub fn silence(&self) {
+        self.replica.silence();
+        self.gossip.silence();
+    }
+}
+
 /// A fleet of gateways, whose processes may be stopped.
 pub struct Gateways {
     folder: TempDir,
     pub addresses: Addresses,
     daemons: Vec<Option<Daemon>>,
     /// What the other gateways reach the first gateways through.
-    pub relays: Vec<Relay>,
+    pub relays: Vec<Relays>,
 }
 
 impl Gateways {
@@ -48,13 +64,19 @@
         let addresses = Addresses {
             first_port: FIRST_PORT + PORTS * FLEETS.fetch_add(1, Ordering::Relaxed),
         };
-        let ports = [LISTEN, EXCHANGE].map(|port| addresses.first_port + port);
-        let relay = |number| Relay::spawn(relay_ip(number), &ports, ip(number));
+        let relay = |number, port| {
+            let port = addresses.first_port + port;
+            Relay::spawn(relay_ip(number), port, ip(number))
+        };
+        let relays = |number| Relays {
+            replica: relay(number, LISTEN),
+            gossip: relay(number, EXCHANGE),
+        };
         let mut gateways = Self {
             folder: TempDir::new().unwrap(),
             addresses,
             daemons: Vec::new(),
-            relays: (0..relayed.min(count)).map(relay).collect(),
+            relays: (0..relayed.min(count)).map(relays).collect(),
         };
         for number in 0..count {
             gateways.daemons.push(None);
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -13,7 +13,7 @@
 /// The longest time that the process may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Relays all connections to some ports of one IP address to another one. Stops when dropped.
+/// Relays all connections to a port of one IP address to another one. Stops when dropped.
 pub struct Relay {
     state: Arc<State>,
 }
@@ -28,15 +28,13 @@
 }
 
 impl Relay {
-    /// Listens at `ip` and relays to the same ports of `to`.
-    pub fn spawn(ip: Ipv4Addr, ports: &[u16], to: Ipv4Addr) -> Self {
+    /// Listens at `port` of `ip` and relays to the same port of `to`.
+    pub fn spawn(ip: Ipv4Addr, port: u16, to: Ipv4Addr) -> Self {
         let state = Arc::new(State::default());
-        for &port in ports {
-            let listener = TcpListener::bind((ip, port)).unwrap();
-            listener.set_nonblocking(true).unwrap();
-            let state = Arc::clone(&state);
-            std::thread::spawn(move || state.accept(&listener, SocketAddr::from((to, port))));
-        }
+        let listener = TcpListener::bind((ip, port)).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let accepting = Arc::clone(&state);
+        std::thread::spawn(move || accepting.accept(&listener, SocketAddr::from((to, port))));
         Self { state }
     }
 
