Answer 404 only if the leader confirms the routing document

What callers saw: 404 for a route that had been acknowledged, from a gateway that had missed the document. A 404 is final for a client, which does not try again.

Cause: a gateway took what its own document lacks for what does not exist, though it can't know whether the document is still the newest.

The fix: a request without a route waits, as one without an endpoint does, while the leader is asked for the number of the newest document, which is fetched if the gateway lacks it. If it has it, the request gets 404; if no leader answers, 503 with the new reason `unconfirmed`. A confirmation holds for 500 ms, which bounds the reads that unknown paths cause. NY0301 tells the number of the document.

The case `unknown_path` of tests/gateway.rs expected a refusal at once; it now expects the question, and the same refusal after the answer.

Evidence: `acknowledged_route_is_not_unknown_to_a_gateway_that_is_behind` failed on the code before (404) and passes.

--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -25,7 +25,7 @@
 
 impl Gateway {
     /// Routes a request that arrived at `arrived` and makes its first attempt. Without a
-    /// routing document the request is queued.
+    /// routing document, or without a route in one that may be old, the request is queued.
     pub(super) fn accept<S>(
         &mut self,
         now: Instant,
@@ -37,10 +37,14 @@
         S: Sink<Command = Command>,
     {
         let Some(routing) = &self.routing else {
-            self.queue.push_unrouted(now, number, request);
+            self.queue.push_unrouted(arrived, number, request);
             return;
         };
         let Some(route) = routing.route(request.host, request.path) else {
+            if !self.is_document_confirmed(arrived) {
+                self.queue.push_unrouted(arrived, number, request);
+                return self.confirm_document(now, out);
+            }
             let verdict = Verdict::not_run(Reason::UnknownPath);
             return refuse(number, verdict, Halt::Untried, out);
         };
--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -67,6 +67,9 @@
     },
     /// Another gateway has a routing document in force; `gateway` is where it receives gossip.
     DocumentHeard { gateway: SocketAddr, number: u64 },
+    /// The leader was asked for the number of the newest routing document, which is now in force
+    /// here if it could be fetched; 0 if there is none, `None` if no leader answered.
+    Confirmed { newest: Option<u64> },
     /// The list of the other gateways may have changed. Each is given by the address where
     /// it receives gossip.
     PeersListed { gateways: &'a [SocketAddr] },
@@ -167,6 +170,9 @@
         work: Work,
         evidence: Evidence,
     },
+    /// Ask the leader for the number of the newest routing document, and feed
+    /// [`Event::Confirmed`]. If it is not in force here, fetch the document first.
+    Confirm,
     /// Fetch the routing document from another gateway, if its number is above `above`, and feed
     /// [`Event::Configured`].
     Fetch { gateway: SocketAddr, above: u64 },
--- a/crates/nutmegyoke-core/src/process/gateway/freshness.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/freshness.rs
@@ -1,12 +1,18 @@
-//! Finds out from other gateways that a newer routing document is in force, and fetches it.
+//! Finds out whether a newer routing document is in force.
 //!
 //! Documents usually come through the replicated log. A gateway that can't receive the log, because
-//! its leader or the connections to it are gone, still hears of newer documents by gossip.
+//! its leader or the connections to it are gone, still hears of newer documents by gossip, and
+//! fetches them.
+//!
+//! An old document may lack a route that has been added. So before a request is refused for lack
+//! of a route, the leader confirms that the document is the newest.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use super::{Command, Gateway, Sink};
+use super::refusal::refuse_until;
+use super::{Command, Gateway, Halt, Sink};
+use crate::request::{Reason, Verdict};
 
 /// How long the log may take to bring a document that another gateway has. Usually all gateways
 /// have it within one round trip.
@@ -15,6 +21,23 @@
 /// The delay before a document is fetched again.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(600);
 
+/// How long a confirmation holds. It bounds the number of confirmations, whatever clients
+/// request.
+const CONFIRMATION_TTL: Duration = Duration::from_millis(500);
+
+/// How long a client should wait if no leader confirms the document: an election takes about as
+/// long.
+const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The leader's confirmation that the routing document is the newest.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Confirmation {
+    /// When the leader was asked for the one that is under way.
+    asked_at: Option<Instant>,
+    /// When the leader was asked for the latest.
+    confirmed_at: Option<Instant>,
+}
+
 /// A newer routing document that another gateway has in force.
 #[derive(Clone, Copy, Debug)]
 pub struct Newer {
@@ -69,4 +92,40 @@
             above: document,
         });
     }
+
+    /// Whether the document was the newest when a request arrived, or shortly before.
+    pub(super) fn is_document_confirmed(&self, arrived: Instant) -> bool {
+        let confirmed_at = self.confirmation.confirmed_at;
+        self.newer.is_none() && confirmed_at.is_some_and(|at| arrived <= at + CONFIRMATION_TTL)
+    }
+
+    /// Asks the leader to confirm the document, unless it has been asked already.
+    pub(super) fn confirm_document<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        if self.confirmation.asked_at.is_none() {
+            self.confirmation.asked_at = Some(now);
+            out.push(Command::Confirm);
+        }
+    }
+
+    /// Routes the requests that waited for the confirmation. `newest` is the number of the
+    /// newest document; if it is not known, or not in force here, they are refused.
+    pub(super) fn document_confirmed<S>(&mut self, now: Instant, newest: Option<u64>, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let asked_at = self.confirmation.asked_at.take();
+        let document = self.document();
+        if newest.is_some_and(|newest| newest <= document) {
+            self.confirmation.confirmed_at = asked_at;
+            self.newer = self.newer.filter(|newer| document < newer.number);
+            return self.admit_unrouted(now, out);
+        }
+        for number in self.queue.take_unrouted() {
+            let verdict = Verdict::not_run(Reason::Unconfirmed);
+            refuse_until(number, verdict, Halt::Untried, UNCONFIRMED_RETRY_AFTER, out);
+        }
+    }
 }
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -15,7 +15,7 @@
 //! * [`queue`]: requests that wait for an endpoint;
 //! * [`pick`]: the choice of an endpoint;
 //! * [`basis`]: the inputs of that choice, for the log;
-//! * [`freshness`]: newer routing documents that other gateways have;
+//! * [`freshness`]: whether a newer routing document is in force;
 //! * [`tracker`], [`prompt`]: the state of an endpoint as this gateway's requests show it;
 //! * [`demand`]: the demand for models and the backlog of endpoints;
 //! * [`place`]: placing models on engines and recording the demand, at the leader;
@@ -50,7 +50,7 @@
 use crash::Break;
 pub use demand::{Demand, Work};
 pub use event::{Command, Event, Halt, Refusal};
-use freshness::Newer;
+use freshness::{Confirmation, Newer};
 use queue::Queue;
 pub use retry_budget::{Bound, Budget};
 pub use tracker::Tracker;
@@ -85,6 +85,7 @@
     routing: Option<Rc<Routing>>,
     /// A newer routing document that another gateway has.
     newer: Option<Newer>,
+    confirmation: Confirmation,
     registry: Registry,
     /// What each other gateway has acknowledged of the registry.
     gossip: Gossip,
@@ -130,6 +131,7 @@
             started_at: None,
             routing: None,
             newer: None,
+            confirmation: Confirmation::default(),
             registry: Registry::default(),
             gossip: Gossip::default(),
             trackers: HashMap::new(),
@@ -272,6 +274,7 @@
                 self.receive_evidence(now, evidence, out);
             }
             Event::DocumentHeard { gateway, number } => self.hear_document(now, gateway, number),
+            Event::Confirmed { newest } => self.document_confirmed(now, newest, out),
             Event::PeersListed { gateways } => self.gossip.set_peers(now, gateways),
             Event::Delivered { to, run } => self.gossip.record_delivery(now, to, run),
             Event::LeadershipChanged { term, demand } => self.set_leadership(now, term, demand),
--- a/crates/nutmegyoke-core/src/process/gateway/queue.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/queue.rs
@@ -1,4 +1,5 @@
-//! Requests that wait for an endpoint, or for the first routing document.
+//! Requests that wait for an endpoint, for the first routing document, or until the document is
+//! confirmed to be the newest.
 //!
 //! After a restart the gateway knows all endpoints within a heartbeat period. A client that
 //! is refused before that wastes one of its few attempts, so its request waits a little.
@@ -26,7 +27,7 @@
 /// [`Gateway`].
 #[derive(Debug, Default)]
 pub struct Queue {
-    /// Those that wait for the first routing document.
+    /// Those that have no route in the routing document, if there is one.
     unrouted: BTreeMap<u64, Unrouted>,
     /// Those that wait for an endpoint.
     calls: BTreeSet<u64>,
@@ -36,7 +37,7 @@
     wake_pending: bool,
 }
 
-/// A request that arrived before the first routing document.
+/// A request that has no route yet.
 #[derive(Debug)]
 struct Unrouted {
     arrived: Instant,
@@ -48,7 +49,7 @@
 }
 
 impl Unrouted {
-    fn open(now: Instant, request: &Passthrough<'_>) -> Self {
+    fn open(arrived: Instant, request: &Passthrough<'_>) -> Self {
         let target = request.target.and_then(|target| match target {
             Target::Model { model, adapter } => {
                 Some((model.to_owned(), adapter.map(str::to_owned)))
@@ -56,7 +57,7 @@
             Target::Service { .. } => None,
         });
         Self {
-            arrived: now,
+            arrived,
             host: request.host.to_owned(),
             path: request.path.to_owned(),
             timeout: request.timeout,
@@ -82,18 +83,30 @@
 }
 
 impl Queue {
-    /// The number of requests that wait for the first routing document.
+    /// The number of requests that have no route yet.
     pub fn unrouted(&self) -> usize {
         self.unrouted.len()
     }
 
-    /// Queues a request until the first routing document comes.
-    pub fn push_unrouted(&mut self, now: Instant, number: u64, request: &Passthrough<'_>) {
+    /// Queues a request that has no route, until the routing document is confirmed or another one
+    /// comes.
+    pub fn push_unrouted(&mut self, arrived: Instant, number: u64, request: &Passthrough<'_>) {
         let wait = request
             .timeout
             .map_or(MAX_WAIT, |timeout| timeout / MAX_WAIT_DIVISOR);
-        self.unrouted.insert(number, Unrouted::open(now, request));
-        self.deadlines.insert((now + wait.min(MAX_WAIT), number));
+        self.unrouted
+            .insert(number, Unrouted::open(arrived, request));
+        self.deadlines
+            .insert((arrived + wait.min(MAX_WAIT), number));
+    }
+
+    /// Removes all requests that have no route and returns their numbers.
+    pub fn take_unrouted(&mut self) -> Vec<u64> {
+        let numbers: Vec<u64> = self.unrouted.keys().copied().collect();
+        for &number in &numbers {
+            self.remove(number);
+        }
+        numbers
     }
 
     /// Has all queued requests tried when [`Gateway::serve_queue`] runs next, at the end of
@@ -175,7 +188,7 @@
         refuse_until(number, verdict, halt, delay, out);
     }
 
-    /// Routes the requests that arrived before the first routing document.
+    /// Routes the requests that have no route yet.
     pub(super) fn admit_unrouted<S>(&mut self, now: Instant, out: &mut S)
     where
         S: Sink<Command = Command>,
@@ -187,7 +200,7 @@
     }
 
     /// Tries all queued requests if the registry has changed or a wait is over. Refuses those
-    /// whose wait for the first routing document is over.
+    /// without a route whose wait is over.
     pub(super) fn serve_queue<S>(&mut self, now: Instant, out: &mut S)
     where
         S: Sink<Command = Command>,
@@ -207,7 +220,12 @@
             let unrouted = self.queue.unrouted.contains_key(&number);
             self.queue.remove(number);
             if unrouted {
-                let verdict = Verdict::not_run(Reason::NoConfiguration);
+                let reason = if self.routing.is_some() {
+                    Reason::Unconfirmed
+                } else {
+                    Reason::NoConfiguration
+                };
+                let verdict = Verdict::not_run(reason);
                 refuse(number, verdict, Halt::Untried, out);
             } else {
                 self.attempt(now, number, out);
--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -77,6 +77,8 @@
     NotHeld,
     /// The request was admitted under a configuration older than the agent's.
     StaleConfiguration,
+    /// The path is not known, but the routing document may be old and no leader confirms it.
+    Unconfirmed,
     /// The endpoint answered with an error or closed the connection.
     EndpointFailed,
     /// The answer ended early.
--- a/crates/nutmegyoke-core/tests/freshness.rs
+++ b/crates/nutmegyoke-core/tests/freshness.rs
@@ -4,11 +4,13 @@
 
 use std::time::{Duration, Instant};
 
-use fleet::{address, draft};
+use fleet::{address, draft, route};
 use nutmegyoke_cases::cases;
 use nutmegyoke_core::process::gateway::{Bound, Command, Event, Setup};
 use nutmegyoke_core::process::{Gateway, Machine};
+use nutmegyoke_core::request::{Passthrough, Reason};
 use nutmegyoke_core::version::Routing;
+use nutmegyoke_core::version::routing::{Draft, Semantics};
 
 /// A time that is longer than the log usually takes, but shorter than two fetches.
 const WAIT: Duration = Duration::from_millis(300);
@@ -53,6 +55,17 @@
         assert_eq!(fetches(&out), [], "the log may still bring it");
     }
 
+    fn arrive(&mut self, call: u64, path: &str) -> Vec<Command> {
+        let request = Passthrough {
+            host: "desk.example",
+            path,
+            timeout: None,
+            target: None,
+            prompt: &[],
+        };
+        self.feed(Event::Arrived { call, request })
+    }
+
     fn advance(&mut self, time: Duration) -> Vec<(u8, u64)> {
         self.now += time;
         let out = self.feed(Event::Ticked);
@@ -60,7 +73,7 @@
     }
 }
 
-fn fleet_draft(number: u64) -> nutmegyoke_core::version::routing::Draft {
+fn fleet_draft(number: u64) -> Draft {
     let mut draft = draft();
     draft.number = number;
     draft
@@ -115,3 +128,79 @@
     harness.configure(3);
     assert_eq!(harness.advance(WAIT * 3), []);
 }
+
+/// The reason of each refusal, with the number of the request.
+fn refusals(out: &[Command]) -> Vec<(u64, Reason)> {
+    let refusals = out.iter().filter_map(|command| match command {
+        Command::Refuse { call, refusal } => Some((*call, refusal.verdict.reason().unwrap())),
+        _ => None,
+    });
+    refusals.collect()
+}
+
+/// The leader's answer, and the end of a request for a path without a route.
+fn unknown_path_is_confirmed(newest: Option<u64>, expected: Reason) {
+    let mut harness = Harness::open();
+    let out = harness.arrive(1, "/new/1");
+    assert!(matches!(*out, [Command::Confirm]), "{out:?}");
+    let out = harness.feed(Event::Confirmed { newest });
+    assert_eq!(refusals(&out), [(1, expected)]);
+}
+
+cases!(unknown_path_is_confirmed {
+    if_the_document_is_the_newest: (Some(1), Reason::UnknownPath),
+    unless_a_newer_one_is_not_here: (Some(2), Reason::Unconfirmed),
+    unless_no_leader_answers: (None, Reason::Unconfirmed),
+});
+
+/// A gateway that had missed the document answered that there was no such path.
+#[test]
+fn added_route_is_served_once_the_document_is_fetched() {
+    let mut harness = Harness::open();
+    harness.arrive(1, "/new/1");
+    let mut draft = fleet_draft(2);
+    draft
+        .routes
+        .push(route("/new/", fleet::DESK, Semantics::Repeatable, 1));
+    let routing = &Routing::open(draft).unwrap();
+    let out = harness.feed(Event::Configured { routing });
+    assert!(matches!(*out, [Command::Queued { call: 1 }]), "{out:?}");
+}
+
+/// Each confirmation is an entry of the replicated log.
+#[test]
+fn unknown_paths_ask_the_leader_once_in_a_while() {
+    let mut harness = Harness::open();
+    harness.arrive(1, "/new/1");
+    assert!(harness.arrive(2, "/new/2").is_empty());
+    let out = harness.feed(Event::Confirmed { newest: Some(1) });
+    let both = [(1, Reason::UnknownPath), (2, Reason::UnknownPath)];
+    assert_eq!(refusals(&out), both);
+    harness.advance(WAIT);
+    let out = harness.arrive(3, "/new/3");
+    assert_eq!(refusals(&out), [(3, Reason::UnknownPath)]);
+    harness.advance(WAIT);
+    let out = harness.arrive(4, "/new/4");
+    assert!(matches!(*out, [Command::Confirm]), "{out:?}");
+}
+
+/// A confirmation says nothing of a document that was published after it.
+#[test]
+fn confirmation_ends_when_a_newer_document_is_heard_of() {
+    let mut harness = Harness::open();
+    harness.arrive(1, "/new/1");
+    harness.feed(Event::Confirmed { newest: Some(1) });
+    harness.hear(2, 3);
+    let out = harness.arrive(2, "/new/2");
+    assert!(matches!(*out, [Command::Confirm]), "{out:?}");
+}
+
+/// Without an answer of the leader, for instance while none is elected.
+#[test]
+fn unconfirmed_request_does_not_wait_longer_than_for_an_endpoint() {
+    let mut harness = Harness::open();
+    harness.arrive(1, "/new/1");
+    harness.now += Duration::from_secs(1);
+    let out = harness.feed(Event::Ticked);
+    assert_eq!(refusals(&out), [(1, Reason::Unconfirmed)]);
+}
--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -140,6 +140,10 @@
 ) {
     let mut harness = Harness::open(endpoints);
     let mut out = harness.arrive(1, path);
+    if reason == Reason::UnknownPath {
+        assert!(matches!(*out, [Command::Confirm]), "{out:?}");
+        out = harness.feed(Event::Confirmed { newest: Some(1) });
+    }
     if queued {
         assert!(matches!(*out, [Command::Queued { call: 1 }]), "{out:?}");
         assert!(harness.advance(SECOND * 9 / 10).is_empty());
--- a/crates/nutmegyoke-host/src/process/control/gateway.rs
+++ b/crates/nutmegyoke-host/src/process/control/gateway.rs
@@ -9,6 +9,7 @@
 use nutmegyoke_core::process::control::Event as Input;
 use nutmegyoke_core::version::{Document, Model};
 
+use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::version::document;
 
 use super::{Control, HANDOVER_DELAY, proposal};
@@ -38,19 +39,15 @@
     /// Fetches the routing document of the process with a replica at `address`; `None` if its
     /// number is not above `above`, or if there is no answer.
     pub async fn fetch_document(&self, address: SocketAddr, above: u64) -> Option<Rc<Document>> {
-        let fetched = self
-            .peers
-            .call(address, FETCH_TIMEOUT, |client| async move {
-                let mut request = client.fetch_request();
-                request.get().set_above(above);
-                let response = request.send().promise.await?;
-                let response = response.get()?;
-                if !response.has_document() {
-                    return Ok(None);
-                }
-                document::read(response.get_document()?).map(Some)
-            });
-        fetched.await.ok().flatten()
+        let fetch = |client| fetch_document(client, above);
+        let fetched = self.peers.call(address, FETCH_TIMEOUT, fetch).await;
+        fetched.ok().flatten()
+    }
+
+    /// Fetches the routing document of the leader, like [`Control::fetch_document`].
+    pub async fn fetch_leader_document(&self, above: u64) -> Option<Rc<Document>> {
+        let fetch = |client| fetch_document(client, above);
+        self.call_leader(FETCH_TIMEOUT, fetch).await.flatten()
     }
 
     /// The last recorded demand for models, in prompt tokens per second.
@@ -104,3 +101,17 @@
         compio::time::sleep(HANDOVER_DELAY).await;
     }
 }
+
+async fn fetch_document(
+    client: replica::Client,
+    above: u64,
+) -> capnp::Result<Option<Rc<Document>>> {
+    let mut request = client.fetch_request();
+    request.get().set_above(above);
+    let response = request.send().promise.await?;
+    let response = response.get()?;
+    if !response.has_document() {
+        return Ok(None);
+    }
+    document::read(response.get_document()?).map(Some)
+}
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -137,6 +137,8 @@
         /// The endpoint of the last attempt.
         endpoint: &'a str,
         attempts: u32,
+        /// The number of the routing document in force; 0 if there is none.
+        document: u64,
         verdict: Verdict,
         /// Why the request was not retried, if it failed.
         #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/nutmegyoke-host/src/process/gateway/gossip.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/gossip.rs
@@ -184,6 +184,13 @@
                 compio::runtime::spawn(async move { gateway.fetch_document(from, above).await })
                     .detach();
             }
+            Command::Confirm => {
+                compio::runtime::spawn(async move {
+                    let newest = gateway.confirm_document().await;
+                    gateway.driver.feed(Input::Confirmed { newest });
+                })
+                .detach();
+            }
             Command::Probe { endpoint } => {
                 compio::runtime::spawn(async move { gateway.probe(&endpoint).await }).detach();
             }
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -95,6 +95,7 @@
             | Self::Gossip { .. }
             | Self::Place { .. }
             | Self::Fetch { .. }
+            | Self::Confirm
             | Self::Probe { .. }
             | Self::ReportCrash { .. }
             | Self::ReportCulprit { .. }
@@ -250,6 +251,22 @@
         self.document.borrow().clone()
     }
 
+    /// Asks the leader for the number of the newest routing document, and applies that document;
+    /// `None` if no leader answered.
+    async fn confirm_document(&self) -> Option<u64> {
+        let newest = self.control.newest_number().await?.unwrap_or(0);
+        if let Some(document) = self.control.document() {
+            self.apply_document(&document, None);
+        }
+        let above = self.driver.machine().document();
+        if above < newest
+            && let Some(document) = self.control.fetch_leader_document(above).await
+        {
+            self.apply_document(&document, None);
+        }
+        Some(newest)
+    }
+
     /// Fetches and applies the routing document of another gateway, which receives gossip at
     /// `gateway`, if its number is above `above`.
     async fn fetch_document(&self, gateway: SocketAddr, above: u64) {
--- a/crates/nutmegyoke-host/src/request/passthrough/trail.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/trail.rs
@@ -153,6 +153,7 @@
             model: &label.model,
             endpoint: self.endpoint(),
             attempts: u32::try_from(self.attempts.len()).unwrap_or(u32::MAX),
+            document: gateway.driver().machine().document(),
             verdict,
             halt,
             first_ms: self.time_to_answer.map(milliseconds),
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -125,6 +125,7 @@
         | Reason::NotHeld
         | Reason::Unclaimed
         | Reason::ClaimsFull
+        | Reason::Unconfirmed
         | Reason::StaleConfiguration => 503,
         Reason::KeyReused | Reason::KeyExpired => 422,
         Reason::StillRunning => 409,
@@ -180,6 +181,7 @@
         Reason::Duplicate => "the request was submitted before and may be running",
         Reason::NotHeld => "the endpoint does not hold this any more; try again",
         Reason::StaleConfiguration => "a newer configuration came into force; try again",
+        Reason::Unconfirmed => "the path is unknown, but may just have been added; try again",
         Reason::EndpointFailed => "the endpoint failed while it ran the request",
         Reason::Truncated => "the answer broke off before it was whole",
         Reason::CallerLeft => "the caller closed the connection",
--- a/tests/stale_configuration.rs
+++ b/tests/stale_configuration.rs
@@ -89,3 +89,16 @@
     gateways.relays[GATEWAYS - 1].replica.cut();
     check_next_document(&gateways);
 }
+
+/// A gateway that was behind answered 404 for a route that had been acknowledged.
+#[test]
+fn acknowledged_route_is_not_unknown_to_a_gateway_that_is_behind() {
+    let gateways = spawn();
+    let relays = &gateways.relays[GATEWAYS - 1];
+    relays.replica.cut();
+    relays.gossip.cut();
+    publish(gateways.addresses.registrar(0), &config_with_new_route(2));
+    let behind = gateways.addresses.clients(GATEWAYS - 1);
+    let answer = exchange(behind, &request_bytes("/new/1", "r1"));
+    assert_eq!(answer.status, 503, "{answer:?}");
+}
