Send no requests to endpoints that crashed until they start again

What callers saw: 503 `unreachable`, or one of the attempts of a route used up, while sound endpoints were there.

Cause: a crash of an endpoint, confirmed by a refused connection, was evidence against the request only. The endpoint stayed a candidate until requests had failed at it three times, at each gateway anew, and a request gives up after three endpoints.

Ruled out: that the endpoints' leases had ended (all were heard within 2 s).

The fix: an endpoint that is known to have crashed, from an own probe or the gossip of crashes, is passed over until it announces another start. Heartbeats that go on under the same start refute the crash, as they do for the quarantine.

`endpoint_that_crashed_gets_no_requests_until_it_starts_again` failed before.

--- a/crates/nutmegyoke-core/src/process/gateway/crash.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/crash.rs
@@ -14,7 +14,7 @@
 use super::refusal::refuse_until;
 use super::{Command, Gateway, Halt, Sink};
 use crate::process::quarantine::{Crash, Culprit, Evidence, Origin, crash};
-use crate::process::registry::Announcement;
+use crate::process::registry::{Announcement, Row};
 use crate::request::{Reason, Verdict};
 
 /// A request whose answer began longer before the crash is no suspect: an engine that crashes
@@ -41,7 +41,36 @@
     crash: Crash,
 }
 
+/// A crash of an endpoint, after which it takes no requests until it has started again.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    /// The start that the crash ended, in milliseconds since the Unix epoch.
+    started_ms: u64,
+    /// When it crashed.
+    at: Instant,
+}
+
 impl Gateway {
+    /// Whether an endpoint crashed and has not started again.
+    pub(super) fn is_down(&self, row: &Row) -> bool {
+        let tracker = self.trackers.get(&row.announcement.id);
+        let outage = tracker.and_then(|tracker| tracker.outage);
+        outage.is_some_and(|outage| {
+            let same_start = outage.started_ms == row.stamp.started_ms;
+            same_start && !is_heard_since(row, outage.at, self.setup.heartbeat_period)
+        })
+    }
+
+    /// Records that an endpoint is down.
+    fn note_outage(&mut self, origin: &Origin, at: Instant) {
+        let started_ms = origin.started_ms;
+        let tracker = self.trackers.entry(origin.endpoint.clone()).or_default();
+        let latest = tracker.outage.map_or(0, |outage| outage.started_ms);
+        if latest <= started_ms {
+            tracker.outage = Some(Outage { started_ms, at });
+        }
+    }
+
     /// If a request whose connection broke may have crashed its endpoint, notes it, and has the
     /// endpoint probed.
     pub(super) fn note_break<S>(&mut self, now: Instant, number: u64, verdict: Verdict, out: &mut S)
@@ -143,6 +172,7 @@
     {
         if let Some(Break { crash, .. }) = self.breaks.remove(id) {
             let before = self.quarantine.culprits().to_vec();
+            self.note_outage(&crash.origin, crash.at);
             self.quarantine.record(now, &crash);
             self.gossip.expedite(now);
             out.push(Command::ReportCrash { crash });
@@ -157,6 +187,10 @@
     {
         let before = self.quarantine.culprits().to_vec();
         self.quarantine.apply(now, evidence);
+        for report in &evidence.crashes {
+            let at = now.checked_sub(report.age).unwrap_or(now);
+            self.note_outage(&report.origin, at);
+        }
         self.refute_crashes(now);
         self.enforce(now, &before, out);
     }
@@ -196,14 +230,14 @@
 
     /// Drops the crashes of endpoints that have sent heartbeats since without another start.
     pub(super) fn refute_crashes(&mut self, now: Instant) {
-        let margin = self.setup.heartbeat_period * HEARTBEATS_TO_REFUTE;
+        let period = self.setup.heartbeat_period;
         let registry = &self.registry;
         self.quarantine.refute(now, |crash| {
             let row = registry.row(&crash.origin.endpoint);
             row.is_some_and(|row| {
                 row.accepts_requests()
                     && row.stamp.started_ms == crash.origin.started_ms
-                    && row.last_heard > crash.at + margin
+                    && is_heard_since(row, crash.at, period)
             })
         });
     }
@@ -237,3 +271,8 @@
         true
     }
 }
+
+/// Whether an endpoint's heartbeats show that it did not crash at a moment.
+fn is_heard_since(row: &Row, moment: Instant, heartbeat_period: Duration) -> bool {
+    row.last_heard > moment + heartbeat_period * HEARTBEATS_TO_REFUTE
+}
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -97,13 +97,15 @@
         })
     }
 
-    /// Whether an endpoint's heartbeats are recent and it is not ejected.
+    /// Whether an endpoint's heartbeats are recent, it is not ejected and has not crashed.
     pub(super) fn is_healthy(&self, now: Instant, row: &Row) -> bool {
         let lease = self.setup.heartbeat_period.mul_f64(LEASE_HEARTBEATS)
             + RENEWAL_INTERVAL
             + GOSSIP_INTERVAL;
         let tracker = self.trackers.get(&row.announcement.id);
-        now < row.last_heard + lease && !tracker.is_some_and(|tracker| tracker.is_ejected(now))
+        now < row.last_heard + lease
+            && !tracker.is_some_and(|tracker| tracker.is_ejected(now))
+            && !self.is_down(row)
     }
 
     /// The requests at an endpoint over all gateways, as far as known.
--- a/crates/nutmegyoke-core/src/process/gateway/tracker.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/tracker.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use super::crash::Outage;
 use super::prompt::Cache;
 use crate::request::{Reason, Verdict};
 
@@ -62,6 +63,8 @@
     consecutive_failures: u32,
     /// When the ejection ends.
     ejected_until: Option<Instant>,
+    /// The latest crash of the endpoint that is known.
+    pub outage: Option<Outage>,
     /// When the endpoint last sent something, or was sent the first of its requests; `None`
     /// without requests.
     silent_since: Option<Instant>,
--- a/crates/nutmegyoke-core/tests/crash.rs
+++ b/crates/nutmegyoke-core/tests/crash.rs
@@ -127,6 +127,29 @@
     out.any(|command| matches!(command, Command::Dispatch { .. }))
 }
 
+/// Sound requests used up their attempts at endpoints that were known to be down.
+#[test]
+fn endpoint_that_crashed_gets_no_requests_until_it_starts_again() {
+    let mut fleet = Fleet::open(2, &engines(2));
+    let Fate::Sent { endpoint, call } = fleet.ask(0, &[1]) else {
+        panic!("refused");
+    };
+    let verdict = TRUNCATED;
+    fleet.feed(0, Event::AttemptEnded { call, verdict });
+    fleet.probe(0, &endpoint, true);
+    let takes_requests = |fleet: &mut Fleet, gateway| {
+        (0..20).any(|part| match fleet.ask(gateway, &[part]) {
+            Fate::Sent { endpoint: sent, .. } => sent.id == endpoint.id,
+            Fate::Refused { .. } => panic!("refused"),
+        })
+    };
+    assert!(!takes_requests(&mut fleet, 0));
+    assert!(!takes_requests(&mut fleet, 1), "by what gateway 0 saw");
+    fleet.announce(0, &endpoint, |stamp| stamp.started_ms += 1);
+    assert!(takes_requests(&mut fleet, 0));
+    assert!(takes_requests(&mut fleet, 1));
+}
+
 /// It is a suspect like the request that caused the crash, but nothing is known yet.
 #[test]
 fn sound_request_beside_a_crash_is_retried() {
