--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -22,6 +22,7 @@
 use nutmegyoke_core::process::directory::Cursor;
 use nutmegyoke_core::process::update::{Known, Update};
 use nutmegyoke_core::process::{Control, Directory, Entry, Machine, entry};
+use nutmegyoke_core::request::fingerprint::{self, Fingerprint};
 use nutmegyoke_core::request::{self, claim::Key};
 use nutmegyoke_core::version::Configuration;
 use nutmegyoke_core::version::diff::Diff;
@@ -45,6 +46,10 @@
 const CLAIM_COUNTS: [u32; 3] = [50_000, 100_000, 200_000];
 /// The numbers of tokens per request at which the data path is measured.
 const TOKEN_COUNTS: [u32; 3] = [8, 32, 128];
+/// The KiB of a body with a prompt of 9,000 tokens, at 4 bytes a token.
+const PROMPT_KIB: f64 = 36.0;
+/// The KiB of a request's body at which its fingerprint is measured, up to the longest body.
+const BODY_SIZES_KIB: [u32; 4] = [1, 16, 256, 4096];
 
 /// The number of requests that are sent for each of [`TOKEN_COUNTS`].
 const REQUESTS_PER_POINT: u32 = 1_600;
@@ -92,6 +97,8 @@
     delta_us: Fit,
     /// A full configuration at an entry, by models.
     configuration_us: Fit,
+    /// The fingerprint of a request, by KiB of its body.
+    fingerprint_us: Fit,
 }
 
 fn measure_costs() -> Costs {
@@ -158,9 +165,31 @@
                 mean_cpu_us(|| drop(decode(&bytes)))
             },
         ),
+        fingerprint_us: Fit::measure(
+            "T4 fingerprint of a request, by KiB of its body",
+            "us",
+            &BODY_SIZES_KIB,
+            measure_fingerprint,
+        ),
     }
 }
 
+fn measure_fingerprint(body_kib: u32) -> f64 {
+    let body = vec![b'a'; usize::try_from(body_kib).expect("a body fits into memory") * 1024];
+    let content = fingerprint::Content {
+        method: "POST",
+        host: "desk.example",
+        path: "/reports/2026/new?draft=1",
+        caller: Some(b"Bearer 0123456789abcdef"),
+        target: None,
+        prompt: &[],
+        body: &body,
+    };
+    mean_cpu_us(|| {
+        std::hint::black_box(Fingerprint::open(std::hint::black_box(&content)));
+    })
+}
+
 #[allow(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
 fn to_f64(bytes: usize) -> f64 {
     bytes as f64
@@ -699,9 +728,19 @@
             2.0 * keyed_rate * costs.append_bytes.slope
         );
     }
+    print_fingerprints(costs);
     print_faults(costs, entries, bytes_per_vm, engines_per_vm);
 }
 
+/// Prints what the fingerprints of all requests cost.
+fn print_fingerprints(costs: &Costs) {
+    let us_per_second = target::REQUESTS_PER_SECOND * costs.fingerprint_us.at(PROMPT_KIB);
+    println!(
+        "S17 fingerprints of all requests, with bodies of {PROMPT_KIB:.0} KiB = {:.3}% of a core",
+        us_per_second / 1e4
+    );
+}
+
 /// Prints what the faults of a day cost in directory messages.
 fn print_faults(costs: &Costs, entries: f64, bytes_per_vm: f64, engines_per_vm: f64) {
     // A lost VM is sent by name only. A returning VM is sent first without engines, then with them.
--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -197,10 +197,11 @@
             self.calls.get(&number).map(|call| &call.stage),
             Some(Stage::Answering { .. })
         );
+        let suspect = self.is_suspect(number, verdict);
         self.note_break(now, number, verdict, out);
         self.leave_endpoint(now, number, Some(verdict));
         if verdict == Verdict::Ran {
-            self.clear_prompt(now, number);
+            self.clear_request(now, number);
         }
         if answering || verdict == Verdict::Ran {
             self.remove_call(number);
@@ -217,6 +218,8 @@
         // `max_attempts` limits only the attempts that may have run.
         let halt = if may_have_run && !call.route.repeatable() {
             Some(Halt::OnceOnly)
+        } else if suspect {
+            Some(Halt::Suspect)
         } else if call.tried.len() >= MAX_ENDPOINTS_PER_REQUEST
             || (may_have_run && call.possible_runs >= call.route.max_attempts)
         {
--- a/crates/nutmegyoke-core/src/process/gateway/call.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/call.rs
@@ -5,7 +5,8 @@
 
 use super::prompt::Prompt;
 use crate::process::endpoint::Target;
-use crate::request::{Passthrough, Reason};
+use crate::process::quarantine::Feature;
+use crate::request::{Fingerprint, Passthrough, Reason};
 use crate::version::routing::Route;
 use crate::version::{Model, Service};
 
@@ -22,6 +23,10 @@
     pub adapter: Option<String>,
     /// The prefixes of its prompt.
     pub prompt: Prompt,
+    /// Recognises it when it comes again.
+    pub fingerprint: Fingerprint,
+    /// What it may have in common with requests that crash endpoints.
+    pub features: Vec<Feature>,
     /// A uniform random number, which chooses the service by weight. Without a model it is
     /// also the affinity key, which spreads requests over the endpoints.
     pub random_point: u64,
@@ -80,12 +85,18 @@
             _ => (None, None),
         };
         let timeout = request.timeout.unwrap_or(route.timeout);
+        let prompt = Prompt::open(request.target, request.prompt);
+        let parts = prompt.shared_parts().iter();
+        let mut features: Vec<Feature> = parts.map(|&part| Feature::Part(part)).collect();
+        features.push(Feature::Request(request.fingerprint));
         Self {
             route: Rc::clone(route),
             service: service.clone(),
             model: model.map(Model::from),
             adapter: adapter.map(str::to_owned),
-            prompt: Prompt::open(request.target, request.prompt),
+            prompt,
+            fingerprint: request.fingerprint,
+            features,
             random_point,
             arrived,
             deadline: arrived + timeout.min(route.timeout),
--- a/crates/nutmegyoke-core/src/process/gateway/crash.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/crash.rs
@@ -4,8 +4,8 @@
 //! failed this request only, or the network reset the connection. After a crash the
 //! endpoint's address refuses connections, or the endpoint announces another start.
 //!
-//! The [`quarantine`](crate::process::quarantine) names the prompt parts that cause crashes;
-//! requests with them are refused.
+//! The [`quarantine`](crate::process::quarantine) tells what causes crashes, a part of prompts or
+//! one request that comes again; such requests are refused.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -77,8 +77,7 @@
     where
         S: Sink<Command = Command>,
     {
-        let broke = matches!(verdict.reason(), Some(Reason::LinkLost | Reason::Truncated));
-        let Some(call) = self.calls.get(&number).filter(|_| broke) else {
+        let Some(call) = self.calls.get(&number).filter(|_| is_break(verdict)) else {
             return;
         };
         let is_suspect = match call.stage {
@@ -86,10 +85,10 @@
             Stage::Answering { since, .. } => now < since + SUSPICION_TIME,
             Stage::Idle | Stage::Preparing { .. } | Stage::Throttled { .. } => false,
         };
-        let parts = call.prompt.shared_parts();
-        if !is_suspect || parts.is_empty() {
+        if !is_suspect {
             return;
         }
+        let features = &call.features;
         // The shutdown of an endpoint breaks connections, too, but is announced.
         let row = call.endpoint().and_then(|id| self.registry.row(id));
         let Some(row) = row.filter(|row| row.accepts_requests()) else {
@@ -106,7 +105,7 @@
             .map(|known| &mut known.crash);
         let known = known.filter(|crash| crash.origin == origin && now < crash.at + BREAK_TIME);
         if let Some(crash) = known {
-            crash::add_suspect(&mut crash.suspects, parts);
+            crash::add_suspect(&mut crash.suspects, features);
             return;
         }
         out.push(Command::Probe {
@@ -117,12 +116,19 @@
             crash: Crash {
                 origin,
                 at: now,
-                suspects: vec![parts.to_vec()],
+                suspects: vec![features.clone()],
             },
         };
         self.breaks.insert(endpoint.id.clone(), noted);
     }
 
+    /// Whether a request whose connection broke was a suspect of an earlier crash. Another attempt
+    /// might crash one endpoint more.
+    pub(super) fn is_suspect(&self, number: u64, verdict: Verdict) -> bool {
+        let call = self.calls.get(&number).filter(|_| is_break(verdict));
+        call.is_some_and(|call| self.quarantine.is_suspect(call.fingerprint))
+    }
+
     /// Records a crash if the probed endpoint `refused` a connection.
     pub(super) fn endpoint_probed<S>(
         &mut self,
@@ -195,29 +201,28 @@
         self.enforce(now, &before, out);
     }
 
-    /// Records that a request succeeded, so its prompt crashes no endpoint.
-    pub(super) fn clear_prompt(&mut self, now: Instant, number: u64) {
+    /// Records that a request succeeded, so it crashes no endpoint.
+    pub(super) fn clear_request(&mut self, now: Instant, number: u64) {
         let Some(call) = self.calls.get(&number) else {
             return;
         };
-        let parts = call.prompt.shared_parts();
-        if self.quarantine.record_success(now, parts) {
+        if self.quarantine.record_success(now, &call.features) {
             self.gossip.expedite(now);
         }
     }
 
-    /// Reports the culprits that are not in `before`, and ends the requests with their parts
+    /// Reports the culprits that are not in `before`, and ends the requests with their features
     /// that have no answer yet, before they crash more endpoints.
     fn enforce<S>(&mut self, now: Instant, before: &[Culprit], out: &mut S)
     where
         S: Sink<Command = Command>,
     {
         let culprits = self.quarantine.culprits().iter();
-        let new = culprits.filter(|culprit| before.iter().all(|old| old.parts != culprit.parts));
+        let new =
+            culprits.filter(|culprit| before.iter().all(|old| old.features != culprit.features));
         for culprit in new.cloned().collect::<Vec<Culprit>>() {
             let calls = self.calls.iter().filter(|(_, call)| {
-                !matches!(call.stage, Stage::Answering { .. })
-                    && culprit.matches(call.prompt.shared_parts())
+                !matches!(call.stage, Stage::Answering { .. }) && culprit.matches(&call.features)
             });
             let mut numbers: Vec<u64> = calls.map(|(&number, _)| number).collect();
             numbers.sort_unstable();
@@ -242,7 +247,7 @@
         });
     }
 
-    /// Refuses a request whose prompt crashes endpoints, and returns whether it did.
+    /// Refuses a request that crashes endpoints, and returns whether it did.
     pub(super) fn withhold<S>(&mut self, now: Instant, number: u64, out: &mut S) -> bool
     where
         S: Sink<Command = Command>,
@@ -250,7 +255,7 @@
         let Some(call) = self.calls.get(&number) else {
             return false;
         };
-        let Some(culprit) = self.quarantine.culprit(now, call.prompt.shared_parts()) else {
+        let Some(culprit) = self.quarantine.culprit(now, &call.features) else {
             return false;
         };
         let retry_after = culprit.until().saturating_duration_since(now);
@@ -276,3 +281,8 @@
 fn is_heard_since(row: &Row, moment: Instant, heartbeat_period: Duration) -> bool {
     row.last_heard > moment + heartbeat_period * HEARTBEATS_TO_REFUTE
 }
+
+/// Whether an attempt ended because its connection broke.
+fn is_break(verdict: Verdict) -> bool {
+    matches!(verdict.reason(), Some(Reason::LinkLost | Reason::Truncated))
+}
--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -187,9 +187,9 @@
     Probe { endpoint: Rc<Announcement> },
     /// Log that an endpoint crashed.
     ReportCrash { crash: Crash },
-    /// Log that prompt parts are quarantined.
+    /// Log that requests are quarantined.
     ReportCulprit { culprit: Culprit },
-    /// Log that the request is refused, because it has the parts of `culprit`.
+    /// Log that the request is refused, because it has the features of `culprit`.
     Withheld { call: u64, culprit: Culprit },
     /// Record the demand for models in the replicated log, for the next leader.
     Record { demand: Rc<[(Model, f64)]> },
@@ -226,6 +226,8 @@
     BudgetUsed,
     /// No other endpoint can take it.
     NoOther,
-    /// Its prompt crashes endpoints.
+    /// Endpoints crashed in two attempts of it, or of the same request before.
+    Suspect,
+    /// It crashes endpoints.
     Quarantined,
 }
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -109,7 +109,7 @@
     queue: Queue,
     /// The endpoints that may have crashed, by id.
     breaks: HashMap<String, Break>,
-    /// The prompt parts that crash endpoints.
+    /// What crashes endpoints.
     quarantine: Quarantine,
     /// The limits that endpoints name.
     limits: Limits,
--- a/crates/nutmegyoke-core/src/process/gateway/queue.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/queue.rs
@@ -11,7 +11,7 @@
 use super::{Command, Gateway, Halt, Sink};
 use crate::process::endpoint::Target;
 use crate::request::passthrough::Part;
-use crate::request::{Passthrough, Reason, Verdict};
+use crate::request::{Fingerprint, Passthrough, Reason, Verdict};
 
 /// The longest wait: somewhat less than a heartbeat period.
 const MAX_WAIT: Duration = Duration::from_secs(1);
@@ -46,6 +46,7 @@
     timeout: Option<Duration>,
     target: Option<(String, Option<String>)>,
     prompt: Vec<Part>,
+    fingerprint: Fingerprint,
 }
 
 impl Unrouted {
@@ -63,6 +64,7 @@
             timeout: request.timeout,
             target,
             prompt: request.prompt.to_vec(),
+            fingerprint: request.fingerprint,
         }
     }
 
@@ -78,6 +80,7 @@
                 adapter: adapter.as_deref(),
             }),
             prompt: &self.prompt,
+            fingerprint: self.fingerprint,
         }
     }
 }
--- a/crates/nutmegyoke-core/src/process/quarantine/crash.rs
+++ b/crates/nutmegyoke-core/src/process/quarantine/crash.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use super::Feature;
+
 /// The most requests that are kept as suspects of a crash.
 pub const MAX_SUSPECTS: usize = 64;
 
@@ -22,15 +24,15 @@
     pub origin: Origin,
     /// When the first connection broke.
     pub at: Instant,
-    /// The shared prompt parts of each request that may have caused it.
-    pub suspects: Vec<Vec<u64>>,
+    /// The features of each request that may have caused it.
+    pub suspects: Vec<Vec<Feature>>,
 }
 
-/// Adds the shared parts of a request that may have caused a crash, unless they are known or
-/// there are [`MAX_SUSPECTS`] already.
-pub fn add_suspect(suspects: &mut Vec<Vec<u64>>, parts: &[u64]) {
-    let known = suspects.iter().any(|suspect| suspect == parts);
-    if !parts.is_empty() && !known && suspects.len() < MAX_SUSPECTS {
-        suspects.push(parts.to_vec());
+/// Adds the features of a request that may have caused a crash, unless they are known or there
+/// are [`MAX_SUSPECTS`] already.
+pub fn add_suspect(suspects: &mut Vec<Vec<Feature>>, features: &[Feature]) {
+    let known = suspects.iter().any(|suspect| suspect == features);
+    if !features.is_empty() && !known && suspects.len() < MAX_SUSPECTS {
+        suspects.push(features.to_vec());
     }
 }
--- a/crates/nutmegyoke-core/src/process/quarantine/evidence.rs
+++ b/crates/nutmegyoke-core/src/process/quarantine/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::Origin;
+use super::{Feature, Origin};
 
 /// Crashes and clearances that another gateway has not acknowledged.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -18,15 +18,15 @@
     pub origin: Origin,
     /// The time since the crash.
     pub age: Duration,
-    /// The shared prompt parts of each request that may have caused it.
-    pub suspects: Vec<Vec<u64>>,
+    /// The features of each request that may have caused it.
+    pub suspects: Vec<Vec<Feature>>,
 }
 
-/// A part that was a suspect before a request with it succeeded.
+/// A feature of a suspect that a request had which succeeded since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Clearance {
-    /// The part.
-    pub part: u64,
+    /// The feature.
+    pub feature: Feature,
     /// The time since the success.
     pub age: Duration,
 }
--- a/crates/nutmegyoke-core/src/process/quarantine/mod.rs
+++ b/crates/nutmegyoke-core/src/process/quarantine/mod.rs
@@ -1,13 +1,15 @@
-//! Finds the prompt parts that crash endpoints, from the crashes that all gateways saw.
+//! Finds what requests that crash endpoints have in common, from the crashes that all gateways saw:
+//! a prompt part, or that it is one and the same request.
 //!
-//! A gateway sees few of the crashes that a part causes, and each of them with sound requests
-//! that ran beside it. So gateways exchange their [`evidence`]: the suspects of each
-//! [`crash`], and the parts that a later success cleared. From the same evidence all reach
+//! A gateway sees few of the crashes that a [`feature`] causes, and each of them with sound
+//! requests that ran beside it. So gateways exchange their [`evidence`]: the suspects of each
+//! [`crash`], and the features that a later success cleared. From the same evidence all reach
 //! the same conclusion, a [`culprit`].
 
 pub mod crash;
 pub mod culprit;
 pub mod evidence;
+pub mod feature;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -16,8 +18,11 @@
 pub use crash::{Crash, Origin};
 pub use culprit::Culprit;
 pub use evidence::{Clearance, Evidence, Report};
+pub use feature::Feature;
 
-/// How long a part is quarantined after the latest crash with it.
+use crate::request::Fingerprint;
+
+/// How long a culprit is quarantined after the latest crash with it.
 const QUARANTINE_TIME: Duration = Duration::from_mins(10);
 
 /// How long a crash counts. Longer than [`QUARANTINE_TIME`], so that one more crash suffices
@@ -27,27 +32,28 @@
 /// The most crashes that are kept; the oldest are dropped.
 const MAX_CRASHES: usize = culprit::MAX_CRASHES;
 
-/// The most parts whose latest success is remembered.
+/// The most features whose latest success is remembered.
 const MAX_SUCCESSES: usize = 8192;
 
-/// The most clearances that are kept: as many as the suspects of eight crashes
-/// can have parts.
+/// The most clearances that are kept: about as many as the suspects of eight crashes can have
+/// features.
 const MAX_CLEARANCES: usize = 8192;
 
 /// How long a success is remembered at least. A gateway that was cut off for longer may bring
-/// old evidence against sound parts.
+/// old evidence against sound requests.
 const SUCCESS_TTL: Duration = Duration::from_mins(1);
 
 /// The crashes that this gateway knows of, and its conclusions.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     crashes: BTreeMap<Origin, Record>,
-    /// When this gateway last saw a request with each part succeed.
-    successes: HashMap<u64, Instant>,
-    /// The parts that were suspects before they were cleared.
-    clearances: HashMap<u64, Cleared>,
-    /// The parts of all suspects, and some that were cleared since.
-    suspected: HashSet<u64>,
+    /// When this gateway last saw a request with each feature succeed. Of sound requests only the
+    /// parts, which are fewer, are remembered.
+    successes: HashMap<Feature, Instant>,
+    /// The features that were suspect before they were cleared.
+    clearances: HashMap<Feature, Cleared>,
+    /// The features of all suspects, and some that were cleared since.
+    suspected: HashSet<Feature>,
     culprits: Vec<Culprit>,
     /// How often this gateway collected evidence.
     collected: u64,
@@ -58,14 +64,14 @@
 struct Record {
     crash: Crash,
     /// The suspects that this gateway saw itself, which it sends to the others.
-    own_suspects: Vec<Vec<u64>>,
+    own_suspects: Vec<Vec<Feature>>,
     /// The revision of the latest suspect that this gateway saw itself.
     revision: u64,
     /// Whether the endpoint turned out not to have crashed.
     refuted: bool,
 }
 
-/// When a part was cleared.
+/// When a feature was cleared.
 #[derive(Clone, Copy, Debug)]
 struct Cleared {
     at: Instant,
@@ -81,17 +87,23 @@
         self.collected + 1
     }
 
-    /// The parts that crash endpoints.
+    /// What crashes endpoints.
     #[must_use]
     pub fn culprits(&self) -> &[Culprit] {
         &self.culprits
     }
 
-    /// The reason to refuse a request with these shared parts, if there is one.
+    /// The reason to refuse a request with these features, if there is one.
     #[must_use]
-    pub fn culprit(&self, now: Instant, parts: &[u64]) -> Option<&Culprit> {
+    pub fn culprit(&self, now: Instant, features: &[Feature]) -> Option<&Culprit> {
         let mut culprits = self.culprits.iter();
-        culprits.find(|culprit| now < culprit.until() && culprit.matches(parts))
+        culprits.find(|culprit| now < culprit.until() && culprit.matches(features))
+    }
+
+    /// Whether a request was being run when an endpoint crashed, and has not succeeded since.
+    #[must_use]
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.suspected.contains(&Feature::Request(fingerprint))
     }
 
     /// Records a crash that this gateway saw.
@@ -107,10 +119,10 @@
         self.conclude(now);
     }
 
-    /// Records that this gateway saw a request with these shared parts succeed. Returns whether
-    /// that cleared a part that is a culprit, or would be after another crash, so that other
-    /// gateways should know of it soon.
-    pub fn record_success(&mut self, now: Instant, parts: &[u64]) -> bool {
+    /// Records that this gateway saw a request with these features succeed. Returns whether that
+    /// cleared one that is a culprit, or would be after another crash, so that other gateways
+    /// should know of it soon.
+    pub fn record_success(&mut self, now: Instant, features: &[Feature]) -> bool {
         if self.successes.len() >= MAX_SUCCESSES {
             self.successes.retain(|_, &mut at| now < at + SUCCESS_TTL);
             if self.successes.len() >= MAX_SUCCESSES {
@@ -118,16 +130,19 @@
             }
         }
         let mut urgent = false;
-        for &part in parts {
-            self.successes.insert(part, now);
-            if !self.suspected.contains(&part) {
+        for &feature in features {
+            let suspected = self.suspected.contains(&feature);
+            if suspected || matches!(feature, Feature::Part(_)) {
+                self.successes.insert(feature, now);
+            }
+            if !suspected {
                 continue;
             }
-            let pending = self.crashes_with(part) + 1 >= culprit::MIN_MOMENTS;
-            if self.clear(part, now) {
+            let pending = self.crashes_with(feature) + 1 >= culprit::MIN_MOMENTS;
+            if self.clear(feature, now) {
                 self.collected += 1;
                 let revision = self.revision();
-                self.add_clearance(part, Cleared { at: now, revision });
+                self.add_clearance(feature, Cleared { at: now, revision });
                 urgent |= pending;
             }
         }
@@ -148,10 +163,10 @@
         }
         for clearance in &evidence.clearances {
             let at = now.checked_sub(clearance.age).unwrap_or(now);
-            self.clear(clearance.part, at);
-            let known = self.clearances.get(&clearance.part);
+            self.clear(clearance.feature, at);
+            let known = self.clearances.get(&clearance.feature);
             if known.is_none_or(|known| known.at < at) {
-                self.add_clearance(clearance.part, Cleared { at, revision: 0 });
+                self.add_clearance(clearance.feature, Cleared { at, revision: 0 });
             }
         }
         self.conclude(now);
@@ -197,8 +212,8 @@
         Evidence {
             crashes: crashes.collect(),
             clearances: clearances
-                .map(|(&part, cleared)| Clearance {
-                    part,
+                .map(|(&feature, cleared)| Clearance {
+                    feature,
                     age: now.saturating_duration_since(cleared.at),
                 })
                 .collect(),
@@ -218,8 +233,8 @@
         }
     }
 
-    /// Adds suspects to a crash, except the parts that were cleared since.
-    fn insert(&mut self, origin: &Origin, at: Instant, suspects: &[Vec<u64>]) -> &mut Record {
+    /// Adds suspects to a crash, except the features that were cleared since.
+    fn insert(&mut self, origin: &Origin, at: Instant, suspects: &[Vec<Feature>]) -> &mut Record {
         if !self.crashes.contains_key(origin) && self.crashes.len() >= MAX_CRASHES {
             let records = self.crashes.iter();
             let oldest = records.min_by_key(|(_, record)| record.crash.at);
@@ -243,48 +258,55 @@
         record.crash.at = record.crash.at.min(at);
         let suspects = if record.refuted { &[] } else { suspects };
         for suspect in suspects {
-            let parts = suspect.iter().copied().filter(|part| {
-                let success = self.successes.get(part).copied();
-                let clearance = self.clearances.get(part).map(|cleared| cleared.at);
+            let features = suspect.iter().copied().filter(|feature| {
+                let success = self.successes.get(feature).copied();
+                let clearance = self.clearances.get(feature).map(|cleared| cleared.at);
                 success.max(clearance).is_none_or(|cleared| cleared < at)
             });
-            let parts: Vec<u64> = parts.collect();
-            self.suspected.extend(&parts);
-            add_suspect(&mut record.crash.suspects, &parts);
+            let features: Vec<Feature> = features.collect();
+            self.suspected.extend(&features);
+            add_suspect(&mut record.crash.suspects, &features);
         }
         record
     }
 
     /// Adds a clearance. If there are too many, all others are dropped; then other gateways
     /// learn of them only from their own successes.
-    fn add_clearance(&mut self, part: u64, cleared: Cleared) {
+    fn add_clearance(&mut self, feature: Feature, cleared: Cleared) {
         if self.clearances.len() >= MAX_CLEARANCES {
             self.clearances.clear();
         }
-        self.clearances.insert(part, cleared);
+        self.clearances.insert(feature, cleared);
     }
 
-    /// The number of crashes with `part` among the suspects.
-    fn crashes_with(&self, part: u64) -> usize {
+    /// The number of crashes with `feature` among the suspects.
+    fn crashes_with(&self, feature: Feature) -> usize {
         let records = self.crashes.values();
         records
-            .filter(|record| record.crash.suspects.iter().flatten().any(|&id| id == part))
+            .filter(|record| {
+                record
+                    .crash
+                    .suspects
+                    .iter()
+                    .flatten()
+                    .any(|&other| other == feature)
+            })
             .count()
     }
 
-    /// Removes `part` from the suspects of the crashes until `at`. Returns whether it was one.
-    fn clear(&mut self, part: u64, at: Instant) -> bool {
+    /// Removes `feature` from the suspects of the crashes until `at`. Returns whether one had it.
+    fn clear(&mut self, feature: Feature, at: Instant) -> bool {
         let mut cleared = false;
         let records = self.crashes.values_mut();
         for record in records.filter(|record| record.crash.at <= at) {
             for suspect in &mut record.crash.suspects {
                 let length = suspect.len();
-                suspect.retain(|&id| id != part);
+                suspect.retain(|&other| other != feature);
                 cleared |= suspect.len() < length;
             }
             record.crash.suspects.retain(|suspect| !suspect.is_empty());
             for suspect in &mut record.own_suspects {
-                suspect.retain(|&id| id != part);
+                suspect.retain(|&other| other != feature);
             }
             record.own_suspects.retain(|suspect| !suspect.is_empty());
         }
--- a/crates/nutmegyoke-core/src/request/passthrough.rs
+++ b/crates/nutmegyoke-core/src/request/passthrough.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Fingerprint;
 use crate::process::endpoint::Target;
 
 /// The properties of a request that routing uses. The rest is forwarded unread.
@@ -17,6 +18,8 @@
     pub target: Option<Target<'a>>,
     /// The parts of the prompt in order. The last part is unique to the request.
     pub prompt: &'a [Part],
+    /// Recognises the request when it comes again.
+    pub fingerprint: Fingerprint,
 }
 
 /// A part of a prompt that several requests may share.
--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -55,7 +55,7 @@
     TokensLimited,
     /// No endpoint holds the required model, adapter or service.
     NoEndpoint,
-    /// The prompt has a part that crashed several endpoints.
+    /// The request, or one with the same prompt part, crashed several endpoints.
     Quarantined,
     /// All endpoints that could take the request are at the limits that they name.
     EndpointLimited,
--- a/crates/nutmegyoke-core/tests/crash.rs
+++ b/crates/nutmegyoke-core/tests/crash.rs
@@ -5,12 +5,13 @@
 
 use std::time::Duration;
 
+use fleet::desk;
 use fleet::gateways::{Fate, Fleet, TRUNCATED, engines};
 use nutmegyoke_cases::cases;
 use nutmegyoke_core::process::endpoint::Phase;
 use nutmegyoke_core::process::gateway::{Command, Event, Halt};
 use nutmegyoke_core::process::registry::{Announcement, Stamp};
-use nutmegyoke_core::request::{Reason, Verdict};
+use nutmegyoke_core::request::{Fingerprint, Reason, Verdict};
 use nutmegyoke_core::version::Routing;
 use nutmegyoke_core::version::routing::Semantics;
 
@@ -78,6 +79,57 @@
     assert_eq!(fleet.ask(2, &[1, DEADLY]), WITHHELD);
 }
 
+/// The path of a plain service and that of model engines, and the shared parts of the prompt.
+fn request_that_crashes_endpoints_is_refused(path: &str, parts: &[u64]) {
+    let deadly = Fingerprint(DEADLY);
+    let mut endpoints = engines(9);
+    endpoints.extend((20..29).map(desk));
+    let mut fleet = Fleet::open(4, &endpoints);
+    for gateway in 0..3 {
+        let (_, out) = fleet.arrive_again(gateway, path, parts, deadly);
+        assert!(fleet.crash(gateway, Fleet::fate(&out)), "{out:?}");
+    }
+    for gateway in 0..4 {
+        let (_, out) = fleet.arrive_again(gateway, path, parts, deadly);
+        assert_eq!(Fleet::fate(&out), WITHHELD);
+        // Other requests to the same path, with the same parts, are served.
+        let (_, out) = fleet.arrive_again(gateway, path, parts, Fingerprint(5));
+        assert!(matches!(Fleet::fate(&out), Fate::Sent { .. }), "{out:?}");
+    }
+    fleet.start_gateway(&[]);
+    fleet.now += 2 * SECOND;
+    fleet.feed(0, Event::Ticked);
+    let (_, out) = fleet.arrive_again(4, path, parts, deadly);
+    assert_eq!(
+        Fleet::fate(&out),
+        WITHHELD,
+        "at a gateway that has just started"
+    );
+}
+
+cases!(request_that_crashes_endpoints_is_refused {
+    for_a_model_with_a_prompt: ("/chat/1", &[1, 2]),
+    for_a_model_without_shared_parts: ("/chat/1", &[]),
+    repeatable_for_a_plain_service: ("/look/1", &[]),
+    not_repeatable_for_a_plain_service: ("/book/1", &[]),
+});
+
+/// A request that comes again at twenty gateways within a second of the third crash.
+#[test]
+fn repeats_at_many_gateways_right_after_the_third_crash_are_refused() {
+    let deadly = Fingerprint(DEADLY);
+    let mut fleet = Fleet::open(20, &engines(90));
+    for gateway in 0..3 {
+        let (_, out) = fleet.arrive_again(gateway, "/chat/1", &[], deadly);
+        assert!(fleet.crash(gateway, Fleet::fate(&out)));
+    }
+    for gateway in 0..20 {
+        let (_, out) = fleet.arrive_again(gateway, "/chat/1", &[], deadly);
+        assert_eq!(Fleet::fate(&out), WITHHELD);
+        fleet.now += SECOND / 20;
+    }
+}
+
 /// The verdict with which a request is refused, if it is.
 fn refusal(out: &[Command], number: u64) -> Option<Verdict> {
     out.iter().find_map(|command| match command {
@@ -163,6 +215,25 @@
     ));
 }
 
+/// Each send of a deadly request crashed as many engines as its route has attempts.
+#[test]
+fn request_that_broke_at_two_crashed_engines_is_not_retried() {
+    let mut fleet = fleet_with_resumable_streams();
+    let Fate::Sent { endpoint, call } = fleet.ask(0, &[1]) else {
+        panic!("refused");
+    };
+    let verdict = LINK_LOST;
+    let retried = fleet.feed(0, Event::AttemptEnded { call, verdict });
+    assert!(is_dispatched(&retried));
+    fleet.probe(0, &endpoint, true);
+    let out = fleet.feed(0, Event::AttemptEnded { call, verdict });
+    let halt = out.iter().find_map(|command| match command {
+        Command::Refuse { refusal, .. } => Some(refusal.halt),
+        _ => None,
+    });
+    assert_eq!(halt, Some(Halt::Suspect), "{out:?}");
+}
+
 /// The retry after the third crash is under way when the probe shows the crash.
 #[test]
 fn retry_is_cancelled_once_the_crash_before_it_is_known() {
--- a/crates/nutmegyoke-core/tests/fleet/gateways.rs
+++ b/crates/nutmegyoke-core/tests/fleet/gateways.rs
@@ -10,7 +10,7 @@
 use nutmegyoke_core::process::registry::{Announcement, Stamp};
 use nutmegyoke_core::process::{Gateway, Machine};
 use nutmegyoke_core::request::passthrough::Part;
-use nutmegyoke_core::request::{Passthrough, Reason, Verdict};
+use nutmegyoke_core::request::{Fingerprint, Passthrough, Reason, Verdict};
 
 use super::{address, engine, routing};
 
@@ -162,18 +162,32 @@
     /// Sends a request with a prompt of these shared parts to a gateway. Returns its number and
     /// the commands that result.
     pub fn arrive(&mut self, gateway: usize, parts: &[u64]) -> (u64, Vec<Command>) {
+        let fingerprint = Fingerprint(self.calls + 1);
+        self.arrive_again(gateway, "/chat/1", parts, fingerprint)
+    }
+
+    /// Sends a request that may have come before.
+    pub fn arrive_again(
+        &mut self,
+        gateway: usize,
+        path: &str,
+        parts: &[u64],
+        fingerprint: Fingerprint,
+    ) -> (u64, Vec<Command>) {
         self.calls += 1;
         let call = self.calls;
         let own = [10_000 + call];
         let prompt = parts.iter().chain(&own);
         let prompt: Vec<Part> = prompt.map(|&id| Part { id, tokens: 100 }).collect();
         let (model, adapter) = ("grade", None);
+        let target = Target::Model { model, adapter };
         let request = Passthrough {
             host: "desk.example",
-            path: "/chat/1",
+            path,
             timeout: None,
-            target: Some(Target::Model { model, adapter }),
+            target: path.starts_with("/chat/").then_some(target),
             prompt: &prompt,
+            fingerprint,
         };
         (call, self.feed(gateway, Event::Arrived { call, request }))
     }
@@ -181,6 +195,11 @@
     /// Sends a request that is sent to an engine or refused at once.
     pub fn ask(&mut self, gateway: usize, parts: &[u64]) -> Fate {
         let (_, out) = self.arrive(gateway, parts);
+        Self::fate(&out)
+    }
+
+    /// What became of a request that was sent to an engine or refused at once.
+    pub fn fate(out: &[Command]) -> Fate {
         let fate = out.iter().find_map(|command| match command {
             Command::Dispatch { endpoint, call, .. } => Some(Fate::Sent {
                 endpoint: Rc::clone(endpoint),
@@ -198,7 +217,14 @@
     /// Sends a request whose engine crashes as it begins to answer, and starts again. Returns
     /// whether the request was sent.
     pub fn crash_by(&mut self, gateway: usize, parts: &[u64]) -> bool {
-        let Fate::Sent { endpoint, call } = self.ask(gateway, parts) else {
+        let fate = self.ask(gateway, parts);
+        self.crash(gateway, fate)
+    }
+
+    /// Lets the engine that a request was sent to crash as it begins to answer, and start again.
+    /// Returns whether the request was sent.
+    pub fn crash(&mut self, gateway: usize, fate: Fate) -> bool {
+        let Fate::Sent { endpoint, call } = fate else {
             return false;
         };
         self.feed(gateway, Event::AnswerStarted { call });
--- a/crates/nutmegyoke-core/tests/freshness.rs
+++ b/crates/nutmegyoke-core/tests/freshness.rs
@@ -8,7 +8,7 @@
 use nutmegyoke_cases::cases;
 use nutmegyoke_core::process::gateway::{Bound, Command, Event, Setup};
 use nutmegyoke_core::process::{Gateway, Machine};
-use nutmegyoke_core::request::{Passthrough, Reason};
+use nutmegyoke_core::request::{Fingerprint, Passthrough, Reason};
 use nutmegyoke_core::version::Routing;
 use nutmegyoke_core::version::routing::{Draft, Semantics};
 
@@ -62,6 +62,7 @@
             timeout: None,
             target: None,
             prompt: &[],
+            fingerprint: Fingerprint::default(),
         };
         self.feed(Event::Arrived { call, request })
     }
--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -13,7 +13,7 @@
 use nutmegyoke_core::process::registry::Announcement;
 use nutmegyoke_core::process::{Gateway, Machine};
 use nutmegyoke_core::request::passthrough::Part;
-use nutmegyoke_core::request::{Passthrough, Reason, Verdict};
+use nutmegyoke_core::request::{Fingerprint, Passthrough, Reason, Verdict};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -91,6 +91,7 @@
         timeout: None,
         target: None,
         prompt: &[],
+        fingerprint: Fingerprint::default(),
     }
 }
 
--- a/crates/nutmegyoke-core/tests/quarantine.rs
+++ b/crates/nutmegyoke-core/tests/quarantine.rs
@@ -1,16 +1,34 @@
-//! Tests of the inference from crashes to the prompt parts that cause them.
+//! Tests of the inference from crashes to the prompt parts and requests that cause them.
 
 use std::time::{Duration, Instant};
 
 use nutmegyoke_cases::cases;
 use nutmegyoke_core::process::Quarantine;
-use nutmegyoke_core::process::quarantine::{Crash, Evidence, Origin};
+use nutmegyoke_core::process::quarantine::{Crash, Evidence, Feature, Origin};
+use nutmegyoke_core::request::Fingerprint;
 
 const SECOND: Duration = Duration::from_secs(1);
 
 /// The part that crashes engines in these tests.
 const DEADLY: u64 = 0xDEAD;
 
+/// Numbers from here on stand for requests, the lower ones for prompt parts.
+const REQUEST: u64 = 1 << 32;
+
+/// A request that crashes engines, whatever its prompt.
+const DEADLY_REQUEST: u64 = REQUEST + 1;
+
+fn features(numbers: &[u64]) -> Vec<Feature> {
+    let features = numbers.iter().map(|&number| {
+        if number < REQUEST {
+            Feature::Part(number)
+        } else {
+            Feature::Request(Fingerprint(number))
+        }
+    });
+    features.collect()
+}
+
 /// A step in the life of a fleet of two gateways, one second after the step before.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -52,7 +70,7 @@
                 started_ms: 1,
             },
             at: self.now,
-            suspects: suspects.iter().map(|parts| parts.to_vec()).collect(),
+            suspects: suspects.iter().map(|&suspect| features(suspect)).collect(),
         };
         self.gateways[gateway].record(self.now, &crash);
     }
@@ -65,7 +83,7 @@
                 self.crash(gateway, suspects);
             }
             Success(gateway, parts) => {
-                self.gateways[gateway].record_success(self.now, parts);
+                self.gateways[gateway].record_success(self.now, &features(parts));
             }
             Wait(time) => {
                 self.now += time;
@@ -87,7 +105,9 @@
     }
 
     fn refuses(&self, gateway: usize, parts: &[u64]) -> bool {
-        self.gateways[gateway].culprit(self.now, parts).is_some()
+        self.gateways[gateway]
+            .culprit(self.now, &features(parts))
+            .is_some()
     }
 }
 
@@ -224,6 +244,72 @@
         &[],
         &[&[DEADLY]]
     ),
+    request_without_parts_in_three_crashes: (
+        &[
+            Crashed(0, &[&[DEADLY_REQUEST], &[REQUEST + 2]]),
+            Crashed(1, &[&[DEADLY_REQUEST]]),
+            Crashed(0, &[&[REQUEST + 3], &[DEADLY_REQUEST]]),
+        ],
+        &[&[DEADLY_REQUEST]],
+        &[&[REQUEST + 2], &[REQUEST + 3]]
+    ),
+    // The parts are those of a session, whose other requests succeed.
+    request_and_not_the_parts_that_it_shares: (
+        &[
+            Crashed(0, &[&[1, 2, DEADLY_REQUEST]]),
+            Success(1, &[1, 2, REQUEST + 2]),
+            Crashed(1, &[&[1, 2, DEADLY_REQUEST]]),
+            Crashed(1, &[&[1, 2, DEADLY_REQUEST]]),
+        ],
+        &[&[1, 2, DEADLY_REQUEST]],
+        &[&[1, 2], &[1, 2, REQUEST + 2]]
+    ),
+    request_that_never_came_without_its_parts: (
+        &[
+            Crashed(0, &[&[1, 2, DEADLY_REQUEST]]),
+            Crashed(1, &[&[1, 2, DEADLY_REQUEST]]),
+            Crashed(1, &[&[1, 2, DEADLY_REQUEST]]),
+        ],
+        &[&[1, 2, DEADLY_REQUEST]],
+        &[&[1, 2, REQUEST + 2]]
+    ),
+    // Engines crash for other reasons, too, so more is asked of a part.
+    request_among_many_crashes: (
+        &[
+            Crashed(0, &[&[DEADLY_REQUEST]]),
+            Crashed(0, &[&[11]]),
+            Crashed(0, &[&[12]]),
+            Crashed(0, &[&[13]]),
+            Crashed(0, &[&[14]]),
+            Crashed(1, &[&[DEADLY_REQUEST]]),
+            Crashed(0, &[&[15]]),
+            Crashed(0, &[&[16]]),
+            Crashed(0, &[&[17]]),
+            Crashed(0, &[&[18]]),
+            Crashed(0, &[&[DEADLY_REQUEST]]),
+        ],
+        &[&[DEADLY_REQUEST]],
+        &[]
+    ),
+    // A client repeats a sound request that ran beside the cause of two crashes.
+    no_request_that_succeeds_between_the_crashes: (
+        &[
+            Crashed(0, &[&[REQUEST + 2]]),
+            Crashed(1, &[&[REQUEST + 2]]),
+            Success(1, &[REQUEST + 2]),
+            Crashed(0, &[&[REQUEST + 2]]),
+        ],
+        &[],
+        &[&[REQUEST + 2]]
+    ),
+    no_request_in_crashes_at_one_moment: (
+        &[
+            TwoCrashes(0, &[&[REQUEST + 2]]),
+            TwoCrashes(0, &[&[REQUEST + 2]])
+        ],
+        &[],
+        &[&[REQUEST + 2]]
+    ),
     part_that_crashes_once_more_after_its_quarantine: (
         &[
             Crashed(0, &[&[DEADLY]]),
@@ -246,7 +332,7 @@
         fleet.crash(0, &[&[1, 2]]);
         fleet.now += SECOND;
     }
-    fleet.gateways[1].record_success(fleet.now, &[1, 2]);
+    fleet.gateways[1].record_success(fleet.now, &features(&[1, 2]));
     fleet.exchange();
     assert!(!fleet.refuses(1, &[1, 2]));
 }
@@ -260,7 +346,7 @@
     }
     let mut restarted = Quarantine::default();
     restarted.apply(fleet.now, &fleet.gateways[1].since(fleet.now, 0));
-    assert!(restarted.culprit(fleet.now, &[DEADLY]).is_some());
+    assert!(restarted.culprit(fleet.now, &features(&[DEADLY])).is_some());
 }
 
 /// Evidence that is sent back and forth would grow with the square of the gateways.
@@ -276,6 +362,28 @@
     );
 }
 
+/// A success for each request would leave no room for those of the parts.
+#[test]
+fn successes_of_sound_requests_are_not_remembered() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant::now();
+    quarantine.record_success(now, &features(&[5]));
+    for number in 0..10_000 {
+        quarantine.record_success(now, &features(&[REQUEST + number]));
+    }
+    let late = Crash {
+        origin: Origin {
+            endpoint: "engine-1".to_owned(),
+            started_ms: 1,
+        },
+        at: now,
+        suspects: vec![features(&[5, REQUEST + 1])],
+    };
+    quarantine.record(now + SECOND, &late);
+    let evidence = quarantine.since(now + SECOND, 0);
+    assert_eq!(evidence.crashes[0].suspects, [features(&[REQUEST + 1])]);
+}
+
 /// Memory stays bounded when engines crash all day.
 #[test]
 fn oldest_crashes_are_dropped() {
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -5,8 +5,9 @@
 use nutmegyoke_core::process::endpoint::Phase;
 use nutmegyoke_core::process::gateway::{Basis, Halt};
 use nutmegyoke_core::process::member::Role;
+use nutmegyoke_core::process::quarantine::Feature;
 use nutmegyoke_core::process::{Order, Vm, steward};
-use nutmegyoke_core::request::{Id, Reason, Verdict};
+use nutmegyoke_core::request::{Fingerprint, Id, Reason, Verdict};
 use serde::Serialize;
 use spdlog::Level;
 use strum::{EnumDiscriminants, EnumIter};
@@ -104,20 +105,24 @@
         /// The duration of the call to the steward, in milliseconds.
         elapsed_ms: u64,
     },
-    /// Requests with all of these prompt parts are refused from now on.
-    PartQuarantined {
+    /// Requests with all of these prompt parts, or the one with this fingerprint, are refused from
+    /// now on.
+    Quarantined {
         /// The parts, in hexadecimal.
         parts: &'a [String],
-        /// The number of crashes that the parts explain.
+        /// The fingerprint, in hexadecimal; empty if there is none.
+        fingerprints: &'a [String],
+        /// The number of crashes that they explain.
         crashes: usize,
         /// The time since the latest of these, in milliseconds.
         latest_ms: u64,
     },
-    /// A pass-through request was refused because of its prompt, see
-    /// [`Event::PartQuarantined`].
+    /// A pass-through request was refused because it crashes endpoints, see
+    /// [`Event::Quarantined`].
     Withheld {
         request: &'a str,
         parts: &'a [String],
+        fingerprints: &'a [String],
         crashes: usize,
         latest_ms: u64,
     },
@@ -185,6 +190,8 @@
         suspects: usize,
         /// The shared prompt parts of the first of them, in hexadecimal.
         parts: &'a [Vec<String>],
+        /// The fingerprints of the first of them, in hexadecimal.
+        fingerprints: &'a [String],
     },
     /// An endpoint began to limit its requests; `rate` is in requests a second, `None` when
     /// the limit ended.
@@ -265,7 +272,7 @@
             Self::AttemptFailed => 303,
             Self::PutOff => 304,
             Self::Prepared => 305,
-            Self::PartQuarantined => 306,
+            Self::Quarantined => 306,
             Self::Withheld => 307,
             Self::Published => 203,
             Self::DocumentFetched => 204,
@@ -307,7 +314,7 @@
             | Self::DocumentFetched { .. }
             | Self::EngineSilent { .. }
             | Self::EndpointCrashed { .. }
-            | Self::PartQuarantined { .. }
+            | Self::Quarantined { .. }
             | Self::LimitMalformed { .. }
             | Self::Volatile
             | Self::DiskFull { .. }
@@ -325,6 +332,19 @@
 }
 
 /// The identifiers of prompt parts, as clients write them.
-pub(crate) fn hexadecimal(parts: &[u64]) -> Vec<String> {
-    parts.iter().map(|part| format!("{part:x}")).collect()
+pub(crate) fn part_names(features: &[Feature]) -> Vec<String> {
+    let parts = features.iter().filter_map(|feature| match feature {
+        Feature::Part(part) => Some(format!("{part:x}")),
+        Feature::Request(_) => None,
+    });
+    parts.collect()
+}
+
+/// The fingerprints among `features`, in hexadecimal.
+pub(crate) fn fingerprints(features: &[Feature]) -> Vec<String> {
+    let requests = features.iter().filter_map(|feature| match feature {
+        Feature::Request(Fingerprint(fingerprint)) => Some(format!("{fingerprint:016x}")),
+        Feature::Part(_) => None,
+    });
+    requests.collect()
 }
--- a/crates/nutmegyoke-host/src/process/gateway/telemetry.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/telemetry.rs
@@ -6,7 +6,7 @@
 use nutmegyoke_wire::connection::convert::milliseconds;
 
 use super::Gateway;
-use crate::process::event::hexadecimal;
+use crate::process::event::{fingerprints, part_names};
 use crate::process::passthrough::Histograms;
 use crate::process::{Codec, Event};
 
@@ -38,15 +38,16 @@
         event.log();
     }
 
-    /// Logs that prompt parts are quarantined.
+    /// Logs that requests are quarantined.
     pub(super) fn log_culprit(&self, culprit: &Culprit) {
         let age = self
             .driver
             .clock()
             .now()
             .saturating_duration_since(culprit.latest);
-        Event::PartQuarantined {
-            parts: &hexadecimal(&culprit.parts),
+        Event::Quarantined {
+            parts: &part_names(&culprit.features),
+            fingerprints: &fingerprints(&culprit.features),
             crashes: culprit.crashes,
             latest_ms: milliseconds(age),
         }
@@ -57,15 +58,19 @@
 /// The most suspects of a crash that its log line lists.
 const MAX_LOGGED_SUSPECTS: usize = 16;
 
-/// Logs a crash of an endpoint, with the prompt parts of the requests that may have caused it.
+/// Logs a crash of an endpoint, with what is known of the requests that may have caused it.
 pub fn log_crash(crash: &Crash) {
-    let suspects = crash.suspects.iter().take(MAX_LOGGED_SUSPECTS);
-    let parts: Vec<Vec<String>> = suspects.map(|parts| hexadecimal(parts)).collect();
+    let suspects = || crash.suspects.iter().take(MAX_LOGGED_SUSPECTS);
+    let parts: Vec<Vec<String>> = suspects().map(|features| part_names(features)).collect();
+    let requests: Vec<String> = suspects()
+        .flat_map(|features| fingerprints(features))
+        .collect();
     Event::EndpointCrashed {
         id: &crash.origin.endpoint,
         born: crash.origin.started_ms,
         suspects: crash.suspects.len(),
         parts: &parts,
+        fingerprints: &requests,
     }
     .log();
 }
--- a/crates/nutmegyoke-host/src/request/passthrough/handle.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/handle.rs
@@ -13,7 +13,7 @@
 use super::trail::{Label, Trail};
 use crate::connection::upstream::Upstream;
 use crate::process::driver::Mailbox;
-use crate::process::event::hexadecimal;
+use crate::process::event::{fingerprints, part_names};
 use crate::process::{Codec, Event, Gateway};
 
 /// The shortest time between two progress events of an answer. An endpoint without progress
@@ -99,7 +99,8 @@
                 let age = self.now().saturating_duration_since(culprit.latest);
                 self.log(&Event::Withheld {
                     request,
-                    parts: &hexadecimal(&culprit.parts),
+                    parts: &part_names(&culprit.features),
+                    fingerprints: &fingerprints(&culprit.features),
                     crashes: culprit.crashes,
                     latest_ms: milliseconds(age),
                 });
--- a/crates/nutmegyoke-host/src/request/passthrough/mod.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/mod.rs
@@ -21,13 +21,15 @@
 use futures_util::pin_mut;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, StatusCode};
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::gateway::{Command, Event as Input, Halt, Refusal};
 use nutmegyoke_core::process::registry::Announcement;
-use nutmegyoke_core::request::{Passthrough, Reason, Verdict};
+use nutmegyoke_core::request::fingerprint::Content;
+use nutmegyoke_core::request::{Fingerprint, Passthrough, Reason, Verdict};
 use nutmegyoke_wire::request::Failure;
 
 use attempt::{Answer, Choice, Template};
@@ -53,12 +55,13 @@
     let arrived = gateway.driver().clock().now();
     let body = Limited::new(body, limit).collect().await;
     let heading = D::decode_heading(&head.headers);
-    let passthrough = Passthrough {
+    let mut passthrough = Passthrough {
         host: host(&head),
         path: head.uri.path(),
         timeout: heading.timeout,
         target: heading.target,
         prompt: &heading.prompt,
+        fingerprint: Fingerprint::default(),
     };
     let id = heading.id.unwrap_or("-");
     let body = match body {
@@ -79,6 +82,15 @@
             return refuse::<C, D>(refusal);
         }
     };
+    passthrough.fingerprint = Fingerprint::open(&Content {
+        method: head.method.as_str(),
+        host: passthrough.host,
+        path: head.uri.path_and_query().map_or("", PathAndQuery::as_str),
+        caller: head.headers.get(AUTHORIZATION).map(HeaderValue::as_bytes),
+        target: passthrough.target,
+        prompt: passthrough.prompt,
+        body: &body,
+    });
     let handle = Handle::open(&gateway, id, passthrough);
     execute(handle, &head, &heading, body).await
 }
--- a/crates/nutmegyoke-wire/schema/mesh.capnp
+++ b/crates/nutmegyoke-wire/schema/mesh.capnp
@@ -74,19 +74,22 @@
   sizes @4 :List(Size);
 }
 
-# An endpoint that crashed, and the shared prompt parts of each request that may have
-# caused it.
+# An endpoint that crashed, and for each request that may have caused it the shared prompt parts
+# and, in `requests`, its fingerprint; 0: cleared.
 struct Crash {
   endpoint @0 :Text;
   born @1 :UInt64;
   ageMs @2 :UInt64;
   suspects @3 :List(List(UInt64));
+  requests @4 :List(UInt64);
 }
 
-# A prompt part that was a suspect before a request with it succeeded.
+# A prompt part, or the fingerprint of a request, that was suspect before a request with it
+# succeeded.
 struct Clearance {
   part @0 :UInt64;
   ageMs @1 :UInt64;
+  isRequest @2 :Bool;
 }
 
 struct Evidence {
--- a/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
+++ b/crates/nutmegyoke-wire/src/connection/mesh_capnp.rs
@@ -3264,11 +3264,19 @@
         pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_requests(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_requests(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3366,6 +3374,22 @@
         pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_requests(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_requests(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_requests(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_requests(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3377,52 +3401,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(65, 152, 75, 76, 29, 253, 27, 152),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(23, 61, 139, 74, 110, 31, 210, 201),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -3465,6 +3496,19 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3472,6 +3516,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::list_list::Owned<::capnp::primitive_list::Owned<u64>> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3485,9 +3530,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,4,3];
         pub(crate) const TYPE_ID: u64 = 0x981b_fd1d_4c4b_9841;
     }
 }
@@ -3561,11 +3606,15 @@
         pub fn get_age_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_is_request(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3631,6 +3680,14 @@
         pub fn set_age_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_is_request(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_is_request(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3642,38 +3699,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(113, 75, 216, 254, 189, 197, 44, 204),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(23, 61, 139, 74, 110, 31, 210, 201),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 101, 115, 104, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 101, 97, 114),
             ::capnp::word(97, 110, 99, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3690,11 +3754,21 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 82, 101, 113, 117, 101, 115),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3708,9 +3782,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
         pub(crate) const TYPE_ID: u64 = 0xcc2c_c5bd_fed8_4b71;
     }
 }
--- a/crates/nutmegyoke-wire/src/process/evidence.rs
+++ b/crates/nutmegyoke-wire/src/process/evidence.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use capnp::primitive_list;
-use nutmegyoke_core::process::quarantine::{Clearance, Evidence, Origin, Report};
+use nutmegyoke_core::process::quarantine::{Clearance, Evidence, Feature, Origin, Report};
+use nutmegyoke_core::request::Fingerprint;
 
 use crate::connection::convert::{length, milliseconds, text};
 use crate::connection::mesh_capnp::{crash, evidence};
@@ -15,7 +16,11 @@
 /// The message is malformed.
 pub fn read(reader: evidence::Reader<'_>) -> capnp::Result<Evidence> {
     let clearances = reader.get_clearances()?.iter().map(|row| Clearance {
-        part: row.get_part(),
+        feature: if row.get_is_request() {
+            Feature::Request(Fingerprint(row.get_part()))
+        } else {
+            Feature::Part(row.get_part())
+        },
         age: Duration::from_millis(row.get_age_ms()),
     });
     Ok(Evidence {
@@ -39,16 +44,26 @@
     let mut list = builder.init_clearances(length(evidence.clearances.len()));
     for (index, clearance) in (0..).zip(&evidence.clearances) {
         let mut row = list.reborrow().get(index);
-        row.set_part(clearance.part);
+        let (id, is_request) = match clearance.feature {
+            Feature::Part(part) => (part, false),
+            Feature::Request(Fingerprint(fingerprint)) => (fingerprint, true),
+        };
+        row.set_part(id);
+        row.set_is_request(is_request);
         row.set_age_ms(milliseconds(clearance.age));
     }
 }
 
 fn read_report(reader: crash::Reader<'_>) -> capnp::Result<Report> {
-    let suspects = reader.get_suspects()?;
-    let suspects = suspects.iter().map(|parts| {
+    // A process of an earlier version sends no fingerprints.
+    let requests = reader.get_requests()?;
+    let requests = requests.iter().chain(std::iter::repeat(0));
+    let suspects = reader.get_suspects()?.iter().zip(requests);
+    let suspects = suspects.map(|(parts, fingerprint)| {
         let parts: primitive_list::Reader<'_, u64> = parts?;
-        capnp::Result::Ok(parts.iter().collect())
+        let request = Some(fingerprint).filter(|&fingerprint| fingerprint != 0);
+        let request = request.map(|fingerprint| Feature::Request(Fingerprint(fingerprint)));
+        capnp::Result::Ok(parts.iter().map(Feature::Part).chain(request).collect())
     });
     Ok(Report {
         origin: Origin {
@@ -64,10 +79,25 @@
     builder.set_endpoint(&report.origin.endpoint);
     builder.set_born(report.origin.started_ms);
     builder.set_age_ms(milliseconds(report.age));
+    let mut requests = builder
+        .reborrow()
+        .init_requests(length(report.suspects.len()));
+    for (index, suspect) in (0..).zip(&report.suspects) {
+        let request = suspect.iter().find_map(|feature| match feature {
+            Feature::Request(Fingerprint(fingerprint)) => Some(*fingerprint),
+            Feature::Part(_) => None,
+        });
+        requests.set(index, request.unwrap_or(0));
+    }
     let mut list = builder.init_suspects(length(report.suspects.len()));
-    for (index, parts) in (0..).zip(&report.suspects) {
+    for (index, suspect) in (0..).zip(&report.suspects) {
+        let parts = suspect.iter().filter_map(|feature| match feature {
+            Feature::Part(part) => Some(*part),
+            Feature::Request(_) => None,
+        });
+        let parts: Vec<u64> = parts.collect();
         let mut row = list.reborrow().init(index, length(parts.len()));
-        for (index, &part) in (0..).zip(parts) {
+        for (index, &part) in (0..).zip(&parts) {
             row.set(index, part);
         }
     }
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -165,7 +165,7 @@
         Reason::TokensLimited => "the plan's token budget is used up; send more slowly",
         Reason::NoEndpoint => "no endpoint holds this now; try again",
         Reason::Quarantined => {
-            "a part of the prompt crashed several endpoints; send it without that part"
+            "it crashed several endpoints, or has a prompt part that did; change it"
         }
         Reason::EndpointLimited => {
             "the endpoints take no more requests for now; try again as Retry-After says"
--- a/crates/nutmegyoke-wire/tests/evidence.rs
+++ b/crates/nutmegyoke-wire/tests/evidence.rs
@@ -4,7 +4,8 @@
 
 use capnp::message::Builder;
 use nutmegyoke_cases::config;
-use nutmegyoke_core::process::quarantine::{Clearance, Evidence, Origin, Report};
+use nutmegyoke_core::process::quarantine::{Clearance, Evidence, Feature, Origin, Report};
+use nutmegyoke_core::request::Fingerprint;
 use nutmegyoke_wire::connection::mesh_capnp;
 use nutmegyoke_wire::process::evidence;
 use proptest::prelude::*;
@@ -14,9 +15,19 @@
     any::<u32>().prop_map(|age| Duration::from_millis(age.into()))
 }
 
+fn request() -> impl Strategy<Value = Feature> {
+    (1..=u64::MAX).prop_map(|fingerprint| Feature::Request(Fingerprint(fingerprint)))
+}
+
+/// The request itself comes after its parts.
+fn suspect() -> impl Strategy<Value = Vec<Feature>> {
+    let parts = prop::collection::vec(any::<u64>().prop_map(Feature::Part), 0..4);
+    let request = prop::option::of(request());
+    (parts, request).prop_map(|(parts, request)| parts.into_iter().chain(request).collect())
+}
+
 fn report() -> impl Strategy<Value = Report> {
-    let parts = prop::collection::vec(any::<u64>(), 0..4);
-    let suspects = prop::collection::vec(parts, 0..4);
+    let suspects = prop::collection::vec(suspect(), 0..4);
     ("\\PC{0,12}", any::<u64>(), age(), suspects).prop_map(
         |(endpoint, started_ms, age, suspects)| Report {
             origin: Origin {
@@ -30,7 +41,8 @@
 }
 
 fn clearance() -> impl Strategy<Value = Clearance> {
-    (any::<u64>(), age()).prop_map(|(part, age)| Clearance { part, age })
+    let feature = prop_oneof![any::<u64>().prop_map(Feature::Part), request()];
+    (feature, age()).prop_map(|(feature, age)| Clearance { feature, age })
 }
 
 proptest! {
--- a/tests/support/fragile.rs
+++ b/tests/support/fragile.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use super::free_address;
-use super::upstream::{header, read_request};
+use super::upstream::{Received, header, read_request};
 
 /// The beginning of a stream, and its end.
 const STREAM_START: &str = "HTTP/1.1 200 OK\r\nX-Nutmegyoke-Request-Id: {id}\r\n\
@@ -23,8 +23,8 @@
 }
 
 impl Fragile {
-    /// Spawns an endpoint that begins to answer a request whose prompt has `part`, and crashes.
-    pub fn spawn(part: &'static str) -> Self {
+    /// Spawns an endpoint that begins to answer a request that is `deadly`, and crashes.
+    pub fn spawn(deadly: fn(&Received) -> bool) -> Self {
         let address = free_address();
         let listener = TcpListener::bind(address).unwrap();
         let crashed = Arc::new(AtomicBool::new(false));
@@ -36,10 +36,8 @@
                 };
                 let id = header(&received.head, "x-nutmegyoke-request-id");
                 let start = STREAM_START.replace("{id}", &id);
-                let prompt = header(&received.head, "x-nutmegyoke-prompt-prefix");
-                let is_deadly = prompt.split(',').any(|row| row.starts_with(part));
                 stream.write_all(start.as_bytes()).unwrap();
-                if is_deadly {
+                if deadly(&received) {
                     flag.store(true, Ordering::SeqCst);
                     return;
                 }
