Take an answer on a kept connection only with the id of its request

What callers saw: reported by other operators. A faulty endpoint writes an earlier refusal once more on a kept connection. The client of the next request is told 503, not run, or the request is sent to another endpoint as well, though the first one runs it. An earlier success in that place goes to the wrong client.

Cause: an answer was taken for one to another request only if both had an id and these differed. One without an id was taken for the answer to the request that waited.

Ruled out: repeated answers with their id, which ended as `duplicate` before as well.

The fix: on a connection that was used before, an answer has to have the id of the request. If it does not, the request may have run, and the connection is closed. Requests that have no id get a connection of their own. A limit that such an answer names is not taken over either.

--- a/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
@@ -82,7 +82,9 @@
 ) -> Result<Answer, Verdict> {
     let address = choice.endpoint.address;
     let started = clock.now();
-    let idle = upstreams.take(started, address);
+    // Without an ID it could not be told whether an answer belongs to an earlier request.
+    let idle = template.id.and_then(|_| upstreams.take(started, address));
+    let mut is_reused = idle.is_some();
     let mut upstream = match idle {
         Some(upstream) => upstream,
         None => dial(address).await?,
@@ -99,6 +101,7 @@
     {
         // Nothing was sent, most likely because the endpoint had closed the idle connection.
         // Sending the request again can't run it twice.
+        is_reused = false;
         upstream = dial(address).await?;
         sent = upstream.send(build::<D>(template, &delivery)).await;
     }
@@ -109,8 +112,22 @@
             Verdict::not_run(Reason::Unreachable)
         }
     })?;
-    on_notice(D::decode_reply(response.status(), response.headers()).notice);
-    classify::<D>(clock, upstreams, template, choice, response, upstream).await
+    let reply = D::decode_reply(response.status(), response.headers());
+    if may_be_repeated(template.id, reply.id, is_reused) {
+        return Err(Verdict::may_have_run(Reason::Duplicate));
+    }
+    on_notice(reply.notice);
+    classify::<D>(clock, upstreams, choice, response, upstream).await
+}
+
+/// Whether a response may be that to an earlier request on the connection, once more, so that it
+/// is unknown whether this request ran. On a connection that is reused, the ID has to show that it
+/// is not.
+fn may_be_repeated(sent: Option<&str>, received: Option<&str>, is_reused: bool) -> bool {
+    match (sent, received) {
+        (Some(sent), Some(received)) => sent != received,
+        _ => is_reused,
+    }
 }
 
 async fn dial(address: std::net::SocketAddr) -> Result<Upstream, Verdict> {
@@ -137,7 +154,6 @@
 async fn classify<D: Codec>(
     clock: &impl Clock,
     upstreams: &Upstreams,
-    template: &Template<'_>,
     choice: &Choice,
     response: Response<Incoming>,
     upstream: Upstream,
@@ -146,11 +162,6 @@
     let reply = D::decode_reply(head.status, &head.headers);
     let keep_alive = reply.keep_alive;
     let outcome = reply.outcome;
-    // A response with another ID belongs to an earlier request on the connection, so it is
-    // unknown whether this request ran.
-    if reply.id.is_some() && template.id.is_some() && reply.id != template.id {
-        return Err(Verdict::may_have_run(Reason::Duplicate));
-    }
     headers::strip(&mut head.headers);
     if outcome == Outcome::Answered && choice.streams {
         return Ok(Answer::Streamed {
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -23,6 +23,12 @@
     Send(&'static str),
     /// Sends these bytes and closes the connection.
     SendAndClose(&'static str),
+    /// Sends `first` for the first request on a connection, and `repeated` for the others, with the
+    /// id of the first request in both.
+    Repeat {
+        first: &'static str,
+        repeated: &'static str,
+    },
     /// Sends the parts one by one, each after a delay.
     Trickle(&'static [&'static str], Duration),
     /// Sends these bytes, and then repeats others, with a delay, until the caller closes the
@@ -86,11 +92,23 @@
     action: &Action,
     disconnects: &mpsc::Sender<Instant>,
 ) {
+    let mut first_id: Option<String> = None;
     while let Some(received) = read_request(&mut stream) {
         let id = header(&received.head, "x-nutmegyoke-request-id");
         log.lock().unwrap().push(received);
         let fill_in_id = |text: &str| text.replace("{id}", &id);
         match action {
+            Action::Repeat { first, repeated } => {
+                let text = match &first_id {
+                    None => fill_in_id(first),
+                    Some(first_id) => repeated.replace("{id}", first_id),
+                };
+                // The caller may have closed the connection already.
+                if stream.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                first_id.get_or_insert(id);
+            }
             Action::Send(text) => stream.write_all(fill_in_id(text).as_bytes()).unwrap(),
             Action::SendAndClose(text) => {
                 stream.write_all(fill_in_id(text).as_bytes()).unwrap();
