Buffer streams for clients of HTTP/1.0

What callers saw: a stream that its endpoint broke off looked complete to a client of HTTP/1.0.

Cause: HTTP/1.0 has no chunks. The end of the connection is the end of the answer, and a body that fails closes the connection in an orderly way.

The fix: an answer without a length is buffered for such a client, up to the usual bound, and gets a length.

Evidence: `cut_stream_does_not_look_complete_to_a_client_of_http_1_0` failed before. Found by the question of the review what clients make of a cut answer.

--- a/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::request::Parts;
 use hyper::http::response;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::registry::Announcement;
 use nutmegyoke_core::process::throttle::Notice;
@@ -117,7 +117,9 @@
         return Err(Verdict::may_have_run(Reason::Duplicate));
     }
     on_notice(reply.notice);
-    classify::<D>(clock, upstreams, choice, response, upstream).await
+    // A client of HTTP/1.0 gets no chunks, so a stream that is cut would look complete.
+    let streams = choice.streams && template.head.version > Version::HTTP_10;
+    classify::<D>(clock, upstreams, streams, response, upstream).await
 }
 
 /// Whether a response may be that to an earlier request on the connection, once more, so that it
@@ -154,7 +156,7 @@
 async fn classify<D: Codec>(
     clock: &impl Clock,
     upstreams: &Upstreams,
-    choice: &Choice,
+    streams: bool,
     response: Response<Incoming>,
     upstream: Upstream,
 ) -> Result<Answer, Verdict> {
@@ -163,7 +165,7 @@
     let keep_alive = reply.keep_alive;
     let outcome = reply.outcome;
     headers::strip(&mut head.headers);
-    if outcome == Outcome::Answered && choice.streams {
+    if outcome == Outcome::Answered && streams {
         return Ok(Answer::Streamed {
             head,
             body,
--- a/tests/faulty_answers.rs
+++ b/tests/faulty_answers.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
 use nutmegyoke_cases::cases;
 use support::gateway::{
     ERROR_RESPONSE, Gateway, NOT_EXECUTED_RESPONSE, OK_RESPONSE, call, config, poll_until,
@@ -229,3 +232,19 @@
         200
     ),
 });
+
+/// HTTP/1.0 has no chunks, so the end of the connection is the end of the answer.
+#[test]
+fn cut_stream_does_not_look_complete_to_a_client_of_http_1_0() {
+    let (gateway, _upstreams) =
+        Gateway::spawn_with_endpoints(&[Action::SendAndClose(BROKEN_STREAM)]);
+    let request = String::from_utf8(request_bytes("/chat/1", "r1")).unwrap();
+    let request = request.replace("HTTP/1.1", "HTTP/1.0");
+    let mut stream = TcpStream::connect(gateway.clients).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8(answer).unwrap();
+    let failed = !answer.contains(" 200 OK");
+    assert!(ended.is_err() || failed, "{answer}");
+}
