Follow endpoints that leave or ask for a pause in their answers

What callers saw: requests went on to an engine that had said in its answers that it leaves, until a heartbeat said so, and to one that had answered 503 with Retry-After, before that time was over.

Cause: neither header of an endpoint was read.

The fix: the platform's folder decodes both from every answer into `process::signal::Signal`. A departure becomes the draining state that a heartbeat sets, is gossiped in the same way, and now holds until the next start, whatever later heartbeats say. An endpoint that wants a pause is passed over by this gateway for first attempts, retries, queued and throttled requests; if all do, the request is refused at once with the shortest time left and the reason `endpoint_paused`. NY0508 to NY0510 tell departures, pauses and statements that can't be read.

What the tests that use it check is the same.

--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -11,7 +11,8 @@
 use crate::process::placement::Step;
 use crate::process::quarantine::{Crash, Culprit, Evidence};
 use crate::process::registry::{Announcement, Rumor};
-use crate::process::throttle::{Notice, Permit};
+use crate::process::signal::Signal;
+use crate::process::throttle::Permit;
 use crate::request::{Passthrough, Verdict};
 use crate::version::routing::Pool;
 use crate::version::{Model, Routing};
@@ -32,7 +33,7 @@
     /// Another part of the answer came.
     Progressed { call: u64 },
     /// The endpoint's answer begins; `notice` is what it says of the endpoint's limit.
-    Replied { call: u64, notice: Notice },
+    Replied { call: u64, signal: Signal },
     /// Another gateway asks for a permit to send a request to an endpoint that this gateway
     /// owns. `rate` is the limit as the other knows it.
     PermitAsked {
@@ -141,6 +142,13 @@
     ReportLimit { endpoint: String, rate: Option<f64> },
     /// Log that an endpoint names a limit that is not a number that is 0 or more.
     ReportMalformedLimit { endpoint: String },
+    /// Log that an endpoint said in an answer that it leaves.
+    ReportDeparture { endpoint: String },
+    /// Log that an endpoint wants no requests from this gateway for a time.
+    ReportPause { endpoint: String, pause: Duration },
+    /// Log that an endpoint's statement about its departure or a pause could not be read, or
+    /// that the pause was cut to the longest one.
+    ReportMalformedSignal { endpoint: String },
     /// Send the request to an endpoint.
     Dispatch {
         call: u64,
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod queue;
 mod refusal;
 pub mod retry_budget;
+mod signal;
 mod slow;
 mod throttle;
 pub mod tracker;
@@ -288,7 +289,11 @@
                 started_ms,
                 refused,
             } => self.endpoint_probed(now, endpoint, started_ms, refused, out),
-            Event::Replied { call, notice } => return self.record_limit(now, call, notice, out),
+            Event::Replied { call, signal } => {
+                if !self.record_signal(now, call, &signal, out) {
+                    return;
+                }
+            }
             Event::PermitAsked {
                 call,
                 endpoint,
--- a/crates/nutmegyoke-core/src/process/gateway/pick.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/pick.rs
@@ -62,7 +62,7 @@
     /// The endpoint with the lowest cost that has not been tried, and the number of candidates.
     pub(super) fn pick(&self, now: Instant, call: &Call) -> Option<(Rc<Announcement>, usize)> {
         let rows = self.registry.rows().filter(|row| is_usable(call, row));
-        let rows = rows.filter(|row| self.denied_until(now, row).is_none());
+        let rows = rows.filter(|row| self.denial(now, row).is_none());
         let rows: Vec<&Row> = rows.collect();
         let healthy: Vec<&Row> = rows
             .iter()
@@ -93,7 +93,10 @@
         let mut rows = self.registry.rows();
         rows.any(|row| {
             let other = call.endpoint() != Some(row.announcement.id.as_str());
-            other && is_usable(call, row) && self.is_healthy(now, row)
+            other
+                && is_usable(call, row)
+                && self.is_healthy(now, row)
+                && self.denial(now, row).is_none()
         })
     }
 
@@ -189,12 +192,16 @@
 
 /// Whether an endpoint can take the request and has not been tried, healthy or not.
 pub(super) fn is_usable(call: &Call, row: &Row) -> bool {
+    let id = &row.announcement.id;
+    serves(call, row) && !call.tried.contains(id) && !call.declined.contains(id)
+}
+
+/// Whether an endpoint can take the request, tried or not.
+pub(super) fn serves(call: &Call, row: &Row) -> bool {
     let announcement = &row.announcement;
     let held = |model| announcement.models.contains(model);
     row.accepts_requests()
         && announcement.service == call.service
-        && !call.tried.contains(&announcement.id)
-        && !call.declined.contains(&announcement.id)
         && call.model.as_ref().is_none_or(held)
 }
 
--- a/crates/nutmegyoke-core/src/process/gateway/prepare.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/prepare.rs
@@ -38,7 +38,7 @@
         let known = self
             .registry
             .row(&endpoint)
-            .filter(|row| row.accepts_requests());
+            .filter(|row| self.takes_requests(now, row));
         let known = known.map(|row| Rc::clone(&row.announcement));
         match known.filter(|_| held) {
             Some(endpoint) => self.send(now, number, endpoint, out),
--- a/crates/nutmegyoke-core/src/process/gateway/queue.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/queue.rs
@@ -172,8 +172,8 @@
         } else {
             Halt::NoOther
         };
-        let reason = if turn.is_some() {
-            Reason::EndpointLimited
+        let reason = if let Some((_, reason)) = turn {
+            reason
         } else if call.declined.is_empty() {
             Reason::NoEndpoint
         } else {
@@ -187,7 +187,7 @@
             self.demand.count_tokens(now, model, tokens);
         }
         self.remove_call(number);
-        let delay = turn.map_or(RETRY_AFTER, |turn| turn.saturating_duration_since(now));
+        let delay = turn.map_or(RETRY_AFTER, |(turn, _)| turn.saturating_duration_since(now));
         refuse_until(number, verdict, halt, delay, out);
     }
 
--- a/crates/nutmegyoke-core/src/process/gateway/throttle.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/throttle.rs
@@ -14,6 +14,7 @@
 use super::{Command, Gateway, Sink};
 use crate::process::registry::{Announcement, Row};
 use crate::process::throttle::{Notice, Permit};
+use crate::request::Reason;
 
 /// How long a gateway that did not answer is not asked for permits. Gossip finds out within
 /// this time whether it can be reached.
@@ -24,16 +25,17 @@
 const MAX_WAIT_DIVISOR: u32 = 2;
 
 impl Gateway {
-    /// Records what the endpoint of a request says of its limit.
-    pub(super) fn record_limit<S>(&mut self, now: Instant, number: u64, notice: Notice, out: &mut S)
-    where
+    /// Records what an endpoint says of its limit.
+    pub(super) fn record_limit<S>(
+        &mut self,
+        now: Instant,
+        id: &str,
+        started_ms: u64,
+        notice: Notice,
+        out: &mut S,
+    ) where
         S: Sink<Command = Command>,
     {
-        let id = self.calls.get(&number).and_then(Call::endpoint);
-        let Some(row) = id.and_then(|id| self.registry.row(id)) else {
-            return;
-        };
-        let (id, started_ms) = (row.announcement.id.as_str(), row.stamp.started_ms);
         if notice == Notice::Malformed {
             out.push(Command::ReportMalformedLimit {
                 endpoint: id.to_owned(),
@@ -129,7 +131,7 @@
             return self.apply_permit(now, number, permit, out);
         }
         self.suspended_owners.insert(owner, now + OWNER_SUSPENSION);
-        match self.throttled_endpoint(number) {
+        match self.throttled_endpoint(now, number) {
             Some(endpoint) => self.send(now, number, endpoint, out),
             None => self.reroute(now, number, out),
         }
@@ -145,26 +147,43 @@
                 return;
             }
             self.turns.pop_first();
-            match self.throttled_endpoint(number) {
+            match self.throttled_endpoint(now, number) {
                 Some(endpoint) => self.dispatch(now, number, endpoint, out),
                 None => self.reroute(now, number, out),
             }
         }
     }
 
-    /// When the first of the endpoints that could take the request admits requests again;
-    /// `None` if none of them has denied one.
-    pub(super) fn next_turn(&self, now: Instant, call: &Call) -> Option<Instant> {
+    /// When the first of the endpoints that could take the request takes requests again, and why
+    /// it does not now; `None` if no endpoint that has not been tried denies requests, and not all
+    /// of those that were tried do.
+    pub(super) fn next_turn(&self, now: Instant, call: &Call) -> Option<(Instant, Reason)> {
         let rows = self.registry.rows();
-        let rows = rows.filter(|row| super::pick::is_usable(call, row));
-        rows.filter_map(|row| self.denied_until(now, row)).min()
+        let serving: Vec<&Row> = rows.filter(|row| super::pick::serves(call, row)).collect();
+        let untried = serving
+            .iter()
+            .filter(|row| super::pick::is_usable(call, row));
+        let turns = untried.filter_map(|row| self.denial(now, row));
+        let turn = turns.min_by_key(|&(until, _)| until);
+        turn.or_else(|| {
+            let denials = serving.iter().map(|row| self.denial(now, row));
+            let denials = denials.collect::<Option<Vec<_>>>()?;
+            denials.into_iter().min_by_key(|&(until, _)| until)
+        })
     }
 
-    /// When an endpoint that has denied a request admits requests again.
-    pub(super) fn denied_until(&self, now: Instant, row: &Row) -> Option<Instant> {
-        self.limit(now, &row.announcement)?;
+    /// Until when an endpoint takes no requests of this gateway, because it has no turn for
+    /// them or asked for a pause, and which of the two.
+    pub(super) fn denial(&self, now: Instant, row: &Row) -> Option<(Instant, Reason)> {
         let tracker = self.trackers.get(&row.announcement.id)?;
-        tracker.denied_until.filter(|&until| now < until)
+        let limited = self.limit(now, &row.announcement);
+        let limited = limited.and(tracker.denied_until);
+        let limited = limited.map(|until| (until, Reason::EndpointLimited));
+        let paused = tracker.paused_until(row.stamp.started_ms);
+        let paused = paused.map(|until| (until, Reason::EndpointPaused));
+        let denials = [limited, paused].into_iter().flatten();
+        let denials = denials.filter(|&(until, _)| now < until);
+        denials.max_by_key(|&(until, _)| until)
     }
 
     fn apply_permit<S>(&mut self, now: Instant, number: u64, permit: Permit, out: &mut S)
@@ -197,13 +216,14 @@
         }
     }
 
-    /// The endpoint of a request that waits for a permit or its turn, unless it has left.
-    fn throttled_endpoint(&self, number: u64) -> Option<Rc<Announcement>> {
+    /// The endpoint of a request that waits for a permit or its turn, unless it has left or asked
+    /// for a pause.
+    fn throttled_endpoint(&self, now: Instant, number: u64) -> Option<Rc<Announcement>> {
         let Stage::Throttled { endpoint, .. } = &self.calls.get(&number)?.stage else {
             return None;
         };
         let row = self.registry.row(endpoint);
-        let row = row.filter(|row| row.accepts_requests())?;
+        let row = row.filter(|row| self.takes_requests(now, row))?;
         Some(Rc::clone(&row.announcement))
     }
 
--- a/crates/nutmegyoke-core/src/process/gateway/tracker.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/tracker.rs
@@ -58,6 +58,10 @@
     declined_at: Option<Instant>,
     /// Until when the endpoint admits no requests, because of its limit.
     pub denied_until: Option<Instant>,
+    /// The end of the latest pause that the endpoint asked for.
+    paused_until: Option<Instant>,
+    /// Whether it was reported that a statement of the endpoint could not be read.
+    pub malformed_reported: bool,
     /// Failures since the last success. An unreachable or silent endpoint counts as
     /// [`FAILURES_TO_EJECT`] failures.
     consecutive_failures: u32,
@@ -81,12 +85,30 @@
             self.steward_answered = None;
             self.declined_at = None;
             self.denied_until = None;
+            self.paused_until = None;
+            self.malformed_reported = false;
             self.consecutive_failures = 0;
             self.ejected_until = None;
             self.silent_since = None;
         }
     }
 
+    /// Records that the endpoint wants no requests before `until`. Returns whether that is later
+    /// than known before.
+    pub fn pause(&mut self, until: Instant) -> bool {
+        let is_later = self.paused_until.is_none_or(|known| known < until);
+        if is_later {
+            self.paused_until = Some(until);
+        }
+        is_later
+    }
+
+    /// The end of the latest pause, if the endpoint asked for one since this start.
+    #[must_use]
+    pub fn paused_until(&self, started_ms: u64) -> Option<Instant> {
+        self.paused_until.filter(|_| self.started_ms == started_ms)
+    }
+
     /// Whether the endpoint is ejected: it failed repeatedly or is unresponsive.
     #[must_use]
     pub fn is_ejected(&self, now: Instant) -> bool {
--- a/crates/nutmegyoke-core/src/process/mod.rs
+++ b/crates/nutmegyoke-core/src/process/mod.rs
@@ -24,6 +24,7 @@
 pub mod quarantine;
 pub mod registry;
 pub mod report;
+pub mod signal;
 pub mod steward;
 pub mod throttle;
 pub mod update;
--- a/crates/nutmegyoke-core/src/process/registry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/registry/mod.rs
@@ -62,6 +62,13 @@
     }
 }
 
+impl Row {
+    /// Whether the start `started_ms` of the endpoint leaves.
+    fn is_leaving(&self, started_ms: u64) -> bool {
+        self.announcement.phase == Phase::Draining && self.stamp.started_ms == started_ms
+    }
+}
+
 impl Registry {
     /// The revision of the latest change.
     #[must_use]
@@ -111,6 +118,24 @@
         true
     }
 
+    /// Records that the start `started_ms` of an endpoint leaves, as it says in its answers, which
+    /// may be before its heartbeats do. Returns whether that is new.
+    pub fn record_departure(&mut self, now: Instant, id: &str, started_ms: u64) -> bool {
+        let Some(row) = self.rows.get_mut(id) else {
+            return false;
+        };
+        if !row.accepts_requests() || row.stamp.started_ms != started_ms {
+            return false;
+        }
+        let mut announcement = Announcement::clone(&row.announcement);
+        announcement.phase = Phase::Draining;
+        row.announcement = Rc::new(announcement);
+        row.last_heard = row.last_heard.max(now);
+        self.revision += 1;
+        row.changed_revision = self.revision;
+        true
+    }
+
     /// Applies a rumor of another gateway. Returns whether the endpoint's state has changed.
     pub fn apply(&mut self, now: Instant, rumor: &Rumor) -> bool {
         let last_heard = now.checked_sub(rumor.age).unwrap_or(now);
@@ -167,8 +192,20 @@
     /// it once for each pair of gateways.
     fn update(&mut self, last_heard: Instant, announcement: &Announcement, direct: bool) -> bool {
         let known = self.rows.get(&announcement.id);
+        let (id, started_ms) = (&announcement.id, announcement.stamp.started_ms);
         let changed = match known {
+            // The heartbeat that the rumor of a departure has with it may be known already.
+            Some(row)
+                if announcement.stamp <= row.stamp && announcement.phase == Phase::Draining =>
+            {
+                return self.record_departure(last_heard, id, started_ms);
+            }
             Some(row) if announcement.stamp <= row.stamp => return false,
+            // An endpoint that leaves does so until its next start, whatever its heartbeats say.
+            Some(row) if row.is_leaving(started_ms) && announcement.phase == Phase::Ready => {
+                self.renew(last_heard, id, announcement.stamp);
+                return false;
+            }
             // An endpoint that signed off is listed again only after a restart.
             Some(row)
                 if row.signed_off && announcement.stamp.started_ms <= row.stamp.started_ms =>
--- a/crates/nutmegyoke-core/src/process/throttle/limit.rs
+++ b/crates/nutmegyoke-core/src/process/throttle/limit.rs
@@ -15,9 +15,10 @@
 const CHANGE_FRACTION: f64 = 0.1;
 
 /// What an answer says of the endpoint's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Notice {
     /// There is no limit.
+    #[default]
     Unlimited,
     /// The endpoint takes this many requests a second from all gateways together.
     Limited { rate: f64 },
--- a/crates/nutmegyoke-core/src/request/reason.rs
+++ b/crates/nutmegyoke-core/src/request/reason.rs
@@ -59,6 +59,8 @@
     Quarantined,
     /// All endpoints that could take the request are at the limits that they name.
     EndpointLimited,
+    /// All endpoints that could take the request asked for a pause.
+    EndpointPaused,
     /// The agent could not be reached.
     Unreachable,
     /// The link broke after the request had been sent.
--- a/crates/nutmegyoke-core/tests/crash.rs
+++ b/crates/nutmegyoke-core/tests/crash.rs
@@ -315,16 +315,6 @@
         fleet.feed(0, Event::AttemptEnded { call, verdict });
         fleet.probe(0, &endpoint, true);
         fleet.now += SECOND;
-        let announcement = &Announcement {
-            phase: Phase::Draining,
-            stamp: Stamp {
-                started_ms: 1,
-                sequence: 2,
-            },
-            ..Announcement::clone(&endpoint)
-        };
-        // Keeps the next request off this engine.
-        fleet.feed(0, Event::Announced { announcement });
     }
 }
 
--- a/crates/nutmegyoke-core/tests/throttle.rs
+++ b/crates/nutmegyoke-core/tests/throttle.rs
@@ -9,6 +9,7 @@
 use fleet::gateways::{Fleet, engines};
 use nutmegyoke_cases::{cases, config};
 use nutmegyoke_core::process::gateway::{Command, Event};
+use nutmegyoke_core::process::signal::Signal;
 use nutmegyoke_core::process::throttle::{Limits, Notice, Pacer, Permit, Statement};
 use nutmegyoke_core::request::{Reason, Verdict};
 use proptest::prelude::*;
@@ -70,10 +71,13 @@
             let Some((_, gateway, call, endpoint)) = self.running.pop_front() else {
                 return;
             };
-            let notice = notice(&endpoint);
+            let signal = Signal {
+                limit: notice(&endpoint),
+                ..Signal::default()
+            };
             let verdict = Verdict::Ran;
             for event in [
-                Event::Replied { call, notice },
+                Event::Replied { call, signal },
                 Event::AnswerStarted { call },
                 Event::AttemptEnded { call, verdict },
             ] {
--- a/crates/nutmegyoke-host/src/process/codec.rs
+++ b/crates/nutmegyoke-host/src/process/codec.rs
@@ -9,7 +9,7 @@
 use http::{Method, StatusCode};
 use nutmegyoke_core::process::endpoint::Target;
 use nutmegyoke_core::process::registry::Announcement;
-use nutmegyoke_core::process::throttle::Notice;
+use nutmegyoke_core::process::signal::Signal;
 use nutmegyoke_core::request::passthrough::Part;
 use nutmegyoke_core::version::routing::Draft;
 
@@ -95,8 +95,8 @@
     pub outcome: Outcome,
     /// How long the endpoint keeps an idle connection open, if given.
     pub keep_alive: Option<Duration>,
-    /// What it says of the requests that the endpoint takes.
-    pub notice: Notice,
+    /// What it says of the endpoint.
+    pub signal: Signal,
 }
 
 /// The outcome of a request at an endpoint.
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -198,6 +198,13 @@
     LimitChanged { id: &'a str, rate: Option<f64> },
     /// An endpoint named a limit that is not a number that is 0 or more.
     LimitMalformed { id: &'a str },
+    /// An endpoint said in an answer that it leaves.
+    EndpointLeaving { id: &'a str },
+    /// An endpoint wants no requests from this gateway for a time.
+    EndpointPaused { id: &'a str, pause_ms: u64 },
+    /// An endpoint's statement about its departure or a pause could not be read, or the pause was
+    /// cut to the longest one.
+    SignalMalformed { id: &'a str },
     /// The steward of an engine did not answer.
     StewardSilent { address: SocketAddr, why: &'a str },
     /// The steward sent an order to its engine.
@@ -281,6 +288,9 @@
             Self::EndpointCrashed => 505,
             Self::LimitChanged => 506,
             Self::LimitMalformed => 507,
+            Self::EndpointLeaving => 508,
+            Self::EndpointPaused => 509,
+            Self::SignalMalformed => 510,
             Self::Throttled => 308,
             Self::StewardSilent => 403,
             Self::CallUnanswered => 404,
@@ -316,6 +326,7 @@
             | Self::EndpointCrashed { .. }
             | Self::Quarantined { .. }
             | Self::LimitMalformed { .. }
+            | Self::SignalMalformed { .. }
             | Self::Volatile
             | Self::DiskFull { .. }
             | Self::AnnouncementRefused { .. } => Level::Warn,
--- a/crates/nutmegyoke-host/src/process/gateway/gossip.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/gossip.rs
@@ -206,6 +206,17 @@
                 let event = Event::LimitMalformed { id: &endpoint };
                 gateway.log_sampled(&event, false);
             }
+            Command::ReportDeparture { endpoint } => {
+                Event::EndpointLeaving { id: &endpoint }.log();
+            }
+            Command::ReportPause { endpoint, pause } => {
+                let pause_ms = milliseconds(pause);
+                let id = &endpoint;
+                gateway.log_sampled(&Event::EndpointPaused { id, pause_ms }, false);
+            }
+            Command::ReportMalformedSignal { endpoint } => {
+                Event::SignalMalformed { id: &endpoint }.log();
+            }
             Command::ReportCulprit { culprit } => gateway.log_culprit(&culprit),
             Command::Record { demand } => gateway.control.record_demand(&demand),
             Command::CountRetry { verdict, allowed } => {
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -101,6 +101,9 @@
             | Self::ReportCulprit { .. }
             | Self::ReportLimit { .. }
             | Self::ReportMalformedLimit { .. }
+            | Self::ReportDeparture { .. }
+            | Self::ReportPause { .. }
+            | Self::ReportMalformedSignal { .. }
             | Self::Record { .. }
             | Self::CountRetry { .. } => None,
         }
--- a/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response, Version};
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::registry::Announcement;
-use nutmegyoke_core::process::throttle::Notice;
+use nutmegyoke_core::process::signal::Signal;
 use nutmegyoke_core::request::{Reason, Verdict};
 
 use super::headers;
@@ -68,7 +68,7 @@
 }
 
 /// Sends the request, over an idle connection if there is one, and receives the answer. Calls
-/// `on_notice` with what the answer says of the endpoint's limit.
+/// `on_signal` with what the answer says of the endpoint.
 ///
 /// # Errors
 ///
@@ -78,7 +78,7 @@
     upstreams: &Upstreams,
     template: &Template<'_>,
     choice: &Choice,
-    on_notice: impl FnOnce(Notice),
+    on_signal: impl FnOnce(Signal),
 ) -> Result<Answer, Verdict> {
     let address = choice.endpoint.address;
     let started = clock.now();
@@ -116,7 +116,7 @@
     if may_be_repeated(template.id, reply.id, is_reused) {
         return Err(Verdict::may_have_run(Reason::Duplicate));
     }
-    on_notice(reply.notice);
+    on_signal(reply.signal);
     // A client of HTTP/1.0 gets no chunks, so a stream that is cut would look complete.
     let streams = choice.streams && template.head.version > Version::HTTP_10;
     classify::<D>(clock, upstreams, streams, response, upstream).await
--- a/crates/nutmegyoke-host/src/request/passthrough/mod.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/mod.rs
@@ -151,9 +151,9 @@
                     streams,
                 };
                 let clock = gateway.driver().clock();
-                let on_notice = |notice| gateway.driver().feed(Input::Replied { call, notice });
+                let on_signal = |signal| gateway.driver().feed(Input::Replied { call, signal });
                 let running =
-                    attempt::run::<D>(clock, gateway.upstreams(), &template, &choice, on_notice);
+                    attempt::run::<D>(clock, gateway.upstreams(), &template, &choice, on_signal);
                 match race(&mut handle, running).await {
                     Either::Left(Ok(Answer::Buffered { response })) => {
                         handle.finish(Verdict::Ran);
--- a/crates/nutmegyoke-wire/src/request/failure.rs
+++ b/crates/nutmegyoke-wire/src/request/failure.rs
@@ -117,6 +117,7 @@
         Reason::NoEndpoint
         | Reason::Quarantined
         | Reason::EndpointLimited
+        | Reason::EndpointPaused
         | Reason::NoConfiguration
         | Reason::Unreachable
         | Reason::QueueFull
@@ -167,7 +168,7 @@
         Reason::Quarantined => {
             "it crashed several endpoints, or has a prompt part that did; change it"
         }
-        Reason::EndpointLimited => {
+        Reason::EndpointLimited | Reason::EndpointPaused => {
             "the endpoints take no more requests for now; try again as Retry-After says"
         }
         Reason::Unreachable => "no agent could be reached; try again",
