Soak gateways with silent connections, added routes, and engines that leave or pause

All gateways are behind relays now, whose connections go silent beside the other faults. A thread publishes documents that each add a route, and clients ask any gateway for the newest route that was acknowledged; 404 is a failure.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -1,5 +1,6 @@
 //! Soak test of gateways: clients send requests, some of which crash engines, while engines
-//! name limits and gateways are stopped, paused, killed and restarted at random.
+//! name limits, leave and ask for pauses, documents add routes, and gateways are stopped, paused,
+//! killed and restarted, and their connections to each other silenced, at random.
 //!
 //! It checks what clients and engines see. `NUTMEGYOKE_SOAK_SECONDS` sets the duration,
 //! `NUTMEGYOKE_SOAK_GATEWAYS` the number of gateways, and `NUTMEGYOKE_SEED` the seed. The test
@@ -10,11 +11,11 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use support::engines::{Arrival, DEADLY_PART, Engines, LIMIT};
+use support::engines::{Arrival, DEADLY_PART, Engines, LIMIT, Silence};
 use support::gateway::{call, config, poll_until};
 use support::gateways::{Addresses, Gateways};
 use support::upstream::{Answer, parse_answer};
@@ -31,6 +32,18 @@
 /// The time that a client waits for more of an answer. Longer than the timeout of any route.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How long a request may take to reach an engine after the answer that it leaves.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// How long requests that were on their way may reach an engine after it asked for a pause.
+const PAUSE_SLACK: Duration = Duration::from_millis(500);
+
+/// The longest time that a gateway may take to acknowledge a document.
+const PUBLISH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// One request in so many is for a route that a document added.
+const NEW_ROUTE_RATIO: u8 = 8;
+
 /// The window in which requests are counted against a limit.
 const WINDOW: Duration = Duration::from_secs(4);
 
@@ -53,6 +66,10 @@
     outcomes: Mutex<Vec<Outcome>>,
     /// When each gateway was disturbed, and when it had recovered.
     faults: Mutex<Vec<(usize, Instant, Instant)>>,
+    /// The number of the newest document that was acknowledged.
+    acknowledged: AtomicU64,
+    /// The requests for routes that had been added, and how many of them got 404.
+    new_routes: Mutex<(usize, usize)>,
     stopped: AtomicBool,
 }
 
@@ -90,6 +107,9 @@
             // The first second is without deadly requests, so that parts are known to be sound.
             let deadly = !booking && rng.u8(..20) == 0 && self.start.elapsed().as_secs() >= 1;
             let id = format!("c{number}-{count}");
+            if rng.u8(..NEW_ROUTE_RATIO) == 0 {
+                self.ask_for_new_route(rng.usize(..self.gateways), &format!("n{number}-{count}"));
+            }
             let path = if booking { "/book/1" } else { "/chat/1" };
             let middle = if deadly { DEADLY_PART } else { "b2" };
             let request = format!(
@@ -141,7 +161,7 @@
             if paused.iter().any(|row| row.1 == gateway) {
                 continue;
             }
-            match rng.u8(..5) {
+            match rng.u8(..6) {
                 0 => {
                     gateways.signal(gateway, "STOP");
                     let time = Duration::from_millis(rng.u64(200..1500));
@@ -163,7 +183,17 @@
                     self.record_fault(gateway, now);
                 }
                 3 => gateways.signal(gateway, "HUP"),
-                _ => self.publish(gateway),
+                4 => {
+                    if let Some(relays) = gateways.relays.get(gateway) {
+                        relays.silence();
+                        self.record_fault(gateway, now);
+                    }
+                }
+                // Two signals at once.
+                _ => {
+                    gateways.signal(gateway, "HUP");
+                    gateways.signal(rng.usize(..self.gateways), "HUP");
+                }
             }
         }
         for (_, gateway, since) in paused {
@@ -172,15 +202,101 @@
         }
     }
 
-    /// Sends a newer document to a gateway, without waiting for the answer.
-    fn publish(&self, gateway: usize) {
-        let version = 2 + self.start.elapsed().as_secs() * 10;
-        let body = config(version).to_string();
+    /// Publishes documents, each with one route more, until the soak ends.
+    fn publish_documents(&self, seed: u64) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut document = config(1);
+        for number in 2.. {
+            if !self.running() {
+                return;
+            }
+            let mut route = document["routes"][0].clone();
+            route["name"] = format!("new-{number}").into();
+            route["path-prefix"] = format!("/new-{number}/").into();
+            document["routes"].as_array_mut().unwrap().push(route);
+            document["version"] = number.into();
+            if self.publish(rng.usize(..self.gateways), &document) {
+                self.acknowledged.store(number, Ordering::SeqCst);
+            }
+            std::thread::sleep(Duration::from_millis(rng.u64(50..700)));
+        }
+    }
+
+    /// Sends a document to a gateway. Returns whether it was acknowledged in time.
+    fn publish(&self, gateway: usize, document: &serde_json::Value) -> bool {
+        let body = document.to_string();
         let length = body.len();
         let head = format!("PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
-        if let Ok(mut stream) = TcpStream::connect(self.addresses.registrar(gateway)) {
-            let _ = stream.write_all([head, body].concat().as_bytes());
+        let Ok(mut stream) = TcpStream::connect(self.addresses.registrar(gateway)) else {
+            return false;
+        };
+        let _ = stream.set_read_timeout(Some(PUBLISH_TIMEOUT));
+        let sent = stream.write_all([head, body].concat().as_bytes());
+        let answer = sent.ok().and_then(|()| read_answer(&mut stream));
+        answer.is_some_and(|answer| answer.complete && answer.status == 200)
+    }
+
+    /// Asks a gateway for the route that the newest acknowledged document has added.
+    fn ask_for_new_route(&self, gateway: usize, id: &str) {
+        let number = self.acknowledged.load(Ordering::SeqCst);
+        let Ok(mut stream) = TcpStream::connect(self.addresses.clients(gateway)) else {
+            return;
+        };
+        let _ = stream.set_read_timeout(Some(CLIENT_TIMEOUT));
+        let request = format!(
+            "GET /new-{number}/1 HTTP/1.1\r\nHost: desk.example\r\n\
+             X-Nutmegyoke-Request-Id: {id}\r\nX-Nutmegyoke-Deadline-Ms: 2000\r\n\
+             X-Gateway: {gateway}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let sent = stream.write_all(request.as_bytes());
+        let answer = sent.ok().and_then(|()| read_answer(&mut stream));
+        if let Some(answer) = answer.filter(|answer| number > 0 && answer.complete) {
+            let mut counts = self.new_routes.lock().unwrap();
+            counts.0 += 1;
+            counts.1 += usize::from(answer.status == 404);
+        }
+    }
+
+    /// Whether a gateway that an engine told to send nothing was disturbed, or the engine started
+    /// again, before `at`.
+    fn is_excused(&self, silence: &Silence, at: Instant) -> bool {
+        let faults = self.faults.lock().unwrap();
+        let disturbed = faults.iter().any(|&(gateway, since, until)| {
+            gateway == silence.gateway && until >= silence.since && since <= at
+        });
+        let starts = self.engines.starts.lock().unwrap();
+        let restarted = starts.iter().any(|&(engine, started)| {
+            engine == silence.engine && (silence.since..at).contains(&started)
+        });
+        disturbed || restarted
+    }
+
+    /// The requests that reached an engine after it had told their gateway to send nothing.
+    fn broken_silence(&self, arrivals: &[Arrival], silence: &Silence, slack: Duration) -> usize {
+        let late = arrivals.iter().filter(|arrival| {
+            arrival.engine == silence.engine
+                && arrival.gateway == silence.gateway
+                && arrival.at > silence.since + slack
+                && silence.until.is_none_or(|until| arrival.at < until)
+                && !self.is_excused(silence, arrival.at)
+        });
+        late.count()
+    }
+
+    /// Engines that leave get nothing more, and those that asked for a pause two requests at
+    /// most. Returns how often each was asked for.
+    fn check_silences(&self, arrivals: &[Arrival]) -> (usize, usize) {
+        let departures = self.engines.departures.lock().unwrap();
+        for departure in departures.iter() {
+            let late = self.broken_silence(arrivals, departure, DRAIN_TIME);
+            assert_eq!(late, 0, "requests to an engine that leaves: {departure:?}");
+        }
+        let pauses = self.engines.pauses.lock().unwrap();
+        for pause in pauses.iter() {
+            let late = self.broken_silence(arrivals, pause, PAUSE_SLACK);
+            assert!(late <= 2, "{late} requests during a pause: {pause:?}");
         }
+        (departures.len(), pauses.len())
     }
 
     fn record_fault(&self, gateway: usize, since: Instant) {
@@ -236,7 +352,7 @@
     /// Answers are whole, bookings run once at most, and those refused as not run did not run.
     fn check_answers(&self, arrivals: &[Arrival]) -> (usize, usize) {
         let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
-        for arrival in arrivals {
+        for arrival in arrivals.iter().filter(|arrival| arrival.ran) {
             *runs.entry(&arrival.id).or_default() += 1;
         }
         let outcomes = self.outcomes.lock().unwrap();
@@ -286,7 +402,7 @@
     let seed = env_number("NUTMEGYOKE_SEED", DEFAULT_SEED);
     let count = usize::try_from(env_number("NUTMEGYOKE_SOAK_GATEWAYS", DEFAULT_GATEWAYS)).unwrap();
     let duration = Duration::from_secs(env_number("NUTMEGYOKE_SOAK_SECONDS", DEFAULT_SECONDS));
-    let mut gateways = Gateways::spawn(count, 0);
+    let mut gateways = Gateways::spawn(count, count);
     let addresses = gateways.addresses;
     let registrars = (0..count)
         .map(|gateway| addresses.registrar(gateway))
@@ -309,6 +425,8 @@
         start: Instant::now(),
         outcomes: Mutex::default(),
         faults: Mutex::default(),
+        acknowledged: AtomicU64::default(),
+        new_routes: Mutex::default(),
         stopped: AtomicBool::new(false),
     };
     std::thread::scope(|scope| {
@@ -317,6 +435,8 @@
             let seed = seed.wrapping_mul(1000) + u64::try_from(number).unwrap();
             scope.spawn(move || soak.run_client(number, seed));
         }
+        let documents = &soak;
+        scope.spawn(move || documents.publish_documents(seed));
         let limits = &soak.engines.limited_since;
         scope.spawn(move || {
             std::thread::sleep(duration / 3);
@@ -332,6 +452,12 @@
     println!("seed {seed}: {served} of {sound} sound requests served");
     let crashes = soak.check_quarantine(&arrivals);
     let peak = soak.check_limits(&arrivals);
+    let (departures, pauses) = soak.check_silences(&arrivals);
+    let (asked, unknown) = *soak.new_routes.lock().unwrap();
+    let documents = soak.acknowledged.load(Ordering::SeqCst);
+    println!("seed {seed}: {departures} answers that an engine leaves, {pauses} pauses");
+    println!("seed {seed}: {asked} requests for new routes, {documents} documents");
+    assert_eq!(unknown, 0, "404 for routes that had been acknowledged");
     println!("seed {seed}: {crashes} crashes, {peak} requests in 4 s at most at a limited engine");
     assert!(
         served * 2 > sound,
--- a/tests/support/engines.rs
+++ b/tests/support/engines.rs
@@ -1,9 +1,9 @@
-//! Endpoints for soaks: they crash on some requests and start again, name limits, send
-//! heartbeats to the gateways, and record what reaches them.
+//! Endpoints for soaks: they crash on some requests and start again, name limits, leave, ask for
+//! pauses, send heartbeats to the gateways, and record what reaches them.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,23 @@
 /// The requests a second that an engine takes while it is limited.
 pub const LIMIT: u32 = 12;
 
+/// An engine leaves after this many answers, if it does, and starts again a while later.
+const ANSWERS_TO_LEAVE: u64 = 60;
+
+/// How long an engine that leaves goes on answering.
+const LEAVING_TIME: Duration = Duration::from_secs(4);
+
+/// Every so many requests an engine asks for a pause, if it does.
+const REQUESTS_TO_PAUSE: u64 = 30;
+
+/// The pause that an engine asks for, in whole seconds.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Which engines leave, by their numbers, and which ask for pauses: one in four each.
+const LEAVES: usize = 1;
+const PAUSES: usize = 2;
+const KINDS: usize = 4;
+
 /// How long an engine is down after a crash.
 const DOWN_TIME: Duration = Duration::from_secs(1);
 
@@ -38,6 +55,28 @@
     /// The gateway that sent it, as its client named it.
     pub gateway: usize,
     pub deadly: bool,
+    /// Whether the engine ran it.
+    pub ran: bool,
+}
+
+/// A time in which a gateway must send an engine nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct Silence {
+    pub engine: usize,
+    pub gateway: usize,
+    /// When the engine asked for it.
+    pub since: Instant,
+    /// When it ends, if no other start of the engine ends it before; `None` if only that does.
+    pub until: Option<Instant>,
+}
+
+/// One start of an engine.
+#[derive(Debug)]
+struct Start {
+    /// Whether it has crashed or left.
+    ended: AtomicBool,
+    requests: AtomicU64,
+    left_at: Mutex<Option<Instant>>,
 }
 
 /// Engines of the service `desk`, and the service's bookings.
@@ -45,6 +84,12 @@
 pub struct Engines {
     pub arrivals: Mutex<Vec<Arrival>>,
     pub crashes: Mutex<Vec<Instant>>,
+    /// What engines asked of gateways by leaving.
+    pub departures: Mutex<Vec<Silence>>,
+    /// What engines asked of gateways by a pause.
+    pub pauses: Mutex<Vec<Silence>>,
+    /// When engines started, with their numbers.
+    pub starts: Mutex<Vec<(usize, Instant)>>,
     /// When engines began to name their limit.
     pub limited_since: Mutex<Option<Instant>>,
     pub stopped: AtomicBool,
@@ -73,18 +118,25 @@
         while !self.stopped.load(Ordering::SeqCst) {
             let listener = TcpListener::bind(address).unwrap();
             listener.set_nonblocking(true).unwrap();
-            let crashed = Arc::new(AtomicBool::new(false));
+            self.starts.lock().unwrap().push((number, Instant::now()));
+            let start = Arc::new(Start {
+                ended: AtomicBool::new(false),
+                requests: AtomicU64::new(0),
+                left_at: Mutex::new(None),
+            });
             let mut streams: Vec<TcpStream> = Vec::new();
-            let (engines, flag) = (Arc::clone(&self), Arc::clone(&crashed));
-            std::thread::spawn(move || engines.send_heartbeats(number, address, born, &flag));
-            while !crashed.load(Ordering::SeqCst) && !self.stopped.load(Ordering::SeqCst) {
+            let (engines, heard) = (Arc::clone(&self), Arc::clone(&start));
+            std::thread::spawn(move || {
+                engines.send_heartbeats(number, address, born, &heard);
+            });
+            while !start.has_ended() && !self.stopped.load(Ordering::SeqCst) {
                 match listener.accept() {
                     Ok((stream, _)) => {
                         stream.set_nonblocking(false).unwrap();
                         streams.push(stream.try_clone().unwrap());
-                        let (engines, crashed) = (Arc::clone(&self), Arc::clone(&crashed));
+                        let (engines, start) = (Arc::clone(&self), Arc::clone(&start));
                         std::thread::spawn(move || {
-                            engines.serve(stream, number, &crashed);
+                            engines.serve(stream, number, &start);
                         });
                     }
                     Err(error) if error.kind() == ErrorKind::WouldBlock => {
@@ -103,9 +155,9 @@
     }
 
     /// Sends the heartbeats of one start of an engine.
-    fn send_heartbeats(&self, number: usize, address: SocketAddr, born: u64, crashed: &AtomicBool) {
+    fn send_heartbeats(&self, number: usize, address: SocketAddr, born: u64, start: &Start) {
         for seq in 1.. {
-            if crashed.load(Ordering::SeqCst) || self.stopped.load(Ordering::SeqCst) {
+            if start.has_ended() || self.stopped.load(Ordering::SeqCst) {
                 return;
             }
             self.send_heartbeat(number, address, born, seq);
@@ -138,13 +190,40 @@
         }
     }
 
-    fn serve(&self, mut stream: TcpStream, engine: usize, crashed: &AtomicBool) {
+    /// Refuses a request and asks its gateway for a pause, if it is time for one. Returns whether
+    /// it did.
+    fn pause(&self, stream: &mut TcpStream, arrival: &Arrival) -> bool {
+        if arrival.ran {
+            return false;
+        }
+        let (id, seconds) = (&arrival.id, PAUSE.as_secs());
+        let answer = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nX-Nutmegyoke-Request-Id: {id}\r\n\
+             X-Nutmegyoke-Not-Executed: 1\r\nRetry-After: {seconds}\r\n\
+             Content-Length: 0\r\n\r\n"
+        );
+        let _ = stream.write_all(answer.as_bytes());
+        let since = Instant::now();
+        self.pauses.lock().unwrap().push(Silence {
+            engine: arrival.engine,
+            gateway: arrival.gateway,
+            since,
+            until: Some(since + PAUSE),
+        });
+        true
+    }
+
+    fn serve(&self, mut stream: TcpStream, engine: usize, start: &Start) {
         while let Some(received) = read_request(&mut stream) {
-            if crashed.load(Ordering::SeqCst) {
+            if start.has_ended() {
                 return;
             }
-            let arrival = self.record(engine, &received);
+            let arrival = self.record(engine, &received, start);
+            if self.pause(&mut stream, &arrival) {
+                continue;
+            }
             std::thread::sleep(ANSWER_TIME);
+            let leaves = start.leaves(engine);
             let limited = self.limited_since.lock().unwrap().is_some();
             let limit = if limited {
                 format!("Server-Limit: {LIMIT}\r\n")
@@ -165,8 +244,9 @@
             let (id, length) = (&arrival.id, body.len());
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nX-Nutmegyoke-Request-Id: {id}\r\n\
-                 X-Nutmegyoke-Server-Stamp: s1\r\n{limit}Content-Type: {kind}\r\n\
-                 Content-Length: {length}\r\n\r\n{body}"
+                 X-Nutmegyoke-Server-Stamp: s1\r\n{limit}{leaving}Content-Type: {kind}\r\n\
+                 Content-Length: {length}\r\n\r\n{body}",
+                leaving = if leaves { "Server-Leaving: 1\r\n" } else { "" },
             );
             // A deadly request ends the engine after the first event.
             let cut = if arrival.deadly {
@@ -177,13 +257,23 @@
             if stream.write_all(&answer.as_bytes()[..cut]).is_err() {
                 return;
             }
-            if arrival.deadly && !crashed.swap(true, Ordering::SeqCst) {
+            if arrival.deadly && !start.ended.swap(true, Ordering::SeqCst) {
                 self.crashes.lock().unwrap().push(Instant::now());
             }
+            if leaves && !arrival.deadly {
+                self.departures.lock().unwrap().push(Silence {
+                    engine,
+                    gateway: arrival.gateway,
+                    since: Instant::now(),
+                    until: None,
+                });
+            }
         }
     }
 
-    fn record(&self, engine: usize, received: &Received) -> Arrival {
+    fn record(&self, engine: usize, received: &Received, start: &Start) -> Arrival {
+        let count = start.requests.fetch_add(1, Ordering::SeqCst) + 1;
+        let pauses = engine % KINDS == PAUSES && count.is_multiple_of(REQUESTS_TO_PAUSE);
         let prompt = header(&received.head, "x-nutmegyoke-prompt-prefix");
         let arrival = Arrival {
             at: Instant::now(),
@@ -191,8 +281,29 @@
             id: header(&received.head, "x-nutmegyoke-request-id"),
             gateway: header(&received.head, "x-gateway").parse().unwrap_or(0),
             deadly: prompt.split(',').any(|part| part.starts_with(DEADLY_PART)),
+            ran: !pauses,
         };
         self.arrivals.lock().unwrap().push(arrival.clone());
         arrival
     }
 }
+
+impl Start {
+    fn has_ended(&self) -> bool {
+        let left_at = *self.left_at.lock().unwrap();
+        self.ended.load(Ordering::SeqCst)
+            || left_at.is_some_and(|left_at| left_at.elapsed() > LEAVING_TIME)
+    }
+
+    /// Whether the engine says from now on that it leaves.
+    fn leaves(&self, engine: usize) -> bool {
+        if engine % KINDS != LEAVES || self.requests.load(Ordering::SeqCst) < ANSWERS_TO_LEAVE {
+            return false;
+        }
+        self.left_at
+            .lock()
+            .unwrap()
+            .get_or_insert_with(Instant::now);
+        true
+    }
+}
