--- a/crates/nutmegyoke-core/src/process/registry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/registry/mod.rs
@@ -60,9 +60,7 @@
     pub fn accepts_requests(&self) -> bool {
         !self.signed_off && self.announcement.phase == Phase::Ready
     }
-}
 
-impl Row {
     /// Whether the start `started_ms` of the endpoint leaves.
     fn is_leaving(&self, started_ms: u64) -> bool {
         self.announcement.phase == Phase::Draining && self.stamp.started_ms == started_ms
