Ignore what an answer of an earlier start says of an endpoint

What callers saw: nothing yet, found by reading. An answer that was on its way when its endpoint started again would take the new start out of use, or limit it.

Cause: the statements of an answer were recorded for the start that was known when it came.

The fix: they come with the start that the request was sent to, and are ignored if it is not the current one. `answer_of_an_earlier_start_says_nothing_of_the_next` covers both statements.

--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -32,8 +32,14 @@
     AnswerStarted { call: u64 },
     /// Another part of the answer came.
     Progressed { call: u64 },
-    /// The endpoint's answer begins; `notice` is what it says of the endpoint's limit.
-    Replied { call: u64, signal: Signal },
+    /// The endpoint's answer begins; `signal` is what it says of the endpoint.
+    Replied {
+        call: u64,
+        /// The start of the endpoint that the request was sent to, in milliseconds since the Unix
+        /// epoch.
+        started_ms: u64,
+        signal: Signal,
+    },
     /// Another gateway asks for a permit to send a request to an endpoint that this gateway
     /// owns. `rate` is the limit as the other knows it.
     PermitAsked {
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -207,6 +207,19 @@
         }
     }
 
+    /// Drops what is too old to count.
+    fn drop_expired(&mut self, now: Instant) {
+        self.limits.expire(now);
+        self.pacer.expire(now);
+        self.suspended_owners.retain(|_, &mut until| now < until);
+        self.expire_breaks(now);
+        self.refute_crashes(now);
+        self.quarantine.expire(now);
+        self.registry.expire(now);
+        self.trackers
+            .retain(|id, tracker| tracker.in_flight > 0 || self.registry.row(id).is_some());
+    }
+
     /// If the registry `changed`, makes gossip due at once and has the queue served.
     fn wake_on_change(&mut self, now: Instant, changed: bool) {
         if changed {
@@ -289,8 +302,12 @@
                 started_ms,
                 refused,
             } => self.endpoint_probed(now, endpoint, started_ms, refused, out),
-            Event::Replied { call, signal } => {
-                if !self.record_signal(now, call, &signal, out) {
+            Event::Replied {
+                call,
+                started_ms,
+                signal,
+            } => {
+                if !self.record_signal(now, call, started_ms, &signal, out) {
                     return;
                 }
             }
@@ -305,17 +322,7 @@
                 owner,
                 permit,
             } => self.admitted(now, call, owner, permit, out),
-            Event::Ticked => {
-                self.limits.expire(now);
-                self.pacer.expire(now);
-                self.suspended_owners.retain(|_, &mut until| now < until);
-                self.expire_breaks(now);
-                self.refute_crashes(now);
-                self.quarantine.expire(now);
-                self.registry.expire(now);
-                self.trackers
-                    .retain(|id, tracker| tracker.in_flight > 0 || self.registry.row(id).is_some());
-            }
+            Event::Ticked => self.drop_expired(now),
         }
         self.fetch_document(now, out);
         self.send_due(now, out);
--- a/crates/nutmegyoke-core/src/process/gateway/signal.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/signal.rs
@@ -22,6 +22,7 @@
         &mut self,
         now: Instant,
         number: u64,
+        started_ms: u64,
         signal: &Signal,
         out: &mut S,
     ) -> bool
@@ -30,10 +31,12 @@
     {
         let mut changed = false;
         let id = self.calls.get(&number).and_then(Call::endpoint);
-        let Some(row) = id.and_then(|id| self.registry.row(id)) else {
+        let row = id.and_then(|id| self.registry.row(id));
+        // The endpoint may have started again since, and not mean it any more.
+        let Some(row) = row.filter(|row| row.stamp.started_ms == started_ms) else {
             return false;
         };
-        let (id, started_ms) = (row.announcement.id.clone(), row.stamp.started_ms);
+        let id = row.announcement.id.clone();
         self.record_limit(now, &id, started_ms, signal.limit, out);
         if signal.departure == Departure::Leaving {
             changed = self.registry.record_departure(now, &id, started_ms);
--- a/crates/nutmegyoke-core/tests/signal.rs
+++ b/crates/nutmegyoke-core/tests/signal.rs
@@ -33,13 +33,24 @@
     reason: Reason::QueueFull,
 };
 
+/// The start of all engines at the beginning of a test.
+const STARTED_MS: u64 = 1;
+
+fn replied(call: u64, signal: Signal) -> Event<'static> {
+    Event::Replied {
+        call,
+        started_ms: STARTED_MS,
+        signal,
+    }
+}
+
 /// Sends a request through gateway 0 to an engine, which answers with `signal` and `verdict`.
 /// Returns the engine and the commands that result.
 fn answer(fleet: &mut Fleet, signal: Signal, verdict: Verdict) -> (Announcement, Vec<Command>) {
     let Fate::Sent { endpoint, call } = fleet.ask(0, &[1]) else {
         panic!("refused");
     };
-    let mut out = fleet.feed(0, Event::Replied { call, signal });
+    let mut out = fleet.feed(0, replied(call, signal));
     out.extend(fleet.feed(0, Event::AttemptEnded { call, verdict }));
     ((*endpoint).clone(), out)
 }
@@ -113,6 +124,22 @@
     assert!(gets_requests(&mut fleet, 0, &endpoint));
 }
 
+/// An answer was on its way when the endpoint started again.
+fn answer_of_an_earlier_start_says_nothing_of_the_next(signal: Signal) {
+    let mut fleet = Fleet::open(1, &engines(2));
+    let Fate::Sent { endpoint, call } = fleet.ask(0, &[1]) else {
+        panic!("refused");
+    };
+    fleet.announce(0, &endpoint, |stamp| stamp.started_ms += 1);
+    fleet.feed(0, replied(call, signal));
+    assert!(gets_requests(&mut fleet, 0, &endpoint));
+}
+
+cases!(answer_of_an_earlier_start_says_nothing_of_the_next {
+    that_leaves: (LEAVING),
+    that_asks_for_a_pause: (paused(30 * SECOND)),
+});
+
 /// The refusal of a request, with the time after which it may come again.
 fn refusal(out: &[Command]) -> (Verdict, Option<Duration>) {
     let refusal = out.iter().find_map(|command| match command {
@@ -130,12 +157,12 @@
         panic!("refused");
     };
     let signal = paused(5 * SECOND);
-    fleet.feed(0, Event::Replied { call, signal });
+    fleet.feed(0, replied(call, signal));
     // Its retry is refused by the other engine.
     let verdict = DECLINED;
     fleet.feed(0, Event::AttemptEnded { call, verdict });
     let signal = paused(2 * SECOND);
-    fleet.feed(0, Event::Replied { call, signal });
+    fleet.feed(0, replied(call, signal));
     let out = fleet.feed(0, Event::AttemptEnded { call, verdict });
     let expected = Verdict::not_run(Reason::EndpointPaused);
     assert_eq!(refusal(&out), (expected, Some(2 * SECOND)));
@@ -153,7 +180,7 @@
         let Fate::Sent { call, .. } = fate else {
             panic!("refused");
         };
-        out.extend(fleet.feed(0, Event::Replied { call, signal }));
+        out.extend(fleet.feed(0, replied(call, signal)));
     }
     let reported = out.iter().filter_map(|command| match command {
         Command::ReportPause { pause, .. } => Some(*pause),
--- a/crates/nutmegyoke-core/tests/throttle.rs
+++ b/crates/nutmegyoke-core/tests/throttle.rs
@@ -77,7 +77,11 @@
             };
             let verdict = Verdict::Ran;
             for event in [
-                Event::Replied { call, signal },
+                Event::Replied {
+                    call,
+                    started_ms: 1,
+                    signal,
+                },
                 Event::AnswerStarted { call },
                 Event::AttemptEnded { call, verdict },
             ] {
--- a/crates/nutmegyoke-host/src/request/passthrough/mod.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/mod.rs
@@ -151,7 +151,14 @@
                     streams,
                 };
                 let clock = gateway.driver().clock();
-                let on_signal = |signal| gateway.driver().feed(Input::Replied { call, signal });
+                let started_ms = choice.endpoint.stamp.started_ms;
+                let on_signal = |signal| {
+                    gateway.driver().feed(Input::Replied {
+                        call,
+                        started_ms,
+                        signal,
+                    });
+                };
                 let running =
                     attempt::run::<D>(clock, gateway.upstreams(), &template, &choice, on_signal);
                 match race(&mut handle, running).await {
