Close connections between processes that were replaced

A capnp-rpc system runs until the other end closes, whoever holds its client; and the task that waits for the end of the connection held it as well. So each connection to a frozen process stayed, with all messages that the process had not read, and one more came each half second. The connection that lost against a concurrent one leaked in the same way, and did so before.

The fix: a link ends its task, and with it the connection, when it is dropped. The pool holds it, and each call on it does; of two concurrent connections the first is kept.

--- a/crates/nutmegyoke-host/src/connection/link.rs
+++ b/crates/nutmegyoke-host/src/connection/link.rs
@@ -9,8 +9,10 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
 use futures_channel::oneshot;
-use futures_util::AsyncReadExt;
+use futures_util::future::Shared;
+use futures_util::{AsyncReadExt, FutureExt};
 use rustix::net::sockopt;
 
 /// How long connecting to another process may take.
@@ -29,13 +31,16 @@
 /// The number of unanswered probes after which a connection is closed.
 const KEEP_ALIVE_PROBES: u32 = 2;
 
-/// An outgoing connection to a process that serves the interface `T`.
+/// An outgoing connection to a process that serves the interface `T`. It is closed when dropped.
 #[derive(Debug)]
 pub struct Link<T> {
     /// The client of the other process's interface.
     pub client: T,
     /// Resolves when the connection has ended.
-    pub lost: oneshot::Receiver<()>,
+    pub lost: Shared<oneshot::Receiver<()>>,
+    /// The task that carries messages. Without it the connection would stay open until the other
+    /// process closes it.
+    _carrier: JoinHandle<()>,
 }
 
 /// Connects to `address` and sets `TCP_NODELAY`, so that small messages are sent at once.
@@ -61,13 +66,16 @@
     let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
     let client = system.bootstrap(Side::Server);
     let (closed, lost) = oneshot::channel();
-    compio::runtime::spawn(async move {
+    let carrier = compio::runtime::spawn(async move {
         // Not logged: every call in flight fails with the same error.
         let _ = system.await;
         drop(closed);
+    });
+    Ok(Link {
+        client,
+        lost: lost.shared(),
+        _carrier: carrier,
     })
-    .detach();
-    Ok(Link { client, lost })
 }
 
 /// Serves the interface `bootstrap` on an accepted connection until it closes.
--- a/crates/nutmegyoke-host/src/connection/pool.rs
+++ b/crates/nutmegyoke-host/src/connection/pool.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection may go silent without a reset, and one that a partition held up carries nothing
 //! until the next retransmission, long after the partition. So a connection on which a call is
-//! not answered in time is replaced.
+//! not answered in time is replaced, and closed when its last call has ended.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -25,7 +25,7 @@
 
 /// An open connection.
 struct Connection<T> {
-    client: T,
+    link: Link<T>,
     /// Whether a call on it went unanswered.
     stalled: Cell<bool>,
 }
@@ -54,14 +54,15 @@
 }
 
 impl<T: FromClientHook + Clone + 'static> Pool<T> {
-    /// Returns the client for `address`, and connects if there is no connection.
+    /// Returns the client for `address`, and connects if there is no connection. It can be used
+    /// until the connection is lost, or replaced by [`Pool::call`].
     ///
     /// # Errors
     ///
     /// Connecting failed. No data was sent.
     pub async fn get(self: &Rc<Self>, address: SocketAddr) -> io::Result<T> {
         let connection = self.connection(address).await?;
-        Ok(connection.client.clone())
+        Ok(connection.link.client.clone())
     }
 
     /// Makes a call on the connection to `address`, and connects if there is none. If there is
@@ -80,7 +81,7 @@
         F: Future<Output = capnp::Result<R>>,
     {
         let connection = self.connection(address).await?;
-        let answered = compio::time::timeout(timeout, call(connection.client.clone())).await;
+        let answered = compio::time::timeout(timeout, call(connection.link.client.clone())).await;
         let Ok(answer) = answered else {
             if !connection.stalled.replace(true) {
                 self.remove(address, &connection);
@@ -99,19 +100,24 @@
         if let Some(connection) = self.connections.borrow().get(&address) {
             return Ok(Rc::clone(connection));
         }
-        let Link { client, lost } = link::dial::<T>(address).await?;
+        let link = link::dial::<T>(address).await?;
+        let lost = link.lost.clone();
+        let mut connections = self.connections.borrow_mut();
+        if let Some(connection) = connections.get(&address) {
+            // A concurrent call was faster.
+            return Ok(Rc::clone(connection));
+        }
         let connection = Rc::new(Connection {
-            client,
+            link,
             stalled: Cell::new(false),
         });
-        // Replaces the connection of a concurrent call, if there was one. The replaced
-        // connection closes after its last call.
-        let mut connections = self.connections.borrow_mut();
         connections.insert(address, Rc::clone(&connection));
-        let (pool, opened) = (Rc::clone(self), Rc::clone(&connection));
+        let (pool, opened) = (Rc::clone(self), Rc::downgrade(&connection));
         compio::runtime::spawn(async move {
             let _ = lost.await;
-            pool.remove(address, &opened);
+            if let Some(connection) = opened.upgrade() {
+                pool.remove(address, &connection);
+            }
         })
         .detach();
         Ok(connection)
--- /dev/null
+++ b/crates/nutmegyoke-host/tests/pool.rs
@@ -0,0 +1,97 @@
+//! A pool of connections to processes that answer late or never.
+
+use std::io::{self, Read};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener as AsyncListener;
+use compio::runtime::Runtime;
+use nutmegyoke_host::connection::pool::Failure;
+use nutmegyoke_host::connection::{Pool, link};
+use nutmegyoke_wire::connection::mesh_capnp::gateway;
+
+/// How often a process that never answers is called.
+const CALLS: usize = 5;
+
+/// The timeout of calls that are not answered in time.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The time after which the late process answers.
+const ANSWER_DELAY: Duration = Duration::from_millis(300);
+
+/// The timeout of calls that are answered, late or not.
+const LONG_TIMEOUT: Duration = Duration::from_secs(5);
+
+async fn ask(client: gateway::Client) -> capnp::Result<()> {
+    client.admit_request().send().promise.await.map(drop)
+}
+
+/// Accepts connections and returns how many of them the other end closes.
+fn count_closed(listener: &TcpListener) -> io::Result<usize> {
+    let streams = listener.incoming().take(CALLS);
+    let streams = streams.collect::<io::Result<Vec<_>>>()?;
+    let closed = streams.into_iter().filter_map(|mut stream| {
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        stream.read_to_end(&mut Vec::new()).ok()
+    });
+    Ok(closed.count())
+}
+
+/// Connections on which calls went unanswered stayed open, at both ends.
+#[test]
+fn replaced_connections_are_closed() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    Runtime::new().unwrap().block_on(async {
+        let closed = compio::runtime::spawn_blocking(move || count_closed(&listener));
+        let pool: Rc<Pool<gateway::Client>> = Rc::default();
+        for _ in 0..CALLS {
+            let answer = pool.call(address, SHORT_TIMEOUT, ask).await;
+            assert!(
+                matches!(answer, Err(Failure::Unanswered { .. })),
+                "{answer:?}"
+            );
+        }
+        assert_eq!(closed.await.unwrap().unwrap(), CALLS);
+    });
+}
+
+/// Answers each request late.
+struct Late;
+
+impl gateway::Server for Late {
+    async fn admit(
+        self: Rc<Self>,
+        _: gateway::AdmitParams,
+        _: gateway::AdmitResults,
+    ) -> capnp::Result<()> {
+        compio::time::sleep(ANSWER_DELAY).await;
+        Ok(())
+    }
+}
+
+#[test]
+fn calls_in_flight_on_a_replaced_connection_are_answered() {
+    Runtime::new().unwrap().block_on(async {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let listener = AsyncListener::bind(any_port).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        compio::runtime::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let client: gateway::Client = capnp_rpc::new_client(Late);
+                compio::runtime::spawn(link::serve(stream, client.client)).detach();
+            }
+        })
+        .detach();
+        let pool: Rc<Pool<gateway::Client>> = Rc::default();
+        let patient = Rc::clone(&pool);
+        let patient =
+            compio::runtime::spawn(async move { patient.call(address, LONG_TIMEOUT, ask).await });
+        compio::time::sleep(SHORT_TIMEOUT).await;
+        let unanswered = pool.call(address, SHORT_TIMEOUT, ask).await;
+        assert!(matches!(unanswered, Err(Failure::Unanswered { .. })));
+        let answer = patient.await.unwrap();
+        assert!(answer.is_ok(), "{answer:?}");
+    });
+}
