Count connecting toward the timeout of a call between processes

What callers saw: nothing that was reported; found by reading. A request whose engine lacks the adapter waits for the steward beside it, 600 ms at most. If that VM accepted no connections, it waited for up to a second more.

The fix: the timeout of a call covers both; if it ends while connecting, nothing was sent. Calls for permits, whose 150 ms are too short to tell whether a connection is silent, use `Pool::ask`, which keeps the connection.

--- a/crates/nutmegyoke-host/src/connection/pool.rs
+++ b/crates/nutmegyoke-host/src/connection/pool.rs
@@ -80,20 +80,63 @@
     where
         F: Future<Output = capnp::Result<R>>,
     {
-        let connection = self.connection(address).await?;
-        let answered = compio::time::timeout(timeout, call(connection.link.client.clone())).await;
-        let Ok(answer) = answered else {
-            if !connection.stalled.replace(true) {
-                self.remove(address, &connection);
-                Event::CallUnanswered {
-                    address,
-                    timeout_ms: milliseconds(timeout),
-                }
-                .log();
+        let used = RefCell::default();
+        let answered = self.call_within(address, timeout, &used, call).await;
+        if let (Err(Failure::Unanswered { .. }), Some(connection)) = (&answered, used.take())
+            && !connection.stalled.replace(true)
+        {
+            self.remove(address, &connection);
+            Event::CallUnanswered {
+                address,
+                timeout_ms: milliseconds(timeout),
             }
-            return Err(Failure::Unanswered { timeout });
-        };
-        Ok(answer?)
+            .log();
+        }
+        answered
+    }
+
+    /// Makes a call like [`Pool::call`], but keeps the connection if there is no answer in time:
+    /// `timeout` is too short to tell whether the connection is silent.
+    ///
+    /// # Errors
+    ///
+    /// Connecting or the call failed, or there was no answer within `timeout`.
+    pub async fn ask<R, F>(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        timeout: Duration,
+        call: impl FnOnce(T) -> F,
+    ) -> Result<R, Failure>
+    where
+        F: Future<Output = capnp::Result<R>>,
+    {
+        let used = RefCell::default();
+        self.call_within(address, timeout, &used, call).await
+    }
+
+    /// Makes a call and puts the connection into `used` when there is one.
+    async fn call_within<R, F>(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        timeout: Duration,
+        used: &RefCell<Option<Rc<Connection<T>>>>,
+        call: impl FnOnce(T) -> F,
+    ) -> Result<R, Failure>
+    where
+        F: Future<Output = capnp::Result<R>>,
+    {
+        let answered = compio::time::timeout(timeout, async {
+            let connection = self.connection(address).await?;
+            let client = connection.link.client.clone();
+            used.replace(Some(connection));
+            Ok(call(client).await?)
+        });
+        let connected = || used.borrow().is_some();
+        match answered.await {
+            Ok(answer) => answer,
+            Err(_) if connected() => Err(Failure::Unanswered { timeout }),
+            Err(_) => Err(Failure::Connect(io::ErrorKind::TimedOut.into())),
+        }
     }
 
     async fn connection(self: &Rc<Self>, address: SocketAddr) -> io::Result<Rc<Connection<T>>> {
--- a/crates/nutmegyoke-host/src/process/gateway/gossip.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/gossip.rs
@@ -108,24 +108,25 @@
         rate: f64,
         max_wait: Duration,
     ) -> Option<Permit> {
-        let call = async {
-            let client = self.gateways.get(owner).await?;
-            let mut request = client.admit_request();
-            request.get().set_endpoint(endpoint);
-            request.get().set_requests_per_second(rate);
-            request.get().set_wait_ms(milliseconds(max_wait));
-            let response = request.send().promise.await?;
-            let results = response.get()?;
-            let wait = Duration::from_millis(results.get_wait_ms());
-            capnp::Result::Ok(if results.get_granted() {
-                Permit::Granted { wait }
-            } else {
-                Permit::Denied { retry_after: wait }
-            })
-        };
-        // Not logged: gossip to a gateway that is gone fails as well. Nor is the connection
-        // replaced: a busy owner may take longer, and gossip finds out whether it is silent.
-        compio::time::timeout(PERMIT_TIMEOUT, call).await.ok()?.ok()
+        // Not logged: gossip to a gateway that is gone fails as well, and replaces a connection
+        // that is silent. A busy owner may take longer.
+        let permit = self
+            .gateways
+            .ask(owner, PERMIT_TIMEOUT, |client| async move {
+                let mut request = client.admit_request();
+                request.get().set_endpoint(endpoint);
+                request.get().set_requests_per_second(rate);
+                request.get().set_wait_ms(milliseconds(max_wait));
+                let response = request.send().promise.await?;
+                let results = response.get()?;
+                let wait = Duration::from_millis(results.get_wait_ms());
+                Ok(if results.get_granted() {
+                    Permit::Granted { wait }
+                } else {
+                    Permit::Denied { retry_after: wait }
+                })
+            });
+        permit.await.ok()
     }
 }
 
--- a/crates/nutmegyoke-host/tests/pool.rs
+++ b/crates/nutmegyoke-host/tests/pool.rs
@@ -1,9 +1,9 @@
 //! A pool of connections to processes that answer late or never.
 
 use std::io::{self, Read};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::TcpListener as AsyncListener;
 use compio::runtime::Runtime;
@@ -95,3 +95,23 @@
         assert!(answer.is_ok(), "{answer:?}");
     });
 }
+
+/// A request whose adapter was loaded by a process that accepts no connections waited for a
+/// second.
+#[test]
+fn connecting_counts_toward_the_timeout() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    rustix::net::listen(&listener, 0).unwrap();
+    // Fills the queue of connections that are not accepted.
+    let queued = (0..2).map(|_| TcpStream::connect_timeout(&address, SHORT_TIMEOUT));
+    let _queued: Vec<io::Result<TcpStream>> = queued.collect();
+    Runtime::new().unwrap().block_on(async {
+        let pool: Rc<Pool<gateway::Client>> = Rc::default();
+        let start = Instant::now();
+        let answer = pool.call(address, SHORT_TIMEOUT, ask).await;
+        let elapsed = start.elapsed();
+        assert!(matches!(answer, Err(Failure::Connect(_))), "{answer:?}");
+        assert!(elapsed < 4 * SHORT_TIMEOUT, "{elapsed:?}");
+    });
+}
