Allow for the time of the transfer before a message counts as unanswered

A large document takes longer than half a second to a gateway behind a slow link, and was then sent a second time beside itself, over the same link. With the connection closed, as it is now, what the socket had not taken yet was lost, so a document larger than its buffer might never arrive.

Cause: the timeout after which a connection counts as silent did not depend on what was sent on it. Heartbeats that follow a large message were late as well, came again on a new connection before it, and were rejected, so that the leader sent the entries once more.

Ruled out: the closing of the connection alone. With it delayed the entries are sent again all the same, because of the heartbeats.

The fix: the timeout of a message between replicas, and of a forwarded document, grows with the bytes that are unacknowledged at the other one, at 8 Mbit/s. A fetched document, whose size is not known before, has 2 s.

Evidence: `large_document_is_sent_once_over_a_slow_link` failed with 1,248,624 bytes sent of a document with 622,676; now it passes.

--- a/crates/nutmegyoke-core/src/process/control/replica/message.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use super::log::{Entry, Position};
+use super::log::{Content, Entry, Position};
 use super::{Id, Seed, Snapshot, State};
 
 /// A message between two replicas.
@@ -21,6 +21,24 @@
     pub body: Body<S>,
 }
 
+impl<S: State> Message<S> {
+    /// The approximate size of the entries or the snapshot in the message, in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        match &self.body {
+            Body::Append { entries, .. } => {
+                let changes = entries.iter().filter_map(|entry| match &entry.content {
+                    Content::Change(change) => Some(S::change_size(change)),
+                    Content::Blank | Content::Membership(_) => None,
+                });
+                changes.sum()
+            }
+            Body::Install { snapshot, .. } => snapshot.state.snapshot_size(),
+            _ => 0,
+        }
+    }
+}
+
 /// The content of a message.
 #[derive(Clone, Debug)]
 pub enum Body<S: State> {
--- a/crates/nutmegyoke-host/src/connection/link.rs
+++ b/crates/nutmegyoke-host/src/connection/link.rs
@@ -18,6 +18,10 @@
 /// How long connecting to another process may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The rate that transfers between processes may take as given, in bytes a second: 8 Mbit/s, less
+/// than half of the slowest link of the deployments, which requests share.
+const MIN_RATE: f64 = 1_000_000.0;
+
 /// How long data may stay unacknowledged before a connection between processes is closed: several
 /// retransmissions within and between regions.
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -43,6 +47,13 @@
     _carrier: JoinHandle<()>,
 }
 
+/// How long it may take to transfer `bytes` to another process.
+#[must_use]
+#[expect(clippy::cast_precision_loss, reason = "an estimate")]
+pub fn transfer_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / MIN_RATE)
+}
+
 /// Connects to `address` and sets `TCP_NODELAY`, so that small messages are sent at once.
 ///
 /// # Errors
--- a/crates/nutmegyoke-host/src/process/control/gateway.rs
+++ b/crates/nutmegyoke-host/src/process/control/gateway.rs
@@ -14,8 +14,9 @@
 
 use super::{Control, HANDOVER_DELAY, proposal};
 
-/// How long another process may take to send its routing document.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long another process may take to send its routing document, whose size is not known
+/// before. The next one is asked sooner, if there is one.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl<C: Clock + 'static> Control<C> {
     /// Publishes a routing document. Returns the number of the document in force
--- a/crates/nutmegyoke-host/src/process/control/proposal.rs
+++ b/crates/nutmegyoke-host/src/process/control/proposal.rs
@@ -18,6 +18,7 @@
 use nutmegyoke_wire::version::{acceptance, document, lists};
 
 use super::{Control, unix_millis};
+use crate::connection::link::transfer_time;
 
 /// How long a proposal is retried before it fails.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(8);
@@ -32,8 +33,9 @@
 /// How long the leader may take to answer a forwarded proposal, or another forwarded call.
 pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// How long the leader may take to answer a forwarded proposal about routing: half of
-/// [`ROUTING_TIMEOUT`], so that there is time for another try on a new connection.
+/// How long the leader may take to answer a forwarded proposal about routing, besides the time of
+/// the transfer: half of [`ROUTING_TIMEOUT`], so that there is time for another try on a new
+/// connection.
 const ROUTING_FORWARD_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// A change proposed to the replicated log, or another call for the leader, with its answer.
@@ -44,9 +46,15 @@
     /// How long the proposal is retried before it fails.
     const TIMEOUT: Duration = PROPOSAL_TIMEOUT;
 
-    /// How long the leader may take to answer if it is another process.
+    /// How long the leader may take to answer if it is another process, besides the time of the
+    /// transfer.
     const FORWARD_TIMEOUT: Duration = FORWARD_TIMEOUT;
 
+    /// The approximate size of a proposal that may be large, in bytes.
+    fn size(&self) -> usize {
+        0
+    }
+
     /// Builds the event that makes the proposal to this process's state machine. The answer
     /// goes to the mailbox with the number `call`.
     fn event<C: Clock>(&self, call: u64, clock: &C) -> Input<'_>;
@@ -80,7 +88,8 @@
                 return answer;
             }
             let forward = |leader: replica::Client| async move { proposal.forward(&leader).await };
-            if let Some(answer) = self.call_leader(P::FORWARD_TIMEOUT, forward).await {
+            let timeout = P::FORWARD_TIMEOUT + transfer_time(proposal.size());
+            if let Some(answer) = self.call_leader(timeout, forward).await {
                 return answer;
             }
             compio::time::sleep(RETRY_DELAY).await;
@@ -144,6 +153,10 @@
     const TIMEOUT: Duration = ROUTING_TIMEOUT;
     const FORWARD_TIMEOUT: Duration = ROUTING_FORWARD_TIMEOUT;
 
+    fn size(&self) -> usize {
+        self.0.source.len()
+    }
+
     fn event<C: Clock>(&self, call: u64, _: &C) -> Input<'_> {
         Input::Published {
             call,
--- a/crates/nutmegyoke-host/src/process/control/transport.rs
+++ b/crates/nutmegyoke-host/src/process/control/transport.rs
@@ -1,6 +1,8 @@
 //! Executes the state machine's background commands: sends messages to other replicas,
 //! writes the journal and wakes [`Control::changed`](super::Control::changed).
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,11 +15,13 @@
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::process::replica as wire;
 
+use crate::connection::link::transfer_time;
 use crate::connection::{Pool, pool};
 use crate::process::journal::{Failure, Journal, Medium};
 use crate::process::{Driver, Event};
 
-/// How long the receiver of a message may take to acknowledge it, which it does at once.
+/// How long the receiver of a message may take to acknowledge it, which it does at once, besides
+/// the time of the transfer.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How often a message is sent: once more, on a new connection, if the first is silent.
@@ -39,10 +43,12 @@
 {
     let (batches, queue) = mpsc::unbounded();
     compio::runtime::spawn(write_journal(driver, queue, journal, failure_sender)).detach();
+    let unacknowledged = Rc::new(Unacknowledged::default());
     while let Some(command) = background.next().await {
         match command {
             Command::Send { address, message } => {
-                compio::runtime::spawn(send(Rc::clone(&pool), address, message)).detach();
+                let (pool, unacknowledged) = (Rc::clone(&pool), Rc::clone(&unacknowledged));
+                compio::runtime::spawn(send(pool, unacknowledged, address, message)).detach();
             }
             Command::Persist { batch } => {
                 // The journal task ends only when the disk fails.
@@ -57,18 +63,53 @@
     }
 }
 
-async fn send(pool: Rc<Pool<replica::Client>>, address: SocketAddr, message: Message<Store>) {
+/// The bytes that were sent to each replica and are not acknowledged. A message follows them on
+/// its connection.
+#[derive(Debug, Default)]
+struct Unacknowledged(RefCell<HashMap<SocketAddr, usize>>);
+
+impl Unacknowledged {
+    /// Adds a message of `size` bytes and returns the total.
+    fn add(&self, address: SocketAddr, size: usize) -> usize {
+        let mut sizes = self.0.borrow_mut();
+        let total = sizes.entry(address).or_default();
+        *total += size;
+        *total
+    }
+
+    /// Removes a message of `size` bytes, acknowledged or given up.
+    fn remove(&self, address: SocketAddr, size: usize) {
+        let mut sizes = self.0.borrow_mut();
+        if let Some(total) = sizes.get_mut(&address) {
+            *total = total.saturating_sub(size);
+            if *total == 0 {
+                sizes.remove(&address);
+            }
+        }
+    }
+}
+
+/// Sends a message, and once more if its connection is silent.
+async fn send(
+    pool: Rc<Pool<replica::Client>>,
+    unacknowledged: Rc<Unacknowledged>,
+    address: SocketAddr,
+    message: Message<Store>,
+) {
+    let size = message.size();
+    let timeout = SEND_TIMEOUT + transfer_time(unacknowledged.add(address, size));
     for _ in 0..SENDS_PER_MESSAGE {
-        let delivery = pool.call(address, SEND_TIMEOUT, |client: replica::Client| {
+        let delivery = pool.call(address, timeout, |client: replica::Client| {
             let mut request = client.deliver_request();
             wire::write(&message, request.get().init_message());
             async move { request.send().promise.await.map(drop) }
         });
         // The machine tolerates messages that arrive twice, and repeats lost ones.
         if !matches!(delivery.await, Err(pool::Failure::Unanswered { .. })) {
-            return;
+            break;
         }
     }
+    unacknowledged.remove(address, size);
 }
 
 /// Writes batches in order. While one is synced, the machine collects the next.
--- a/tests/stale_configuration.rs
+++ b/tests/stale_configuration.rs
@@ -17,6 +17,12 @@
 /// The time after the acknowledgement of a document within which it must be in force.
 const IN_FORCE_TIME: Duration = Duration::from_secs(2);
 
+/// The rate of a slow link, in bytes a second.
+const SLOW_RATE: u32 = 1_000_000;
+
+/// The number of routes of a document that takes more than half a second over a slow link.
+const MANY_ROUTES: usize = 3_500;
+
 /// The document of [`config`] with the route `/new/`.
 fn config_with_new_route(version: u64) -> Value {
     let mut document = config(version);
@@ -102,3 +108,39 @@
     let answer = exchange(behind, &request_bytes("/new/1", "r1"));
     assert_eq!(answer.status, 503, "{answer:?}");
 }
+
+/// A message whose transfer takes longer than an answer was sent again meanwhile.
+#[test]
+fn large_document_is_sent_once_over_a_slow_link() {
+    let gateways = spawn();
+    for relays in &gateways.relays {
+        relays.gossip.cut();
+    }
+    let slow = &gateways.relays[GATEWAYS - 1].replica;
+    slow.limit(SLOW_RATE);
+    let mut document = config_with_new_route(2);
+    let routes = document["routes"].as_array_mut().unwrap();
+    let route = routes[0].clone();
+    for number in 0..MANY_ROUTES {
+        let mut route = route.clone();
+        route["path-prefix"] = format!("/many-{number}/").into();
+        routes.push(route);
+    }
+    let carried = slow.carried();
+    publish(gateways.addresses.registrar(0), &document);
+    let acknowledged = Instant::now();
+    // A request for the route would fetch the document.
+    let observer = format!("\"front-{}\"", GATEWAYS - 1);
+    let is_in_force = |line: &String| {
+        line.contains(&observer) && line.contains("NY0200") && line.contains("\"number\":2")
+    };
+    while !gateways.log().iter().any(is_in_force) {
+        assert!(acknowledged.elapsed() < IN_FORCE_TIME, "not in force");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    // The rest of what was sent may still come.
+    std::thread::sleep(Duration::from_secs(1));
+    let carried = slow.carried() - carried;
+    let size = u64::try_from(document.to_string().len()).unwrap();
+    assert!(carried < size * 3 / 2, "{carried} of {size} bytes");
+}
