Send replicas that do not answer only heartbeats

Cause: the leader sent each new entry to a replica that had not answered for seconds, up to 4096 of them. What a frozen process is sent waits in sockets until it goes on. Observers got a heartbeat once in an election timeout only, so that one which answered again was noticed late.

The fix: a replica that has not answered for an election timeout since it was sent something is silent.

The property test of the replicated log freezes replicas now, too.

--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -26,6 +26,17 @@
     snapshot_resend_at: Option<Instant>,
     /// When the latest append was sent, and the commit index in it.
     last_sent: Option<(Instant, u64)>,
+    /// When the leader sent the first message since the replica last answered.
+    unanswered_since: Option<Instant>,
+}
+
+impl Progress {
+    /// Whether the replica has not answered for `timeout`. It may be frozen; then everything that
+    /// is sent to it stays in memory, here or there, until it goes on.
+    fn is_silent(&self, now: Instant, timeout: Duration) -> bool {
+        let since = self.unanswered_since;
+        since.is_some_and(|since| since + timeout <= now)
+    }
 }
 
 impl<S: State> Replica<S> {
@@ -45,6 +56,7 @@
                 acked_sent_at: now,
                 snapshot_resend_at: None,
                 last_sent: None,
+                unanswered_since: None,
             });
         }
     }
@@ -87,13 +99,15 @@
         }
     }
 
-    /// Sends `id` the entries that it lacks, or a snapshot if they are compacted.
+    /// Sends `id` the entries that it lacks, or a snapshot if they are compacted. A silent replica
+    /// gets heartbeats only.
     fn send_missing<K>(&mut self, now: Instant, id: Id, heartbeat: bool, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
         let stamp = self.stamp(now);
         let election_timeout = self.setup.election_timeout;
+        let heartbeat_interval = self.heartbeat_interval();
         let resend_at = now + election_timeout;
         let observer = self
             .membership
@@ -105,22 +119,29 @@
         let Some(peer) = progress.get_mut(&id) else {
             return;
         };
-        if peer.next <= self.log.base().index {
+        let silent = peer.is_silent(now, election_timeout);
+        let base = self.log.base().index;
+        if peer.next > base {
+            peer.snapshot_resend_at = None;
+        } else if !silent {
             if peer.snapshot_resend_at.is_some_and(|at| now < at) {
                 return;
             }
             peer.snapshot_resend_at = Some(resend_at);
+            peer.unanswered_since.get_or_insert(now);
             self.send_snapshot(id, stamp, out);
             return;
         }
-        peer.snapshot_resend_at = None;
-        let window_open = peer.next <= peer.matched + MAX_IN_FLIGHT_ENTRIES;
+        let window_open = !silent && peer.next <= peer.matched + MAX_IN_FLIGHT_ENTRIES;
         let entries = if window_open {
             entries_for_message::<S>(self.log.entries_from(peer.next))
         } else {
             Vec::new()
         };
         let skip_heartbeat = peer.last_sent.is_some_and(|(at, commit)| {
+            if silent {
+                return now < at + heartbeat_interval;
+            }
             // Observers count for neither lease nor quorum, so they need few heartbeats.
             observer && commit == self.commit_index && now < at + election_timeout
         });
@@ -128,7 +149,8 @@
             return;
         }
         peer.last_sent = Some((now, self.commit_index));
-        let index = peer.next - 1;
+        peer.unanswered_since.get_or_insert(now);
+        let index = base.max(peer.next - 1);
         let term = self.log.term(index).unwrap_or_default();
         peer.next += entries.len() as u64;
         let body = Body::Append {
@@ -155,6 +177,7 @@
         peer.acked_sent_at = peer
             .acked_sent_at
             .max(self.opened_at + Duration::from_millis(stamp));
+        peer.unanswered_since = None;
         Some(peer)
     }
 
@@ -197,8 +220,8 @@
         // Ignores answers to messages sent before `next` was last moved back.
         if previous > peer.matched && previous < peer.next {
             peer.next = (peer.matched + 1).max(previous.min(last + 1));
-            self.send_missing(now, from, false, out);
         }
+        self.send_missing(now, from, false, out);
     }
 
     /// Commits and applies the entries that a majority has synced.
--- a/crates/nutmegyoke-core/tests/replica.rs
+++ b/crates/nutmegyoke-core/tests/replica.rs
@@ -43,6 +43,7 @@
     Start(usize),
     Wipe(usize),
     Isolate(usize),
+    Freeze(usize),
     Heal,
     FillDisk(usize),
     FreeDisk(usize),
@@ -59,6 +60,7 @@
         3 => vm().prop_map(Fault::Start),
         1 => vm().prop_map(Fault::Wipe),
         2 => vm().prop_map(Fault::Isolate),
+        2 => vm().prop_map(Fault::Freeze),
         3 => Just(Fault::Heal),
         1 => vm().prop_map(Fault::FillDisk),
         2 => vm().prop_map(Fault::FreeDisk),
@@ -122,7 +124,13 @@
             Fault::Isolate(vm) => {
                 simulation.isolated = [vm].into();
             }
-            Fault::Heal => simulation.isolated.clear(),
+            Fault::Freeze(vm) => {
+                simulation.frozen.insert(vm);
+            }
+            Fault::Heal => {
+                simulation.isolated.clear();
+                simulation.frozen.clear();
+            }
             Fault::FillDisk(vm) => simulation.vms[vm].disk_full = true,
             Fault::FreeDisk(vm) => simulation.vms[vm].disk_full = false,
             Fault::Advance => simulation.run(Duration::from_secs(2)),
@@ -224,6 +232,7 @@
         }
     }
     simulation.isolated.clear();
+    simulation.frozen.clear();
     simulation.link = RELIABLE;
     for vm in 0..3 {
         simulation.vms[vm].disk_full = false;
--- /dev/null
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -0,0 +1,129 @@
+//! What the leader of the replicated log sends to replicas that do not answer.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegyoke_cases::cases;
+use nutmegyoke_core::process::control::replica::Event;
+use nutmegyoke_core::process::control::store::{Change, Store};
+use nutmegyoke_core::version::Document;
+use support::{ELECTION_TIMEOUT, Link, Simulation};
+
+const LINK: Link = Link {
+    loss_percent: 0,
+    duplicate_percent: 0,
+    max_delay_ms: 2,
+};
+
+/// Three voters, and an observer.
+const REPLICAS: usize = 4;
+const OBSERVER: usize = 3;
+
+/// How often a document is published.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long a replica is frozen.
+const FREEZE_TIME: Duration = Duration::from_secs(8);
+
+/// How long a replica may take to have all documents once it goes on.
+const CATCH_UP_TIME: Duration = Duration::from_millis(500);
+
+/// How a replica is made not to answer.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// It gets all messages when it goes on, in any order.
+    Frozen,
+    /// Messages are lost.
+    Isolated,
+}
+
+fn spawn() -> Simulation<Store> {
+    let mut simulation =
+        Simulation::open_with_contacts(REPLICAS, 1, LINK, |replica| replica == OBSERVER);
+    simulation.run(Duration::from_secs(20));
+    simulation
+}
+
+fn publish(simulation: &mut Simulation<Store>, number: u64) {
+    let leader = simulation.leader().expect("no leader");
+    let document = Rc::new(Document {
+        number,
+        source: number.to_string().into_bytes().into(),
+    });
+    let change = Change::Publish { document };
+    let event = Event::Proposed {
+        call: number,
+        change: &change,
+    };
+    simulation.feed(leader, event);
+    simulation.run(PUBLISH_INTERVAL);
+}
+
+fn document(simulation: &Simulation<Store>, replica: usize) -> u64 {
+    let replica = simulation.vms[replica].replica.as_ref().unwrap();
+    let document = replica.state().document.as_ref();
+    document.map_or(0, |document| document.number)
+}
+
+/// A fleet in which a replica did not answer while documents were published.
+struct Fleet {
+    simulation: Simulation<Store>,
+    silent: usize,
+    /// The number of the last document, and of the entries that the replica lacks.
+    published: u64,
+}
+
+impl Fleet {
+    fn open(fault: Fault, is_voter: bool) -> Self {
+        let mut simulation = spawn();
+        let leader = simulation.leader().expect("no leader");
+        let silent = if is_voter { (leader + 1) % 3 } else { OBSERVER };
+        match fault {
+            Fault::Frozen => simulation.frozen = [silent].into(),
+            Fault::Isolated => simulation.isolated = [silent].into(),
+        }
+        simulation.entries_sent.clear();
+        let count = FREEZE_TIME.as_millis() / PUBLISH_INTERVAL.as_millis();
+        let published = u64::try_from(count).unwrap();
+        for number in 1..=published {
+            publish(&mut simulation, number);
+        }
+        Self {
+            simulation,
+            silent,
+            published,
+        }
+    }
+
+    /// Lets the replica answer again; then it has to have all documents in time.
+    fn end_silence(&mut self) {
+        self.simulation.frozen.clear();
+        self.simulation.isolated.clear();
+        self.simulation.run(CATCH_UP_TIME);
+        assert_eq!(document(&self.simulation, self.silent), self.published);
+    }
+
+    /// How many entries were sent to the replica.
+    fn sent(&self) -> u64 {
+        let sent = self.simulation.entries_sent.get(&self.silent);
+        sent.map_or(0, |&count| u64::try_from(count).unwrap())
+    }
+}
+
+/// The leader kept in memory all that it sent to a replica which did not answer.
+fn silent_replica_is_sent_no_entries(fault: Fault, is_voter: bool) {
+    let mut fleet = Fleet::open(fault, is_voter);
+    let until_silent = ELECTION_TIMEOUT.as_millis() / PUBLISH_INTERVAL.as_millis();
+    let sent = fleet.sent();
+    assert!(u128::from(sent) <= 2 * until_silent, "{sent} entries sent");
+    fleet.end_silence();
+}
+
+cases!(silent_replica_is_sent_no_entries {
+    frozen_voter: (Fault::Frozen, true),
+    frozen_observer: (Fault::Frozen, false),
+    isolated_voter: (Fault::Isolated, true),
+    isolated_observer: (Fault::Isolated, false),
+});
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -9,8 +9,8 @@
 
 use nutmegyoke_core::process::Machine;
 use nutmegyoke_core::process::control::replica::{
-    Batch, Command, Content, Entry, Event, Id, Membership, Message, Recovered, Replica, Roster,
-    Seed, Setup, State, Vote,
+    Batch, Body, Command, Content, Entry, Event, Id, Membership, Message, Recovered, Replica,
+    Roster, Seed, Setup, State, Vote,
 };
 
 /// The minimum time without a leader before a replica campaigns.
@@ -79,6 +79,10 @@
     pub link: Link,
     /// VMs that are partitioned from the others, but not from each other.
     pub isolated: BTreeSet<usize>,
+    /// VMs that stand still. Messages to them wait until they go on.
+    pub frozen: BTreeSet<usize>,
+    /// How many entries of the log were sent to each VM.
+    pub entries_sent: BTreeMap<usize, usize>,
     /// The outcomes of committed changes, by call.
     pub outcomes: BTreeMap<u64, S::Outcome>,
     /// Calls that were redirected to the leader.
@@ -138,6 +142,8 @@
             vms: Vec::new(),
             link,
             isolated: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            entries_sent: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             redirected: BTreeSet::new(),
             random: fastrand::Rng::with_seed(seed),
@@ -273,6 +279,9 @@
 
     fn send(&mut self, vm: usize, to: SocketAddr, message: &Message<S>) {
         let other = usize::from(to.port()) - 1;
+        if let Body::Append { entries, .. } = &message.body {
+            *self.entries_sent.entry(other).or_default() += entries.len();
+        }
         if self.isolated.contains(&vm) != self.isolated.contains(&other) {
             return;
         }
@@ -293,6 +302,9 @@
             self.now += Duration::from_millis(1);
             self.deliver();
             for vm in 0..self.vms.len() {
+                if self.frozen.contains(&vm) {
+                    continue;
+                }
                 self.sync_disk(vm);
                 let replica = self.vms[vm].replica.as_ref();
                 let due = replica.and_then(Machine::deadline);
@@ -305,7 +317,9 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let due = self.in_flight.extract_if(.., |(at, ..)| *at <= now);
+        let due = self.in_flight.extract_if(.., |(at, to, _)| {
+            *at <= now && !self.frozen.contains(&(usize::from(to.port()) - 1))
+        });
         let mut due: Vec<_> = due.collect();
         self.random.shuffle(&mut due);
         for (_, to, message) in due {
