Send missing entries once to a replica that rejects many messages

A gateway that goes on finds the messages of that time on several connections, in no order. It rejects each one whose predecessor it lacks, and got all missing entries again for each.

Cause: the leader ignored rejections of messages before `next` was moved back only by their index. As it sends the missing entries at once, `next` is at the end again when the next rejection comes.

The fix: a rejection counts only if its message was sent after `next` was last moved back. If what was sent then is lost, the next heartbeat is rejected, and counts.

--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -18,6 +18,8 @@
 pub struct Progress {
     /// The index of the next entry to send.
     pub next: u64,
+    /// The stamp of the time when `next` was last moved back.
+    moved_back: u64,
     /// The last index that the replica has synced.
     pub matched: u64,
     /// When the leader sent the latest message that the replica has answered.
@@ -52,6 +54,7 @@
             // majority, and a new member has not been sent anything yet.
             progress.entry(peer.id).or_insert(Progress {
                 next,
+                moved_back: 0,
                 matched: 0,
                 acked_sent_at: now,
                 snapshot_resend_at: None,
@@ -214,12 +217,16 @@
     ) where
         K: Sink<Command = Command<S>>,
     {
+        let now_stamp = self.stamp(now);
         let Some(peer) = self.record_ack(from, stamp) else {
             return;
         };
-        // Ignores answers to messages sent before `next` was last moved back.
-        if previous > peer.matched && previous < peer.next {
+        // Messages sent before `next` was last moved back may all be rejected; the entries that
+        // the replica lacks were sent since.
+        let is_new = stamp >= peer.moved_back;
+        if is_new && previous > peer.matched && previous < peer.next {
             peer.next = (peer.matched + 1).max(previous.min(last + 1));
+            peer.moved_back = now_stamp;
         }
         self.send_missing(now, from, false, out);
     }
--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -127,3 +127,21 @@
     isolated_voter: (Fault::Isolated, true),
     isolated_observer: (Fault::Isolated, false),
 });
+
+/// All missing entries were sent again for each message that the replica had to reject.
+fn missing_entries_are_sent_once_to_a_replica_that_answers_again(fault: Fault, is_voter: bool) {
+    let mut fleet = Fleet::open(fault, is_voter);
+    let before = fleet.sent();
+    fleet.end_silence();
+    let (sent, missing) = (fleet.sent() - before, fleet.published);
+    assert!(sent <= missing, "{sent} entries sent, {missing} missing");
+}
+
+cases!(
+    missing_entries_are_sent_once_to_a_replica_that_answers_again {
+        frozen_voter: (Fault::Frozen, true),
+        frozen_observer: (Fault::Frozen, false),
+        isolated_voter: (Fault::Isolated, true),
+        isolated_observer: (Fault::Isolated, false),
+    }
+);
