Answer 404 only after a read that began after the request

What callers saw: 404 for a route within half a second of its acknowledgement, at a gateway that did not have the document yet. The users' pages allow two seconds, but the answer is not true: the caller does not come again after 404.

Cause: the leader's confirmation that the document is the newest was taken for all requests of the next 500 ms. It says nothing of documents that are published after it.

A trace showed 404 at document 12, 12 ms after document 13 was acknowledged, too soon for a read.

The fix: a confirmation holds for requests that arrived before the leader was asked. To bound the reads, a gateway asks once in 200 ms at most, and requests that arrive meanwhile wait for the next answer.

`unknown_paths_ask_the_leader_once_in_a_while` counts confirmations of a second now, and `confirmation_ends_when_a_newer_document_is_heard_of` expects the next question when it is due; both are as strict, for the new bound.

--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -43,7 +43,7 @@
         let Some(route) = routing.route(request.host, request.path) else {
             if !self.is_document_confirmed(arrived) {
                 self.queue.push_unrouted(arrived, number, request);
-                return self.confirm_document(now, out);
+                return;
             }
             let verdict = Verdict::not_run(Reason::UnknownPath);
             return refuse(number, verdict, Halt::Untried, out);
--- a/crates/nutmegyoke-core/src/process/gateway/freshness.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/freshness.rs
@@ -21,9 +21,9 @@
 /// The delay before a document is fetched again.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(600);
 
-/// How long a confirmation holds. It bounds the number of confirmations, whatever clients
-/// request.
-const CONFIRMATION_TTL: Duration = Duration::from_millis(500);
+/// The shortest time between two confirmations. It bounds their number, whatever clients request;
+/// those that ask for an unknown path meanwhile wait.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(200);
 
 /// How long a client should wait if no leader confirms the document: an election takes about as
 /// long.
@@ -32,12 +32,22 @@
 /// The leader's confirmation that the routing document is the newest.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Confirmation {
-    /// When the leader was asked for the one that is under way.
+    /// When the leader was last asked.
     asked_at: Option<Instant>,
-    /// When the leader was asked for the latest.
+    /// Whether its answer is still to come.
+    pending: bool,
+    /// When the leader was asked for the latest that it gave. It says nothing of documents that
+    /// were published later.
     confirmed_at: Option<Instant>,
 }
 
+impl Confirmation {
+    /// When the leader may be asked again; `None` if it never was.
+    fn due(&self) -> Option<Instant> {
+        self.asked_at.map(|at| at + CONFIRMATION_INTERVAL)
+    }
+}
+
 /// A newer routing document that another gateway has in force.
 #[derive(Clone, Copy, Debug)]
 pub struct Newer {
@@ -93,33 +103,45 @@
         });
     }
 
-    /// Whether the document was the newest when a request arrived, or shortly before.
+    /// Whether the document was the newest when a request had arrived.
     pub(super) fn is_document_confirmed(&self, arrived: Instant) -> bool {
         let confirmed_at = self.confirmation.confirmed_at;
-        self.newer.is_none() && confirmed_at.is_some_and(|at| arrived <= at + CONFIRMATION_TTL)
+        self.newer.is_none() && confirmed_at.is_some_and(|at| arrived <= at)
     }
 
-    /// Asks the leader to confirm the document, unless it has been asked already.
+    /// Asks the leader to confirm the document if requests wait for that and it is due.
     pub(super) fn confirm_document<S>(&mut self, now: Instant, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
-        if self.confirmation.asked_at.is_none() {
+        let awaited = self.is_confirmation_awaited();
+        if awaited && self.confirmation.due().is_none_or(|due| due <= now) {
             self.confirmation.asked_at = Some(now);
+            self.confirmation.pending = true;
             out.push(Command::Confirm);
         }
     }
 
+    /// When the leader is asked again, if requests wait for that.
+    pub(super) fn confirmation_due(&self) -> Option<Instant> {
+        let due = self.confirmation.due();
+        due.filter(|_| self.is_confirmation_awaited())
+    }
+
+    fn is_confirmation_awaited(&self) -> bool {
+        self.routing.is_some() && self.queue.unrouted() > 0 && !self.confirmation.pending
+    }
+
     /// Routes the requests that waited for the confirmation. `newest` is the number of the
     /// newest document; if it is not known, or not in force here, they are refused.
     pub(super) fn document_confirmed<S>(&mut self, now: Instant, newest: Option<u64>, out: &mut S)
     where
         S: Sink<Command = Command>,
     {
-        let asked_at = self.confirmation.asked_at.take();
+        self.confirmation.pending = false;
         let document = self.document();
         if newest.is_some_and(|newest| newest <= document) {
-            self.confirmation.confirmed_at = asked_at;
+            self.confirmation.confirmed_at = self.confirmation.asked_at;
             self.newer = self.newer.filter(|newer| document < newer.number);
             return self.admit_unrouted(now, out);
         }
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -325,6 +325,7 @@
             Event::Ticked => self.drop_expired(now),
         }
         self.fetch_document(now, out);
+        self.confirm_document(now, out);
         self.send_due(now, out);
         self.serve_queue(now, out);
         self.expire(now, out);
@@ -351,6 +352,7 @@
         let newer = self.newer.as_ref().map(Newer::due);
         let all = [
             newer,
+            self.confirmation_due(),
             slow,
             timeout,
             self.gossip.deadline(),
--- a/crates/nutmegyoke-core/tests/freshness.rs
+++ b/crates/nutmegyoke-core/tests/freshness.rs
@@ -177,12 +177,51 @@
     let out = harness.feed(Event::Confirmed { newest: Some(1) });
     let both = [(1, Reason::UnknownPath), (2, Reason::UnknownPath)];
     assert_eq!(refusals(&out), both);
-    harness.advance(WAIT);
-    let out = harness.arrive(3, "/new/3");
-    assert_eq!(refusals(&out), [(3, Reason::UnknownPath)]);
-    harness.advance(WAIT);
-    let out = harness.arrive(4, "/new/4");
+    let mut confirmations = 0;
+    for call in 3..103 {
+        harness.now += Duration::from_millis(10);
+        let out = harness.arrive(call, "/new/1");
+        if out
+            .iter()
+            .any(|command| matches!(command, Command::Confirm))
+        {
+            confirmations += 1;
+            harness.feed(Event::Confirmed { newest: Some(1) });
+        }
+    }
+    assert_eq!(confirmations, 5, "in a second");
+}
+
+/// A route was added after the leader had confirmed the document for an earlier request.
+#[test]
+fn route_added_since_the_last_confirmation_is_not_unknown() {
+    let mut harness = Harness::open();
+    harness.arrive(1, "/new/1");
+    harness.feed(Event::Confirmed { newest: Some(1) });
+    harness.now += Duration::from_millis(10);
+    let out = harness.arrive(2, "/new/2");
+    assert_eq!(refusals(&out), []);
+    harness.now = harness.gateway.deadline().unwrap();
+    let out = harness.feed(Event::Ticked);
     assert!(matches!(*out, [Command::Confirm]), "{out:?}");
+    let out = harness.feed(Event::Confirmed { newest: Some(2) });
+    assert_eq!(refusals(&out), [(2, Reason::Unconfirmed)]);
+}
+
+/// The answer that is under way may be older than a request that arrived meanwhile.
+#[test]
+fn request_that_arrived_after_the_leader_was_asked_waits_for_the_next_answer() {
+    let mut harness = Harness::open();
+    harness.arrive(1, "/new/1");
+    harness.now += Duration::from_millis(10);
+    harness.arrive(2, "/new/2");
+    let out = harness.feed(Event::Confirmed { newest: Some(1) });
+    assert_eq!(refusals(&out), [(1, Reason::UnknownPath)]);
+    harness.now = harness.gateway.deadline().unwrap();
+    let out = harness.feed(Event::Ticked);
+    assert!(matches!(*out, [Command::Confirm]), "{out:?}");
+    let out = harness.feed(Event::Confirmed { newest: Some(1) });
+    assert_eq!(refusals(&out), [(2, Reason::UnknownPath)]);
 }
 
 /// A confirmation says nothing of a document that was published after it.
@@ -193,6 +232,9 @@
     harness.feed(Event::Confirmed { newest: Some(1) });
     harness.hear(2, 3);
     let out = harness.arrive(2, "/new/2");
+    assert_eq!(refusals(&out), []);
+    harness.now += Duration::from_millis(200);
+    let out = harness.feed(Event::Ticked);
     assert!(matches!(*out, [Command::Confirm]), "{out:?}");
 }
 
