Keep the link of a test open while it waits for the answer

It holds the link; what it checks is the same. No other user of `link::dial` but the pool and tests exists, and the pool's calls hold their connection.

--- a/crates/nutmegyoke-host/src/connection/link.rs
+++ b/crates/nutmegyoke-host/src/connection/link.rs
@@ -35,7 +35,8 @@
 /// The number of unanswered probes after which a connection is closed.
 const KEEP_ALIVE_PROBES: u32 = 2;
 
-/// An outgoing connection to a process that serves the interface `T`. It is closed when dropped.
+/// An outgoing connection to a process that serves the interface `T`. It is closed when dropped;
+/// calls that are in flight then get no answer.
 #[derive(Debug)]
 pub struct Link<T> {
     /// The client of the other process's interface.
--- a/tests/replicas.rs
+++ b/tests/replicas.rs
@@ -163,7 +163,8 @@
 /// Requests the claim of one key for the holder with the number `holder`.
 async fn request_claim(replicas: &Replicas, vm: usize, holder: u64) -> Outcome {
     let link = link::dial::<control::Client>(replicas.vms[vm].listen).await;
-    let mut request = link.unwrap().client.claim_request();
+    let link = link.unwrap();
+    let mut request = link.client.claim_request();
     let name = Name {
         customer: "kayal".into(),
         key: "lot-1".to_owned(),
