--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -46,7 +46,7 @@
     simulation
 }
 
-fn publish(simulation: &mut Simulation<Store>, number: u64) {
+fn publish(simulation: &mut Simulation<Store>, number: u64, interval: Duration) {
     let leader = simulation.leader().expect("no leader");
     let document = Rc::new(Document {
         number,
@@ -58,7 +58,7 @@
         change: &change,
     };
     simulation.feed(leader, event);
-    simulation.run(PUBLISH_INTERVAL);
+    simulation.run(interval);
 }
 
 fn document(simulation: &Simulation<Store>, replica: usize) -> u64 {
@@ -88,7 +88,7 @@
         let count = FREEZE_TIME.as_millis() / PUBLISH_INTERVAL.as_millis();
         let published = u64::try_from(count).unwrap();
         for number in 1..=published {
-            publish(&mut simulation, number);
+            publish(&mut simulation, number, PUBLISH_INTERVAL);
         }
         Self {
             simulation,
@@ -145,3 +145,31 @@
         isolated_observer: (Fault::Isolated, false),
     }
 );
+
+/// More entries than are kept behind a snapshot, and how often they are published.
+const MANY_DOCUMENTS: u64 = 1200;
+const SHORT_INTERVAL: Duration = Duration::from_millis(1);
+
+/// The entries that it lacks are no longer in the leader's log.
+fn silent_replica_gets_the_snapshot_once_it_answers(fault: Fault, is_voter: bool) {
+    let mut fleet = Fleet::open(fault, is_voter);
+    for _ in 0..MANY_DOCUMENTS {
+        fleet.published += 1;
+        publish(&mut fleet.simulation, fleet.published, SHORT_INTERVAL);
+    }
+    for vm in &mut fleet.simulation.vms {
+        vm.replica.as_mut().unwrap().force_snapshot();
+    }
+    fleet.simulation.run(ELECTION_TIMEOUT * 3);
+    let sent = |fleet: &Fleet| fleet.simulation.snapshots_sent.get(&fleet.silent).copied();
+    assert_eq!(sent(&fleet), None, "while it was silent");
+    fleet.end_silence();
+    assert_eq!(sent(&fleet), Some(1));
+}
+
+cases!(silent_replica_gets_the_snapshot_once_it_answers {
+    frozen_voter: (Fault::Frozen, true),
+    frozen_observer: (Fault::Frozen, false),
+    isolated_voter: (Fault::Isolated, true),
+    isolated_observer: (Fault::Isolated, false),
+});
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -83,6 +83,8 @@
     pub frozen: BTreeSet<usize>,
     /// How many entries of the log were sent to each VM.
     pub entries_sent: BTreeMap<usize, usize>,
+    /// How many snapshots were sent to each VM.
+    pub snapshots_sent: BTreeMap<usize, usize>,
     /// The outcomes of committed changes, by call.
     pub outcomes: BTreeMap<u64, S::Outcome>,
     /// Calls that were redirected to the leader.
@@ -144,6 +146,7 @@
             isolated: BTreeSet::new(),
             frozen: BTreeSet::new(),
             entries_sent: BTreeMap::new(),
+            snapshots_sent: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             redirected: BTreeSet::new(),
             random: fastrand::Rng::with_seed(seed),
@@ -279,8 +282,12 @@
 
     fn send(&mut self, vm: usize, to: SocketAddr, message: &Message<S>) {
         let other = usize::from(to.port()) - 1;
-        if let Body::Append { entries, .. } = &message.body {
-            *self.entries_sent.entry(other).or_default() += entries.len();
+        match &message.body {
+            Body::Append { entries, .. } => {
+                *self.entries_sent.entry(other).or_default() += entries.len();
+            }
+            Body::Install { .. } => *self.snapshots_sent.entry(other).or_default() += 1,
+            _ => {}
         }
         if self.isolated.contains(&vm) != self.isolated.contains(&other) {
             return;
