Refuse requests late in a gateway's stop, and answer those that outlast it

Callers saw: in a planned stop of one gateway, requests on connections that were still open late in the drain limit were passed on, and cut off without an answer when the process ended, bookings among them. A request whose body was still being read, or whose answer was still being sent, was cut off as soon as no other request was in flight.

Cause: the state machine did not know of the stop, the deployment gave no drain limit, and the process counted a request only from the end of its body to the beginning of its answer.

Ruled out: closing connections that are open but silent, because hyper can't tell a client that is about to send from one that isn't.

Change: the machine learns when connections stop being accepted and when the process ends (core::process::gateway::stop). After the first it takes only requests whose deadline lies within the stop; shortly before the second it refuses those without an answer, as not run or as possibly run. The stop waits for each connection on which a request has come. The drain limit may have a fraction and is at most 30 days; deploy/gateway.ini takes it from grace-s.

--- a/crates/nutmegyoke-core/src/process/gateway/attempts.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/attempts.rs
@@ -54,6 +54,11 @@
             return refuse(number, verdict, Halt::Untried, out);
         };
         let call = Call::open(arrived, route, service, random_point, request);
+        let stop = self.stop.as_ref();
+        if stop.is_some_and(|stop| stop.refuses(arrived, call.deadline)) {
+            let verdict = Verdict::not_run(Reason::Draining);
+            return refuse(number, verdict, Halt::Untried, out);
+        }
         let budget = self.budgets.entry(service.clone()).or_default();
         budget.count_request(now, &self.setup.retry_bound);
         self.deadlines.insert((call.deadline, number));
--- a/crates/nutmegyoke-core/src/process/gateway/event.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/event.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 
@@ -102,6 +102,12 @@
         started_ms: u64,
         refused: bool,
     },
+    /// The gateway begins to stop. It accepts connections until `listening_until`; at `ends_at`
+    /// the requests without an answer have to end.
+    Stopping {
+        listening_until: Instant,
+        ends_at: Instant,
+    },
     /// The machine's deadline passed.
     Ticked,
 }
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! * [`throttle`]: permits for endpoints that limit their requests;
 //! * [`refusal`]: requests that end without an answer;
 //! * [`queue`]: requests that wait for an endpoint;
+//! * [`stop`]: requests during a planned stop;
 //! * [`pick`]: the choice of an endpoint;
 //! * [`basis`]: the inputs of that choice, for the log;
 //! * [`freshness`]: whether a newer routing document is in force;
@@ -38,6 +39,7 @@
 pub mod retry_budget;
 mod signal;
 mod slow;
+mod stop;
 mod throttle;
 pub mod tracker;
 
@@ -54,6 +56,7 @@
 use freshness::{Confirmation, Newer};
 use queue::Queue;
 pub use retry_budget::{Bound, Budget};
+use stop::Stop;
 pub use tracker::Tracker;
 
 use super::registry::{Content, Gossip, Revision};
@@ -108,6 +111,8 @@
     /// When each repeatable request without an answer counts as slow.
     slow_at: BTreeSet<(Instant, u64)>,
     queue: Queue,
+    /// The planned stop of this gateway, once it has begun.
+    stop: Option<Stop>,
     /// The endpoints that may have crashed, by id.
     breaks: HashMap<String, Break>,
     /// What crashes endpoints.
@@ -145,6 +150,7 @@
             deadlines: BTreeSet::new(),
             slow_at: BTreeSet::new(),
             queue: Queue::default(),
+            stop: None,
             breaks: HashMap::new(),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
@@ -322,6 +328,10 @@
                 owner,
                 permit,
             } => self.admitted(now, call, owner, permit, out),
+            Event::Stopping {
+                listening_until,
+                ends_at,
+            } => self.begin_stop(listening_until, ends_at),
             Event::Ticked => self.drop_expired(now),
         }
         self.fetch_document(now, out);
@@ -329,6 +339,7 @@
         self.send_due(now, out);
         self.serve_queue(now, out);
         self.expire(now, out);
+        self.end_stop(now, out);
         self.retry_slow(now, out);
         self.send_gossip(now, out);
         self.place_models(now, out);
@@ -359,6 +370,7 @@
             placement,
             queue,
             turn,
+            self.stop.as_ref().and_then(Stop::deadline),
         ];
         all.into_iter().flatten().min()
     }
--- a/crates/nutmegyoke-host/src/connection/http.rs
+++ b/crates/nutmegyoke-host/src/connection/http.rs
@@ -1,5 +1,6 @@
 //! Serves HTTP/1.1 on an accepted connection.
 
+use std::cell::OnceCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 
+use super::Tally;
 use crate::process::Event;
 
 /// How long a client may take to send its request line and headers.
@@ -42,12 +44,19 @@
     fn closed(&self) -> impl Future<Output = ()> {
         std::future::pending()
     }
+
+    /// Counts the connections on which a request has come, if a stop waits for them.
+    fn used_connections(&self) -> Option<&Tally> {
+        None
+    }
 }
 
 /// Serves requests on `stream` until either side closes it. Logs a connection error.
 pub async fn serve<H: Handler>(handler: Rc<H>, stream: TcpStream, peer: SocketAddr) {
+    let used = OnceCell::new();
     let service = service_fn(|request| {
         let handler = Rc::clone(&handler);
+        used.get_or_init(|| handler.used_connections().map(Tally::open));
         async move {
             let mut response = Rc::clone(&handler).handle(request).await;
             if handler.closing() {
--- a/crates/nutmegyoke-host/src/connection/listener.rs
+++ b/crates/nutmegyoke-host/src/connection/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts TCP connections until the listener is closed.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
 
+use super::Tally;
 use crate::process::Failure;
 
 /// The delay after a failed accept.
@@ -20,7 +21,7 @@
 pub struct Listener {
     address: SocketAddr,
     close: RefCell<Option<oneshot::Sender<()>>>,
-    connections: Rc<Cell<usize>>,
+    connections: Tally,
 }
 
 /// Serves one accepted connection.
@@ -50,9 +51,8 @@
         let listener = TcpListener::bind(address).await.map_err(failure)?;
         let address = listener.local_addr().map_err(failure)?;
         let (close, closed) = oneshot::channel();
-        let connections = Rc::new(Cell::new(0));
-        let counter = Rc::clone(&connections);
-        compio::runtime::spawn(accept(listener, service, closed, counter)).detach();
+        let connections = Tally::default();
+        compio::runtime::spawn(accept(listener, service, closed, connections.clone())).detach();
         Ok(Self {
             address,
             close: RefCell::new(Some(close)),
@@ -70,7 +70,7 @@
     /// The number of open connections.
     #[must_use]
     pub fn connections(&self) -> usize {
-        self.connections.get()
+        self.connections.count()
     }
 
     /// Stops accepting connections. Connections that are open stay open.
@@ -79,31 +79,11 @@
     }
 }
 
-/// Counts one open connection until it is dropped.
-struct Guard {
-    connections: Rc<Cell<usize>>,
-}
-
-impl Guard {
-    fn open(connections: &Rc<Cell<usize>>) -> Self {
-        connections.set(connections.get() + 1);
-        Self {
-            connections: Rc::clone(connections),
-        }
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.connections.set(self.connections.get() - 1);
-    }
-}
-
 async fn accept<S: Serve + 'static>(
     listener: TcpListener,
     service: Rc<S>,
     mut closed: oneshot::Receiver<()>,
-    connections: Rc<Cell<usize>>,
+    connections: Tally,
 ) {
     loop {
         let next = listener.accept();
@@ -113,7 +93,7 @@
                 // Without Nagle's algorithm small messages don't wait for an acknowledgement.
                 let _ = stream.set_nodelay(true);
                 let service = Rc::clone(&service);
-                let guard = Guard::open(&connections);
+                let guard = connections.open();
                 compio::runtime::spawn(async move {
                     service.serve(stream, peer).await;
                     drop(guard);
--- a/crates/nutmegyoke-host/src/connection/mod.rs
+++ b/crates/nutmegyoke-host/src/connection/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! * [`listener`]: accepts connections, which [`http`] or [`link`] serves;
 //! * [`latch`]: the event upon which idle HTTP connections are closed;
+//! * [`tally`]: a count of open connections;
 //! * [`link`], [`pool`]: capnp-rpc connections to other processes;
 //! * [`upstream`]: HTTP connections to endpoints;
 //! * [`reply`]: replies of engines to calls of nutmegyoke itself.
@@ -13,8 +14,10 @@
 pub mod listener;
 pub mod pool;
 pub mod reply;
+pub mod tally;
 pub mod upstream;
 
 pub use latch::Latch;
 pub use listener::Listener;
 pub use pool::Pool;
+pub use tally::Tally;
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -49,7 +49,7 @@
 use crate::connection::http::{self, Handler};
 use crate::connection::listener::Serve;
 use crate::connection::upstream::Upstreams;
-use crate::connection::{Latch, Listener, Pool};
+use crate::connection::{Latch, Listener, Pool, Tally};
 use crate::request::passthrough::{self, Outgoing};
 use gossip::Service;
 use health::Health;
@@ -59,6 +59,10 @@
 /// once a second and stops sending connections after the second failed check.
 const BALANCER_DRAIN_DELAY: Duration = Duration::from_millis(2500);
 
+/// How long before the drain limit the requests without an answer are refused. It is enough
+/// for the refusals to be sent.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
 /// A running gateway.
 pub struct Gateway<C: Clock + 'static, D: Codec> {
     driver: Rc<Driver<decision::Gateway, C>>,
@@ -76,6 +80,8 @@
     listeners: OnceCell<[Listener; 4]>,
     stopping: Cell<bool>,
     closing: Latch,
+    /// The connections of clients, and to the registrar, on which a request has come.
+    used_connections: Tally,
     codec: PhantomData<D>,
 }
 
@@ -149,6 +155,7 @@
             listeners: OnceCell::new(),
             stopping: Cell::new(false),
             closing: Latch::default(),
+            used_connections: Tally::default(),
             codec: PhantomData,
         });
         let gossip = Rc::new(Service(Rc::clone(&this)));
@@ -200,11 +207,23 @@
     }
 
     /// Reports not ready and hands leadership over, stops accepting connections once the load
-    /// balancer has noticed, and waits for the requests in flight.
-    pub async fn drain(&self) {
+    /// balancer has noticed, and waits until all requests that were read have been answered.
+    ///
+    /// The process ends `limit` after the start. Shortly before that, the requests without an
+    /// answer are refused.
+    pub async fn drain(&self, limit: Option<Duration>) {
         self.stopping.set(true);
-        self.control.step_down().await;
-        compio::time::sleep(BALANCER_DRAIN_DELAY).await;
+        let delay = limit.map_or(BALANCER_DRAIN_DELAY, |limit| {
+            BALANCER_DRAIN_DELAY.min(limit / 2)
+        });
+        if let Some(limit) = limit {
+            let now = self.driver.clock().now();
+            self.driver.feed(Input::Stopping {
+                listening_until: now + delay,
+                ends_at: now + limit.saturating_sub(STOP_MARGIN.min(limit / 4)),
+            });
+        }
+        futures_util::join!(self.control.step_down(), compio::time::sleep(delay));
         for listener in self.listeners.get().into_iter().flatten() {
             listener.close();
         }
@@ -290,10 +309,13 @@
         &self.upstreams
     }
 
-    /// The number of requests in flight.
+    /// The number of requests in flight, or of connections on which some were read if that is
+    /// larger: a request is in flight only when it has been read whole, and no longer when its
+    /// answer is being sent.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        self.driver.machine().in_flight()
+        let requests = self.driver.machine().in_flight();
+        requests.max(self.used_connections.count())
     }
 
     /// The largest request body that the routing document allows, in bytes.
@@ -362,4 +384,8 @@
     fn closed(&self) -> impl Future<Output = ()> {
         self.closing.opened()
     }
+
+    fn used_connections(&self) -> Option<&Tally> {
+        Some(&self.used_connections)
+    }
 }
--- a/crates/nutmegyoke-host/src/process/gateway/registrar.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/registrar.rs
@@ -17,6 +17,7 @@
 use nutmegyoke_core::version::Document;
 
 use super::{Gateway, decode};
+use crate::connection::Tally;
 use crate::connection::http::{self, Handler};
 use crate::connection::listener::Serve;
 use crate::process::codec::Call;
@@ -69,6 +70,10 @@
     fn closed(&self) -> impl Future<Output = ()> {
         self.0.closing.opened()
     }
+
+    fn used_connections(&self) -> Option<&Tally> {
+        Some(&self.0.used_connections)
+    }
 }
 
 impl<C: Clock + 'static, D: Codec> Registrar<C, D> {
--- a/crates/nutmegyoke-wire/src/process/settings.rs
+++ b/crates/nutmegyoke-wire/src/process/settings.rs
@@ -151,9 +151,7 @@
                 .unwrap_or(listen.ip()),
             operators: process.required("operators", ADDRESS_FORMAT)?,
             control,
-            drain_limit: process
-                .optional("drain-limit-s", "a number of seconds")?
-                .map(Duration::from_secs),
+            drain_limit: read_drain_limit(&process)?,
             role_settings,
             planner: read_planner(&file)?,
         };
@@ -171,6 +169,27 @@
     }
 }
 
+/// The longest drain limit, 30 days. No supervisor waits longer, and times that far ahead stay
+/// within the range of the clock.
+const MAX_DRAIN_LIMIT: Duration = Duration::from_hours(30 * 24);
+
+/// Reads the time after which a stop cuts off what is in flight. It may have a fraction.
+fn read_drain_limit(process: &Section<'_>) -> Result<Option<Duration>, Fault> {
+    let expected = "a number of seconds";
+    let seconds: Option<f64> = process.optional("drain-limit-s", expected)?;
+    let Some(seconds) = seconds else {
+        return Ok(None);
+    };
+    let limit = Duration::try_from_secs_f64(seconds).ok();
+    let limit = limit.filter(|&limit| limit <= MAX_DRAIN_LIMIT);
+    let fault = || {
+        let max = MAX_DRAIN_LIMIT.as_secs();
+        let problem = format!("is not between 0 and {max}: write {expected}");
+        process.fault("drain-limit-s", problem)
+    };
+    limit.map(Some).ok_or_else(fault)
+}
+
 fn read_planner(file: &File<'_>) -> Result<Planner, Fault> {
     let section = file.sections().find(|section| section.name == "planner");
     section.map_or(Ok(Planner::default()), Planner::read)
--- a/src/bin/nutmegyoked/run.rs
+++ b/src/bin/nutmegyoked/run.rs
@@ -93,7 +93,8 @@
                 Gateway::<_, Platform>::spawn(&settings, role_settings, System, &registry);
             let gateway = spawned.await?;
             let running = async {
-                let stopping = shutdown::run(drain_limit, || gateway.in_flight(), gateway.drain());
+                let draining = gateway.drain(drain_limit);
+                let stopping = shutdown::run(drain_limit, || gateway.in_flight(), draining);
                 stop_or_journal_failure(stopping, gateway.control()).await
             };
             run_alongside(running, watcher.run(|settings| gateway.reload(settings))).await
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,6 +2,7 @@
 //! of the users' platform.
 
 use std::process::Command;
+use std::time::Duration;
 
 use nutmegyoke_cases::cases;
 use nutmegyoke_wire::process::Settings;
@@ -45,6 +46,14 @@
         &format!("{ENTRY}body-bytes = 1 MB\n"),
         "[entry] body-bytes: `1 MB` is not valid: write a number of bytes"
     ),
+    negative_drain_limit: (
+        &ENTRY.replace("[process]", "[process]\ndrain-limit-s = -1"),
+        "[process] drain-limit-s: is not between 0 and 2592000: write a number of seconds"
+    ),
+    drain_limit_of_centuries: (
+        &ENTRY.replace("[process]", "[process]\ndrain-limit-s = 1e18"),
+        "[process] drain-limit-s: is not between 0 and 2592000: write a number of seconds"
+    ),
     missing_control: (
         &ENTRY.replace("control = 127.0.0.1:1\n", ""),
         "[process] control: is missing: add the addresses of the control processes"
@@ -59,6 +68,9 @@
         ("ip", "10.1.0.38"),
         ("port-range.0", "7380"),
         ("port-range.1", "7395"),
+        ("#bounds.grace-s", ""),
+        (".", "8"),
+        ("/bounds.grace-s", ""),
         ("listen.front", "10.1.0.38:8149"),
         ("listen.ready", "10.1.0.38:8141"),
         ("listen.control", "10.1.0.38:8144"),
@@ -87,6 +99,7 @@
 #[test]
 fn platform_templates_are_accepted() {
     let gateway = Settings::parse("gateway.ini", &render(GATEWAY)).unwrap();
+    assert_eq!(gateway.drain_limit, Some(Duration::from_secs(8)));
     let RoleSettings::Gateway(settings) = gateway.role_settings else {
         panic!("{:?}", gateway.role_settings);
     };
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -45,13 +45,18 @@
 impl Gateway {
     /// Spawns the gateway, the only voter of its fleet, without a routing document.
     pub fn spawn() -> Self {
+        Self::spawn_with("")
+    }
+
+    /// Spawns the gateway like [`Gateway::spawn`], with more lines in its section `process`.
+    pub fn spawn_with(process_settings: &str) -> Self {
         let folder = TempDir::new().unwrap();
         let [listen, exchange, operators, clients, health, registrar] =
             [(); 6].map(|()| free_address());
         let data = folder.path().join("data").display().to_string();
         let text = format!(
             "[process]\nrole = gateway\nname = front-1\ndata-centre = alp-a\nlisten = {listen}\n\
-             operators = {operators}\n[gateway]\nclients = {clients}\nhealth = {health}\n\
+             operators = {operators}\n{process_settings}\n[gateway]\nclients = {clients}\nhealth = {health}\n\
              registrar = {registrar}\nexchange = {exchange}\ncontacts = {registrar}\n\
              steward-port = 1\nvoter = true\nfound = true\ndata = {data}\nheartbeat-ms = 1200\n\
              election-timeout-ms = 200\n"
@@ -74,15 +79,22 @@
     /// waits until it is ready.
     pub fn spawn_with_endpoints(actions: &[Action]) -> (Self, Vec<Upstream>) {
         let gateway = Self::spawn();
-        gateway.publish(&config(1));
+        let upstreams = gateway.serve(&config(1), actions);
+        (gateway, upstreams)
+    }
+
+    /// Publishes a routing document, spawns one endpoint for each action, and waits until the
+    /// gateway is ready.
+    pub fn serve(&self, document: &Value, actions: &[Action]) -> Vec<Upstream> {
+        self.publish(document);
         let spawn = |action: &Action| Upstream::spawn(free_address(), action.clone());
         let upstreams: Vec<Upstream> = actions.iter().map(spawn).collect();
         for (number, upstream) in (1..).zip(&upstreams) {
-            assert_eq!(gateway.announce(number, upstream.address, 1).status, 200);
+            assert_eq!(self.announce(number, upstream.address, 1).status, 200);
         }
         let is_ready = |answer: &Answer| answer.status == 200;
-        poll_until(|| call(gateway.health, "GET", "/ready", b""), is_ready);
-        (gateway, upstreams)
+        poll_until(|| call(self.health, "GET", "/ready", b""), is_ready);
+        upstreams
     }
 
     /// Publishes a routing document repeatedly until it is acknowledged.
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -195,13 +195,19 @@
 /// connection closes.
 pub fn exchange(address: SocketAddr, bytes: &[u8]) -> Answer {
     let mut stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
     stream.write_all(bytes).unwrap();
+    read_answer(&mut stream).expect("the connection closed before the end of the answer's head")
+}
+
+/// Reads an answer until it is complete or the connection closes; `None` if the connection
+/// closes before the end of its head.
+pub fn read_answer(stream: &mut TcpStream) -> Option<Answer> {
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
     let mut raw = Vec::new();
     let mut buffer = [0; 4096];
     loop {
         if let Some(answer) = parse_answer(&raw, false) {
-            return answer;
+            return Some(answer);
         }
         match stream.read(&mut buffer) {
             Ok(0) => break,
@@ -210,7 +216,7 @@
             Err(error) => panic!("cannot read the answer: {error}"),
         }
     }
-    parse_answer(&raw, true).expect("the connection closed before the end of the answer's head")
+    parse_answer(&raw, true)
 }
 
 /// Sends the bytes on a new connection and closes it after `delay`.
