--- a/crates/nutmegyoke-core/src/version/routing/route.rs
+++ b/crates/nutmegyoke-core/src/version/routing/route.rs
@@ -73,13 +73,15 @@
     /// `None` if all weights are 0.
     #[must_use]
     pub fn choose_service(&self, random: u64) -> Option<&Service> {
-        let total: u64 = self.shares.iter().map(|share| share.weight).sum();
-        let mut offset = random.checked_rem(total)?;
+        // A sum of many weights of 64 bits needs more bits.
+        let weight = |share: &Share| u128::from(share.weight);
+        let total: u128 = self.shares.iter().map(weight).sum();
+        let mut offset = u128::from(random).checked_rem(total)?;
         for share in &self.shares {
-            if offset < share.weight {
+            if offset < weight(share) {
                 return Some(&share.service);
             }
-            offset -= share.weight;
+            offset -= weight(share);
         }
         None
     }
--- a/crates/nutmegyoke-host/src/process/gateway/registrar.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/registrar.rs
@@ -34,6 +34,9 @@
 /// How often a read checks whether the replica has caught up.
 const CATCH_UP_POLL_PERIOD: Duration = Duration::from_millis(20);
 
+/// The longest description of a malformed heartbeat, in bytes. It may quote a value.
+const MAX_FAULT_BYTES: usize = 300;
+
 const JSON: &str = "application/json";
 
 /// Serves the registrar of a gateway.
@@ -81,7 +84,8 @@
         let announcement = match D::decode_announcement(id, body) {
             Ok(announcement) => announcement,
             Err(fault) => {
-                let why = fault.to_string();
+                let mut why = fault.to_string();
+                why.truncate(why.floor_char_boundary(MAX_FAULT_BYTES));
                 Event::AnnouncementRefused { why: &why }.log();
                 return error_response(StatusCode::BAD_REQUEST, &why);
             }
