--- /dev/null
+++ b/crates/nutmegyoke-wire/tests/mesh.rs
@@ -0,0 +1,107 @@
+//! What gateways tell each other and ask of stewards: damaged messages cause no panic.
+//!
+//! The seed is fixed. Other cases run with
+//! `NUTMEGYOKE_SEED=7 cargo test -p nutmegyoke-wire --test mesh`.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::message::{Builder, ReaderOptions};
+use capnp::serialize;
+use nutmegyoke_cases::config;
+use nutmegyoke_core::process::endpoint::Phase;
+use nutmegyoke_core::process::gateway::demand::{Backlog, Work};
+use nutmegyoke_core::process::quarantine::Evidence;
+use nutmegyoke_core::process::registry::{Announcement, Content, Rumor, Stamp};
+use nutmegyoke_core::process::throttle::Statement;
+use nutmegyoke_wire::connection::mesh_capnp;
+use nutmegyoke_wire::process::{evidence, rumor, work};
+use proptest::prelude::*;
+
+fn announcement() -> Announcement {
+    Announcement {
+        id: "engine-1".to_owned(),
+        service: "pool".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        data_centre: "alp-a".into(),
+        stamp: Stamp {
+            started_ms: 1,
+            sequence: 2,
+        },
+        slots: 6,
+        phase: Phase::Ready,
+        warmup: Duration::from_secs(1),
+        leaves_in: None,
+        models: vec!["grade".into()],
+        adapters: vec!["grade/a1".to_owned()],
+        warm_copies: vec!["price".into()],
+    }
+}
+
+/// The bytes of a message with rumors and work, as one gateway sends it to another.
+fn gossip() -> Vec<u8> {
+    let announcement = Rc::new(announcement());
+    let (id, stamp) = (announcement.id.clone(), announcement.stamp);
+    let contents = [
+        Content::Announced(Rc::clone(&announcement)),
+        Content::Renewed { id, stamp },
+        Content::SignedOff(announcement),
+    ];
+    let age = Duration::from_millis(5);
+    let rumors = contents.map(|content| Rumor { age, content });
+    let statement = Statement {
+        endpoint: "engine-1".to_owned(),
+        started_ms: 1,
+        rate: Some(2.0),
+        age,
+    };
+    let backlog = Backlog {
+        ahead: 3,
+        in_flight: 4,
+    };
+    let sent = Work {
+        models: vec![("grade".into(), 5.0)],
+        endpoints: vec![("engine-1".to_owned(), backlog)],
+        limits: vec![statement],
+    };
+    let mut message = Builder::new_default();
+    let mut root = message.init_root::<mesh_capnp::gateway::spread_params::Builder<'_>>();
+    rumor::write(&rumors, |length| root.reborrow().init_rumors(length));
+    work::write(&sent, root.reborrow().init_work());
+    evidence::write(&Evidence::default(), root.reborrow().init_evidence());
+    root.set_address("10.0.0.1:80");
+    serialize::write_message_to_words(&message)
+}
+
+/// Reads all parts of a message; returns whether it could be read.
+fn read(bytes: &[u8]) -> capnp::Result<()> {
+    let message = serialize::read_message(bytes, ReaderOptions::new())?;
+    let root: mesh_capnp::gateway::spread_params::Reader<'_> = message.get_root()?;
+    rumor::read(root.get_rumors()?)?;
+    work::read(root.get_work()?)?;
+    evidence::read(root.get_evidence()?)?;
+    Ok(())
+}
+
+#[test]
+fn sound_message_is_read() {
+    read(&gossip()).unwrap();
+}
+
+proptest! {
+    #![proptest_config(config(1000))]
+
+    #[test]
+    fn damaged_messages_cause_no_panic(
+        damage in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6),
+        length in any::<prop::sample::Index>(),
+    ) {
+        let mut bytes = gossip();
+        for (position, value) in &damage {
+            let position = position.index(bytes.len());
+            bytes[position] = *value;
+        }
+        let _ = read(&bytes);
+        let _ = read(&bytes[..length.index(bytes.len())]);
+    }
+}
