Count the time that a machine was suspended

Reported by other operators: a process that was paused acted on a permission that had run out.

Can it happen here: a process that is stopped, or a machine that is frozen, no: each event brings the time, and the replica checks its lease on each. A machine that is suspended, yes: Instant::now is Linux's monotonic clock, which doesn't count a suspension, so the lease of a leader, the deadlines of requests, confirmed documents and permits went on where they were.

Change: the clock of the processes follows the boot clock, and moved to the host crate, since core does no I/O. Timers sleep for the difference to that clock.

Ruled out: the wall clock, which jumps.

--- a/crates/nutmegyoke-host/src/process/driver.rs
+++ b/crates/nutmegyoke-host/src/process/driver.rs
@@ -135,7 +135,9 @@
                 }
                 continue;
             };
-            let timer = compio::time::sleep_until(deadline);
+            // The deadline is a time of this clock, not of the runtime's.
+            let delay = deadline.saturating_duration_since(self.clock.now());
+            let timer = compio::time::sleep(delay);
             pin_mut!(timer);
             match select(woken.next(), timer).await {
                 Either::Left((None, _)) => return,
--- a/src/bin/nutmegyoked/demo.rs
+++ b/src/bin/nutmegyoked/demo.rs
@@ -8,11 +8,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nutmegyoke_core::process::clock::System;
 use nutmegyoke_core::process::endpoint::Target;
 use nutmegyoke_core::process::report::{Capacity, Fencing};
 use nutmegyoke_core::version::Configuration;
 use nutmegyoke_core::version::configuration::Lists;
+use nutmegyoke_host::process::clock::{Kernel, System};
 use nutmegyoke_host::process::{Agent, Control, Entry, log, shutdown};
 use nutmegyoke_standin::engine::Behaviour;
 use nutmegyoke_standin::engine::memory::Memory;
@@ -79,7 +79,8 @@
         operators,
         &[],
     );
-    let control = Control::spawn(&settings, &role_settings, System, &registry).await?;
+    let control =
+        Control::spawn(&settings, &role_settings, System::open(Kernel), &registry).await?;
     let addresses: Vec<SocketAddr> = control.listen().into_iter().collect();
     control.apply(&configuration()?).await;
     let settings = process_settings(
@@ -88,14 +89,14 @@
         EPHEMERAL_LOOPBACK,
         &addresses,
     );
-    let first_agent = Agent::spawn(&settings, System, &registry).await?;
+    let first_agent = Agent::spawn(&settings, System::open(Kernel), &registry).await?;
     let settings = process_settings(
         RoleSettings::Agent,
         "engine-vm-2",
         EPHEMERAL_LOOPBACK,
         &addresses,
     );
-    let second_agent = Agent::spawn(&settings, System, &registry).await?;
+    let second_agent = Agent::spawn(&settings, System::open(Kernel), &registry).await?;
     let engines = [
         spawn_engine("engine-1", &first_agent).await?,
         spawn_engine("engine-2", &second_agent).await?,
@@ -114,7 +115,7 @@
         EPHEMERAL_LOOPBACK,
         &addresses,
     );
-    let entry = Entry::spawn(&settings, &role_settings, System, &registry).await?;
+    let entry = Entry::spawn(&settings, &role_settings, System::open(Kernel), &registry).await?;
     while !entry.serves(&SERVED_TARGETS) {
         compio::time::sleep(READY_POLL_INTERVAL).await;
     }
--- a/src/bin/nutmegyoked/run.rs
+++ b/src/bin/nutmegyoked/run.rs
@@ -9,7 +9,7 @@
 use derive_more::{Display, Error, From};
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
-use nutmegyoke_core::process::clock::System;
+use nutmegyoke_host::process::clock::{Kernel, System};
 use nutmegyoke_host::process::shutdown::{self, Stop};
 use nutmegyoke_host::process::{self, Agent, Control, Entry, Gateway, Steward};
 use nutmegyoke_platform::{Engine, Platform};
@@ -75,22 +75,27 @@
     let drain_limit = settings.drain_limit;
     match &settings.role_settings {
         RoleSettings::Entry(role_settings) => {
-            let entry = Entry::spawn(&settings, role_settings, System, &registry).await?;
+            let entry =
+                Entry::spawn(&settings, role_settings, System::open(Kernel), &registry).await?;
             let running = async {
                 stop_result(shutdown::run(drain_limit, || entry.in_flight(), entry.drain()).await?)
             };
             run_alongside(running, watcher.run(|_| {})).await
         }
         RoleSettings::Agent => {
-            let agent = Agent::spawn(&settings, System, &registry).await?;
+            let agent = Agent::spawn(&settings, System::open(Kernel), &registry).await?;
             let running = async {
                 stop_result(shutdown::run(drain_limit, || agent.in_flight(), agent.leave()).await?)
             };
             run_alongside(running, watcher.run(|_| {})).await
         }
         RoleSettings::Gateway(role_settings) => {
-            let spawned =
-                Gateway::<_, Platform>::spawn(&settings, role_settings, System, &registry);
+            let spawned = Gateway::<_, Platform>::spawn(
+                &settings,
+                role_settings,
+                System::open(Kernel),
+                &registry,
+            );
             let gateway = spawned.await?;
             let running = async {
                 let draining = gateway.drain(drain_limit);
@@ -102,7 +107,8 @@
         RoleSettings::Steward(role_settings) => {
             let engine = Engine::open(role_settings.engine, &settings.name);
             let engine = engine.map_err(|source| process::Failure::Client { source })?;
-            let steward = Steward::spawn(&settings, engine, System, &registry).await?;
+            let steward =
+                Steward::spawn(&settings, engine, System::open(Kernel), &registry).await?;
             let running = async {
                 let stopping = shutdown::run(drain_limit, || steward.in_flight(), steward.drain());
                 stop_result(stopping.await?)
@@ -110,7 +116,8 @@
             run_alongside(running, watcher.run(|_| {})).await
         }
         RoleSettings::Control(role_settings) => {
-            let control = Control::spawn(&settings, role_settings, System, &registry).await?;
+            let control =
+                Control::spawn(&settings, role_settings, System::open(Kernel), &registry).await?;
             let running = async {
                 let stopping = shutdown::run(drain_limit, || control.in_flight(), control.drain());
                 stop_or_journal_failure(stopping, &control).await
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -7,9 +7,9 @@
 
 use nutmegyoke_cases::cases;
 use nutmegyoke_core::process::Endpoint;
-use nutmegyoke_core::process::clock::System;
 use nutmegyoke_core::process::order::{Action, Fence, Order, Weights};
 use nutmegyoke_core::process::report::{Capacity, Fencing, State};
+use nutmegyoke_host::process::clock::{Kernel, System};
 use nutmegyoke_host::process::engine::Http;
 use nutmegyoke_host::process::memory::{Memory, Watcher};
 use nutmegyoke_standin::engine::orders::{Fault, Orders};
@@ -143,7 +143,12 @@
 fn agent(incarnation: u64, recorder: &Rc<Recorder>) -> Rc<Memory<System>> {
     let client = cyper::Client::new().unwrap();
     let watcher: Weak<Recorder> = Rc::downgrade(recorder);
-    Memory::spawn(Http::open(client), System, incarnation, watcher)
+    Memory::spawn(
+        Http::open(client),
+        System::open(Kernel),
+        incarnation,
+        watcher,
+    )
 }
 
 fn load(name: &str) -> Action {
