--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -13,6 +13,14 @@
 /// The maximum number of unacknowledged entries sent to one replica.
 const MAX_IN_FLIGHT_ENTRIES: u64 = 4096;
 
+/// The size of the unacknowledged entries sent to one replica, in bytes, from which on no
+/// further ones are sent: enough to fill one message. All of them are kept in memory.
+const MAX_IN_FLIGHT_BYTES: usize = MESSAGE_FULL_BYTES;
+
+/// How many times as large as the state the committed entries that a replica lacks have to be
+/// so that it gets a snapshot in place of them. A snapshot rewrites the journal.
+const SNAPSHOT_ADVANTAGE: usize = 2;
+
 /// What the leader knows of another replica's log.
 #[derive(Clone, Copy, Debug)]
 pub struct Progress {
@@ -24,8 +32,9 @@
     pub matched: u64,
     /// When the leader sent the latest message that the replica has answered.
     pub acked_sent_at: Instant,
-    /// When a snapshot that was sent is considered lost and sent again.
-    snapshot_resend_at: Option<Instant>,
+    /// The last index in a snapshot that was sent and is not acknowledged, and when it is
+    /// considered lost and sent again.
+    snapshot: Option<(u64, Instant)>,
     /// When the latest append was sent, and the commit index in it.
     last_sent: Option<(Instant, u64)>,
     /// When the leader sent the first message since the replica last answered.
@@ -57,7 +66,7 @@
                 moved_back: 0,
                 matched: 0,
                 acked_sent_at: now,
-                snapshot_resend_at: None,
+                snapshot: None,
                 last_sent: None,
                 unanswered_since: None,
             });
@@ -102,7 +111,49 @@
         }
     }
 
-    /// Sends `id` the entries that it lacks, or a snapshot if they are compacted. A silent replica
+    /// Whether a replica that lacks the entries from `next` on gets a snapshot in place of
+    /// them: they are compacted, or much larger than the state.
+    fn needs_snapshot(&self, next: u64) -> bool {
+        if next <= self.log.base().index {
+            return true;
+        }
+        let limit = MESSAGE_FULL_BYTES.max(self.state.snapshot_size() * SNAPSHOT_ADVANTAGE);
+        let lacking = self.log.entries_from(next);
+        let lacking = lacking.take_while(|entry| entry.position.index <= self.applied_index);
+        exceeds::<S>(lacking, limit)
+    }
+
+    /// Sends the latest snapshot, and takes one first if too much would be missing after it.
+    fn send_snapshot<K>(&mut self, now: Instant, id: Id, stamp: u64, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let latest = self.snapshot.as_ref();
+        let included = latest.map_or(0, |snapshot| snapshot.position.index);
+        if self.needs_snapshot(included + 1) {
+            self.force_snapshot();
+        }
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let resend_at = now + self.setup.election_timeout;
+        if let Role::Leader { progress, .. } = &mut self.role
+            && let Some(peer) = progress.get_mut(&id)
+        {
+            peer.snapshot = Some((snapshot.position.index, resend_at));
+        }
+        self.send(id, Body::Install { snapshot, stamp }, out);
+    }
+
+    /// Whether more entries may be sent to a replica that has been sent all before `next` and
+    /// has acknowledged those up to `matched`.
+    fn is_window_open(&self, next: u64, matched: u64) -> bool {
+        let sent = self.log.entries_from(matched + 1);
+        let sent = sent.take_while(|entry| entry.position.index < next);
+        next <= matched + MAX_IN_FLIGHT_ENTRIES && !exceeds::<S>(sent, MAX_IN_FLIGHT_BYTES)
+    }
+
+    /// Sends `id` the entries that it lacks, or a snapshot if that is shorter. A silent replica
     /// gets heartbeats only.
     fn send_missing<K>(&mut self, now: Instant, id: Id, heartbeat: bool, out: &mut K)
     where
@@ -111,31 +162,34 @@
         let stamp = self.stamp(now);
         let election_timeout = self.setup.election_timeout;
         let heartbeat_interval = self.heartbeat_interval();
-        let resend_at = now + election_timeout;
         let observer = self
             .membership
             .peer(id)
             .is_some_and(|peer| peer.seed.observer);
+        let Role::Leader { progress, .. } = &self.role else {
+            return;
+        };
+        let Some(&peer) = progress.get(&id) else {
+            return;
+        };
+        let silent = peer.is_silent(now, election_timeout);
+        let needs_snapshot = !silent && self.needs_snapshot(peer.next);
+        let window_open = !silent && self.is_window_open(peer.next, peer.matched);
         let Role::Leader { progress, .. } = &mut self.role else {
             return;
         };
         let Some(peer) = progress.get_mut(&id) else {
             return;
         };
-        let silent = peer.is_silent(now, election_timeout);
         let base = self.log.base().index;
-        if peer.next > base {
-            peer.snapshot_resend_at = None;
-        } else if !silent {
-            if peer.snapshot_resend_at.is_some_and(|at| now < at) {
+        if needs_snapshot {
+            if peer.snapshot.is_some_and(|(_, resend_at)| now < resend_at) {
                 return;
             }
-            peer.snapshot_resend_at = Some(resend_at);
             peer.unanswered_since.get_or_insert(now);
-            self.send_snapshot(id, stamp, out);
+            self.send_snapshot(now, id, stamp, out);
             return;
         }
-        let window_open = !silent && peer.next <= peer.matched + MAX_IN_FLIGHT_ENTRIES;
         let entries = if window_open {
             entries_for_message::<S>(self.log.entries_from(peer.next))
         } else {
@@ -198,6 +252,7 @@
             return;
         };
         peer.matched = peer.matched.max(matched);
+        peer.snapshot = peer.snapshot.filter(|&(index, _)| matched < index);
         peer.next = peer.next.max(matched + 1);
         if self.advance_commit_index(out) {
             // Lets the other replicas apply the entries before the next heartbeat.
@@ -265,6 +320,21 @@
     }
 }
 
+/// Whether the changes in `entries` are larger than `limit`, in bytes.
+fn exceeds<'a, S: State + 'a>(
+    entries: impl Iterator<Item = &'a Entry<S::Change>>,
+    limit: usize,
+) -> bool {
+    let mut bytes = 0;
+    let mut entries = entries;
+    entries.any(|entry| {
+        if let Content::Change(change) = &entry.content {
+            bytes += S::change_size(change);
+        }
+        bytes > limit
+    })
+}
+
 /// The first of `entries` that fit into one message.
 fn entries_for_message<'a, S: State + 'a>(
     entries: impl Iterator<Item = &'a Entry<S::Change>>,
--- a/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use super::log::{Content, Log};
-use super::{Body, Command, Id, Membership, Position, Replica, Sink, State};
+use super::{Membership, Position, Replica, State};
 
 /// The maximum number of entries kept in the log after a snapshot that covers them,
 /// so that a replica which is a little behind doesn't need the snapshot.
@@ -92,17 +92,6 @@
         self.reload_membership();
     }
 
-    /// Sends the latest snapshot, if there is one.
-    pub(super) fn send_snapshot<K>(&mut self, to: Id, stamp: u64, out: &mut K)
-    where
-        K: Sink<Command = Command<S>>,
-    {
-        let Some(snapshot) = self.snapshot.clone() else {
-            return;
-        };
-        self.send(to, Body::Install { snapshot, stamp }, out);
-    }
-
     /// Adopts the latest membership in the log, committed or not.
     pub(super) fn reload_membership(&mut self) {
         let latest = self
--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -47,10 +47,24 @@
 }
 
 fn publish(simulation: &mut Simulation<Store>, number: u64, interval: Duration) {
+    publish_bytes(
+        simulation,
+        number,
+        number.to_string().into_bytes(),
+        interval,
+    );
+}
+
+fn publish_bytes(
+    simulation: &mut Simulation<Store>,
+    number: u64,
+    source: Vec<u8>,
+    interval: Duration,
+) {
     let leader = simulation.leader().expect("no leader");
     let document = Rc::new(Document {
         number,
-        source: number.to_string().into_bytes().into(),
+        source: source.into(),
     });
     let change = Change::Publish { document };
     let event = Event::Proposed {
@@ -173,3 +187,51 @@
     isolated_voter: (Fault::Isolated, true),
     isolated_observer: (Fault::Isolated, false),
 });
+
+/// The size of a long document, and how many of them are in the log.
+const LONG_DOCUMENT_BYTES: usize = 200 * 1024;
+const LONG_DOCUMENTS: u64 = 12;
+
+/// A fleet whose log has many long documents, of which only the last counts.
+fn fleet_with_long_documents() -> Simulation<Store> {
+    let mut simulation = spawn();
+    for number in 1..=LONG_DOCUMENTS {
+        let source = vec![b' '; LONG_DOCUMENT_BYTES];
+        publish_bytes(&mut simulation, number, source, PUBLISH_INTERVAL);
+    }
+    simulation.run(CATCH_UP_TIME);
+    assert_eq!(document(&simulation, OBSERVER), LONG_DOCUMENTS);
+    simulation
+}
+
+/// After a restart of all gateways, the leader sent each of those without a disk the whole log,
+/// more than its memory and its link hold.
+#[test]
+fn restarted_observer_is_sent_the_state_rather_than_a_longer_log() {
+    let mut simulation = fleet_with_long_documents();
+    simulation.kill(OBSERVER);
+    simulation.wipe(OBSERVER);
+    simulation.bytes_sent.clear();
+    simulation.start(OBSERVER);
+    simulation.run(Duration::from_secs(5));
+    assert_eq!(document(&simulation, OBSERVER), LONG_DOCUMENTS);
+    let sent = simulation.bytes_sent[&OBSERVER];
+    assert!(sent <= 3 * LONG_DOCUMENT_BYTES, "{sent} bytes sent");
+}
+
+/// Everything that a slow replica lacked was on its way to it at once.
+#[test]
+fn slow_replica_has_few_bytes_on_their_way() {
+    let mut simulation = spawn();
+    simulation.frozen = [OBSERVER].into();
+    simulation.bytes_sent.clear();
+    for number in 1..=LONG_DOCUMENTS {
+        let source = vec![b' '; LONG_DOCUMENT_BYTES];
+        publish_bytes(&mut simulation, number, source, Duration::from_millis(10));
+    }
+    let sent = simulation.bytes_sent[&OBSERVER];
+    assert!(sent <= 8 * LONG_DOCUMENT_BYTES, "{sent} bytes sent");
+    simulation.frozen.clear();
+    simulation.run(CATCH_UP_TIME);
+    assert_eq!(document(&simulation, OBSERVER), LONG_DOCUMENTS);
+}
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -83,6 +83,8 @@
     pub frozen: BTreeSet<usize>,
     /// How many entries of the log were sent to each VM.
     pub entries_sent: BTreeMap<usize, usize>,
+    /// The bytes of the entries and snapshots that were sent to each VM.
+    pub bytes_sent: BTreeMap<usize, usize>,
     /// How many snapshots were sent to each VM.
     pub snapshots_sent: BTreeMap<usize, usize>,
     /// The outcomes of committed changes, by call.
@@ -146,6 +148,7 @@
             isolated: BTreeSet::new(),
             frozen: BTreeSet::new(),
             entries_sent: BTreeMap::new(),
+            bytes_sent: BTreeMap::new(),
             snapshots_sent: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             redirected: BTreeSet::new(),
@@ -282,6 +285,7 @@
 
     fn send(&mut self, vm: usize, to: SocketAddr, message: &Message<S>) {
         let other = usize::from(to.port()) - 1;
+        *self.bytes_sent.entry(other).or_default() += message.size();
         match &message.body {
             Body::Append { entries, .. } => {
                 *self.entries_sent.entry(other).or_default() += entries.len();
