--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,6 +3,6 @@
 # the disruption is left out.
 set -m
 cd "$(dirname "$0")/../.." || exit 2
-target/review/harness dropped-pool review/5/record.txt &
+target/review/harness displaced-engine review/5/record.txt &
 trap 'kill -KILL -- "-$!"' INT TERM
 wait "$!"
