--- a/review/harness/first_start.rs
+++ b/review/harness/first_start.rs
@@ -11,10 +11,10 @@
 use crate::record::Record;
 
 /// When the successor starts: `x` of `replace_core`.
-const SUCCESSOR_AFTER: Duration = Duration::from_secs(2);
+const SUCCESSOR_AFTER: Duration = Duration::from_secs(1);
 
 /// For how long the operator sends the first config.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_secs(40);
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Verdict {
     let mut fleet = Fleet::open("first-start", &[0, 1, 2]);
@@ -66,5 +66,9 @@
     record.line(&format!(
         "the first config was sent {sent} times within {PATIENCE:?} and never acknowledged"
     ));
+    if machines.iter().any(|&number| fleet.has_ended(number)) {
+        record.line("a process of the core has ended");
+        return Verdict::Impossible;
+    }
     Verdict::Broken
 }
