Replication: a large document no longer ends the leader's lease

Cause, in this order. The leader sent the document, 302 KB, to its 30 peers at once, 9 MB over a link of 100 Mbit/s, and each heartbeat waited behind it on its connection, for longer than the lease of 525 ms. The leader stepped down; the next one had the document uncommitted in its log and began in the same way. The operator's next tries appended the document again each time, so that each term sent more. Two herds made it last: all gateways fetched the document from the leader as soon as they heard of it, and without a leader all replicas asked all others, seven times a second, to let them join.

The leader steps down 0.78 s after the config was sent; its calls to all peers go unanswered after 802 ms, that is 500 ms and the time of 302 KB; leaders of terms 3 and 4 last for 0.6 and 0.5 s. Ruled out: the disks, the decoding of the document and the operator's link.

A message of 64 KB or more is a transfer: three at a time from a leader, voters first, on a connection of their own, with heartbeats beside them; observers are sent committed entries only. A document that an uncommitted entry holds, or that is in force, is not appended again, and a gateway asks the leader for the number in force before it forwards a large one. A gateway that hears its leader waits for the log, or fetches from another gateway, at a random time. A replica asks three contacts at a time to let it join.

--- a/crates/nutmegyoke-core/src/process/control/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/mod.rs
@@ -251,8 +251,15 @@
                 self.propose(now, call, &Change::Configure { configuration }, out);
             }
             Event::Published { call, document } => {
-                let document = Rc::clone(document);
-                self.propose(now, call, &Change::Publish { document }, out);
+                let newest = self.document().map(|document| document.number);
+                let change = if newest.is_some_and(|newest| document.number <= newest) {
+                    // It changes nothing, but only a leader knows the number in force.
+                    Change::Barrier
+                } else {
+                    let document = Rc::clone(document);
+                    Change::Publish { document }
+                };
+                self.propose(now, call, &change, out);
             }
             Event::DemandMeasured { call, demand } => {
                 let demand = Rc::clone(demand);
--- a/crates/nutmegyoke-core/src/process/control/replica/follower.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/follower.rs
@@ -39,6 +39,13 @@
         }
     }
 
+    /// Whether the leader's messages arrive, so that the log brings what this replica lacks. An
+    /// observer that lacks nothing gets one in each election timeout.
+    #[must_use]
+    pub fn hears_leader(&self, now: Instant) -> bool {
+        self.leader.is_some() && now < self.leader_heard_at + self.setup.election_timeout * 2
+    }
+
     /// Returns whether a message belongs to an earlier term. Answers an append or a
     /// snapshot by [`Body::Outdated`], so that its sender stops leading.
     fn reject_outdated<K>(&mut self, message: &Message<S>, out: &mut K) -> bool
--- a/crates/nutmegyoke-core/src/process/control/replica/join.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/join.rs
@@ -14,6 +14,10 @@
     Sink, State,
 };
 
+/// How many contacts a replica asks at a time to let it join; any of them forwards the request
+/// to the leader. Without a leader all replicas ask, and their contacts are all replicas.
+const JOIN_FANOUT: usize = 3;
+
 impl<S: State> Replica<S> {
     /// Asks to join a fleet, or bootstraps one. Only for a replica that doesn't vote.
     pub(super) fn join_or_bootstrap<K>(&mut self, now: Instant, out: &mut K)
@@ -38,12 +42,13 @@
         self.request_join(out);
     }
 
-    /// Asks all contacts to let this replica join.
-    pub(super) fn request_join<K>(&self, out: &mut K)
+    /// Asks some contacts, drawn at random, to let this replica join.
+    pub(super) fn request_join<K>(&mut self, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
-        for address in self.contacts() {
+        let contacts = self.contacts();
+        for address in self.random.choose_multiple(contacts, JOIN_FANOUT) {
             self.send_join(address, out);
         }
     }
@@ -247,7 +252,7 @@
             self.step_down(now, out);
         } else {
             let index = self.change_membership(now, membership, out);
-            self.pending_calls.insert(index, call);
+            self.pending_calls.entry(index).or_default().push(call);
         }
     }
 }
--- a/crates/nutmegyoke-core/src/process/control/replica/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/mod.rs
@@ -52,11 +52,14 @@
     /// A change as stored in the log.
     type Change: Clone + Debug;
     /// The result of a change, returned to its proposer.
-    type Outcome: Debug;
+    type Outcome: Clone + Debug;
 
     /// Applies one change. The result must depend only on the state and the change.
     fn apply(&mut self, change: &Self::Change) -> Self::Outcome;
 
+    /// Whether `change` repeats `earlier`, so that the outcome of one is that of the other.
+    fn is_repeat(change: &Self::Change, earlier: &Self::Change) -> bool;
+
     /// The approximate size of a change in the log, in bytes.
     fn change_size(change: &Self::Change) -> usize;
 
@@ -114,7 +117,7 @@
     /// Messages to send once the current vote is synced.
     held_messages: Vec<(Id, Message<S>)>,
     /// The calls that wait for an entry to be applied, by the entry's index.
-    pending_calls: BTreeMap<u64, u64>,
+    pending_calls: BTreeMap<u64, Vec<u64>>,
     /// The address from which each replica last sent a message.
     addresses: BTreeMap<Id, SocketAddr>,
     /// The answers to this replica's probes.
@@ -345,19 +348,20 @@
             };
             self.applied_index = index;
             // Calls wait only while this replica leads, so the entry is the one proposed.
-            let pending = self.pending_calls.remove(&index);
+            let pending = self.pending_calls.remove(&index).unwrap_or_default();
             match &entry.content {
                 Content::Blank => {}
                 Content::Membership(membership) => {
                     self.applied_membership = membership.clone();
-                    if let Some(call) = pending {
+                    for call in pending {
                         out.push(Command::MembershipChanged { call });
                     }
                 }
                 Content::Change(change) => {
                     self.bytes_since_snapshot += S::change_size(change);
                     let outcome = self.state.apply(change);
-                    if let Some(call) = pending {
+                    for call in pending {
+                        let outcome = outcome.clone();
                         out.push(Command::Outcome { call, outcome });
                     }
                 }
@@ -371,7 +375,10 @@
     where
         K: Sink<Command = Command<S>>,
     {
-        for call in std::mem::take(&mut self.pending_calls).into_values() {
+        for call in std::mem::take(&mut self.pending_calls)
+            .into_values()
+            .flatten()
+        {
             out.push(Command::Redirect { call });
         }
     }
--- a/crates/nutmegyoke-core/src/process/control/replica/pruning.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/pruning.rs
@@ -45,7 +45,7 @@
 
     /// Asks to join again, as a voter without a leader may have been removed from the
     /// membership. A leader ignores the request of a replica that is still a member.
-    pub(super) fn rejoin<K>(&self, out: &mut K)
+    pub(super) fn rejoin<K>(&mut self, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -1,4 +1,9 @@
 //! Replication of the leader's log to the other replicas.
+//!
+//! A large message, or a snapshot, is a [`Transfer`]. The leader has few of them in flight, those
+//! to voters first, and keeps sending heartbeats beside them: its link must not be busy with
+//! documents for as long as the lease lasts, however many replicas there are. Observers are sent
+//! only committed entries, so that the link is free for the voters until then.
 
 use std::time::{Duration, Instant};
 
@@ -17,6 +22,19 @@
 /// further ones are sent: enough to fill one message. All of them are kept in memory.
 const MAX_IN_FLIGHT_BYTES: usize = MESSAGE_FULL_BYTES;
 
+/// The size of a message, in bytes, from which on it is a transfer.
+pub const TRANSFER_BYTES: usize = 64 * 1024;
+
+/// The maximum number of transfers in flight from a leader, enough for two voters and one more.
+const MAX_TRANSFERS: usize = 3;
+
+/// The lowest rate of a transfer, in bytes a second. A slower one is considered lost.
+const MIN_TRANSFER_RATE: u64 = 200_000;
+
+/// How long a transfer may take besides, in election timeouts: the host sends it again, on a new
+/// connection, if the first is silent.
+const TRANSFER_ELECTION_TIMEOUTS: u32 = 4;
+
 /// How many times as large as the state the committed entries that a replica lacks have to be
 /// so that it gets a snapshot in place of them. A snapshot rewrites the journal.
 const SNAPSHOT_ADVANTAGE: usize = 2;
@@ -32,15 +50,25 @@
     pub matched: u64,
     /// When the leader sent the latest message that the replica has answered.
     pub acked_sent_at: Instant,
-    /// The last index in a snapshot that was sent and is not acknowledged, and when it is
-    /// considered lost and sent again.
-    snapshot: Option<(u64, Instant)>,
+    /// The large message that was sent and is not acknowledged.
+    transfer: Option<Transfer>,
+    /// Whether the replica has answered this leader. One that may be down is sent no transfer.
+    answered: bool,
     /// When the latest append was sent, and the commit index in it.
     last_sent: Option<(Instant, u64)>,
     /// When the leader sent the first message since the replica last answered.
     unanswered_since: Option<Instant>,
 }
 
+/// A large message to a replica, which is sent only heartbeats until it has acknowledged it.
+#[derive(Clone, Copy, Debug)]
+struct Transfer {
+    /// The last index in the message.
+    last: u64,
+    /// When the message is considered lost and sent again.
+    resend_at: Instant,
+}
+
 impl Progress {
     /// Whether the replica has not answered for `timeout`. It may be frozen; then everything that
     /// is sent to it stays in memory, here or there, until it goes on.
@@ -66,7 +94,8 @@
                 moved_back: 0,
                 matched: 0,
                 acked_sent_at: now,
-                snapshot: None,
+                transfer: None,
+                answered: false,
                 last_sent: None,
                 unanswered_since: None,
             });
@@ -74,7 +103,8 @@
     }
 
     /// Appends a change, whose outcome answers `call`; redirects the call if this replica
-    /// does not lead or its disk is full.
+    /// does not lead or its disk is full. A change that an uncommitted entry already makes is not
+    /// appended again.
     pub(super) fn propose<K>(&mut self, now: Instant, call: u64, change: &S::Change, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
@@ -83,11 +113,25 @@
             out.push(Command::Redirect { call });
             return;
         }
+        if let Some(index) = self.uncommitted_repeat(change) {
+            self.pending_calls.entry(index).or_default().push(call);
+            return;
+        }
         let index = self.append(Content::Change(change.clone()));
-        self.pending_calls.insert(index, call);
+        self.pending_calls.entry(index).or_default().push(call);
         self.replicate(now, false, out);
     }
 
+    /// The index of an uncommitted entry with the same outcome as `change`.
+    fn uncommitted_repeat(&self, change: &S::Change) -> Option<u64> {
+        let mut uncommitted = self.log.entries_from(self.commit_index + 1);
+        let repeat = uncommitted.find(|entry| match &entry.content {
+            Content::Change(earlier) => S::is_repeat(change, earlier),
+            Content::Blank | Content::Membership(_) => false,
+        });
+        repeat.map(|entry| entry.position.index)
+    }
+
     /// Appends an entry as the leader and returns its index.
     pub(super) fn append(&mut self, content: Content<S::Change>) -> u64 {
         let position = Position {
@@ -105,7 +149,10 @@
         K: Sink<Command = Command<S>>,
     {
         let own_id = self.setup.id;
-        let ids: Vec<Id> = self.membership.peers.iter().map(|peer| peer.id).collect();
+        let peers = &self.membership.peers;
+        let voters = peers.iter().filter(|peer| peer.voter);
+        let others = peers.iter().filter(|peer| !peer.voter);
+        let ids: Vec<Id> = voters.chain(others).map(|peer| peer.id).collect();
         for id in ids.into_iter().filter(|&id| id != own_id) {
             self.send_missing(now, id, heartbeat, out);
         }
@@ -136,15 +183,37 @@
         let Some(snapshot) = self.snapshot.clone() else {
             return;
         };
-        let resend_at = now + self.setup.election_timeout;
+        let transfer = self.transfer(now, snapshot.position.index, snapshot.state.snapshot_size());
         if let Role::Leader { progress, .. } = &mut self.role
             && let Some(peer) = progress.get_mut(&id)
         {
-            peer.snapshot = Some((snapshot.position.index, resend_at));
+            peer.transfer = Some(transfer);
+            peer.unanswered_since.get_or_insert(now);
         }
         self.send(id, Body::Install { snapshot, stamp }, out);
     }
 
+    /// A transfer of `bytes` that is sent now.
+    fn transfer(&self, now: Instant, last: u64, bytes: usize) -> Transfer {
+        let time = Duration::from_millis(bytes as u64 * 1000 / MIN_TRANSFER_RATE);
+        Transfer {
+            last,
+            resend_at: now + self.setup.election_timeout * TRANSFER_ELECTION_TIMEOUTS + time,
+        }
+    }
+
+    /// Whether a transfer to `peer` may begin: the replica answers, and few others are in flight.
+    fn may_transfer(&self, now: Instant, peer: &Progress) -> bool {
+        let Role::Leader { progress, .. } = &self.role else {
+            return false;
+        };
+        let election_timeout = self.setup.election_timeout;
+        let in_flight = progress
+            .values()
+            .filter(|peer| peer.transfer.is_some() && !peer.is_silent(now, election_timeout));
+        peer.answered && in_flight.count() < MAX_TRANSFERS
+    }
+
     /// Whether more entries may be sent to a replica that has been sent all before `next` and
     /// has acknowledged those up to `matched`.
     fn is_window_open(&self, next: u64, matched: u64) -> bool {
@@ -153,72 +222,141 @@
         next <= matched + MAX_IN_FLIGHT_ENTRIES && !exceeds::<S>(sent, MAX_IN_FLIGHT_BYTES)
     }
 
-    /// Sends `id` the entries that it lacks, or a snapshot if that is shorter. A silent replica
-    /// gets heartbeats only.
+    /// Sends `id` the entries that it lacks, or a snapshot if that is shorter. A silent replica,
+    /// and one that a transfer is in flight to, gets heartbeats only.
     fn send_missing<K>(&mut self, now: Instant, id: Id, heartbeat: bool, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
         let stamp = self.stamp(now);
         let election_timeout = self.setup.election_timeout;
-        let heartbeat_interval = self.heartbeat_interval();
-        let observer = self
-            .membership
-            .peer(id)
-            .is_some_and(|peer| peer.seed.observer);
-        let Role::Leader { progress, .. } = &self.role else {
+        let Role::Leader { progress, .. } = &mut self.role else {
             return;
         };
-        let Some(&peer) = progress.get(&id) else {
+        let Some(peer) = progress.get_mut(&id) else {
             return;
         };
         let silent = peer.is_silent(now, election_timeout);
-        let needs_snapshot = !silent && self.needs_snapshot(peer.next);
-        let window_open = !silent && self.is_window_open(peer.next, peer.matched);
-        let Role::Leader { progress, .. } = &mut self.role else {
+        if !silent
+            && peer
+                .transfer
+                .is_some_and(|transfer| transfer.resend_at <= now)
+        {
+            peer.transfer = None;
+            peer.next = peer.matched + 1;
+        }
+        let peer = *peer;
+        if silent || peer.transfer.is_some() {
+            return self.send_heartbeat(now, id, heartbeat, out);
+        }
+        if self.needs_snapshot(peer.next) {
+            if self.may_transfer(now, &peer) {
+                self.send_snapshot(now, id, stamp, out);
+            } else {
+                self.send_heartbeat(now, id, heartbeat, out);
+            }
             return;
+        }
+        let entries = self.entries_to_send(id, &peer);
+        let size = entries.iter().map(change_size::<S>).sum();
+        let large = size >= TRANSFER_BYTES;
+        if entries.is_empty() || (large && !self.may_transfer(now, &peer)) {
+            return self.send_heartbeat(now, id, heartbeat, out);
+        }
+        let previous = self.log_position(peer.next - 1);
+        let next = peer.next + entries.len() as u64;
+        let transfer = large.then(|| self.transfer(now, next - 1, size));
+        self.record_sent(now, id, |peer| {
+            peer.next = next;
+            peer.transfer = transfer;
+        });
+        let body = Body::Append {
+            previous,
+            entries,
+            commit: self.commit_index,
+            stamp,
         };
-        let Some(peer) = progress.get_mut(&id) else {
+        self.send(id, body, out);
+    }
+
+    /// Sends `id` an empty append if `due`, unless it has been sent one recently and needs few.
+    fn send_heartbeat<K>(&mut self, now: Instant, id: Id, due: bool, out: &mut K)
+    where
+        K: Sink<Command = Command<S>>,
+    {
+        let election_timeout = self.setup.election_timeout;
+        let Role::Leader { progress, .. } = &self.role else {
             return;
         };
-        let base = self.log.base().index;
-        if needs_snapshot {
-            if peer.snapshot.is_some_and(|(_, resend_at)| now < resend_at) {
-                return;
-            }
-            peer.unanswered_since.get_or_insert(now);
-            self.send_snapshot(now, id, stamp, out);
+        let Some(&peer) = progress.get(&id).filter(|_| due) else {
             return;
-        }
-        let entries = if window_open {
-            entries_for_message::<S>(self.log.entries_from(peer.next))
-        } else {
-            Vec::new()
         };
-        let skip_heartbeat = peer.last_sent.is_some_and(|(at, commit)| {
+        let silent = peer.is_silent(now, election_timeout);
+        let observer = self.is_observer(id);
+        let recent = peer.last_sent.is_some_and(|(at, commit)| {
             if silent {
-                return now < at + heartbeat_interval;
+                return now < at + self.heartbeat_interval();
             }
             // Observers count for neither lease nor quorum, so they need few heartbeats.
             observer && commit == self.commit_index && now < at + election_timeout
         });
-        if entries.is_empty() && (!heartbeat || skip_heartbeat) {
+        if recent {
             return;
         }
-        peer.last_sent = Some((now, self.commit_index));
-        peer.unanswered_since.get_or_insert(now);
-        let index = base.max(peer.next - 1);
-        let term = self.log.term(index).unwrap_or_default();
-        peer.next += entries.len() as u64;
+        // It overtakes a transfer, so it follows what all logs have in common.
+        let overtakes = peer.transfer.is_some() || peer.next <= self.log.base().index;
+        let previous = if overtakes {
+            Position::default()
+        } else {
+            self.log_position(peer.next - 1)
+        };
+        self.record_sent(now, id, |_| {});
         let body = Body::Append {
-            previous: Position { term, index },
-            entries,
+            previous,
+            entries: Vec::new(),
             commit: self.commit_index,
-            stamp,
+            stamp: self.stamp(now),
         };
         self.send(id, body, out);
     }
 
+    /// Records that `id` is sent an append now, and what that changes of its progress.
+    fn record_sent(&mut self, now: Instant, id: Id, change: impl FnOnce(&mut Progress)) {
+        let commit = self.commit_index;
+        if let Role::Leader { progress, .. } = &mut self.role
+            && let Some(peer) = progress.get_mut(&id)
+        {
+            peer.last_sent = Some((now, commit));
+            peer.unanswered_since.get_or_insert(now);
+            change(peer);
+        }
+    }
+
+    /// The position of the entry at `index`, which is not compacted.
+    fn log_position(&self, index: u64) -> Position {
+        let term = self.log.term(index).unwrap_or_default();
+        Position { term, index }
+    }
+
+    fn is_observer(&self, id: Id) -> bool {
+        let peer = self.membership.peer(id);
+        peer.is_some_and(|peer| peer.seed.observer)
+    }
+
+    /// The next entries for a replica, none if too many are on their way to it.
+    fn entries_to_send(&self, id: Id, peer: &Progress) -> Vec<Entry<S::Change>> {
+        if !self.is_window_open(peer.next, peer.matched) {
+            return Vec::new();
+        }
+        let limit = if self.is_observer(id) {
+            self.commit_index
+        } else {
+            u64::MAX
+        };
+        let entries = self.log.entries_from(peer.next);
+        entries_for_message::<S>(entries.take_while(|entry| entry.position.index <= limit))
+    }
+
     /// The stamp of a message sent now: the milliseconds since this replica opened.
     fn stamp(&self, now: Instant) -> u64 {
         let elapsed = now.saturating_duration_since(self.opened_at);
@@ -235,6 +373,7 @@
             .acked_sent_at
             .max(self.opened_at + Duration::from_millis(stamp));
         peer.unanswered_since = None;
+        peer.answered = true;
         Some(peer)
     }
 
@@ -252,11 +391,19 @@
             return;
         };
         peer.matched = peer.matched.max(matched);
-        peer.snapshot = peer.snapshot.filter(|&(index, _)| matched < index);
+        let transferred = peer
+            .transfer
+            .is_some_and(|transfer| transfer.last <= matched);
+        if transferred {
+            peer.transfer = None;
+        }
         peer.next = peer.next.max(matched + 1);
         if self.advance_commit_index(out) {
             // Lets the other replicas apply the entries before the next heartbeat.
             self.replicate(now, true, out);
+        } else if transferred {
+            // Another transfer may begin.
+            self.replicate(now, false, out);
         }
         self.promote_learner(now, from, out);
         self.send_missing(now, from, false, out);
@@ -282,6 +429,7 @@
         if is_new && previous > peer.matched && previous < peer.next {
             peer.next = (peer.matched + 1).max(previous.min(last + 1));
             peer.moved_back = now_stamp;
+            peer.transfer = None;
         }
         self.send_missing(now, from, false, out);
     }
@@ -328,13 +476,19 @@
     let mut bytes = 0;
     let mut entries = entries;
     entries.any(|entry| {
-        if let Content::Change(change) = &entry.content {
-            bytes += S::change_size(change);
-        }
+        bytes += change_size::<S>(entry);
         bytes > limit
     })
 }
 
+/// The size of the change in an entry, in bytes.
+fn change_size<S: State>(entry: &Entry<S::Change>) -> usize {
+    match &entry.content {
+        Content::Change(change) => S::change_size(change),
+        Content::Blank | Content::Membership(_) => 0,
+    }
+}
+
 /// The first of `entries` that fit into one message.
 fn entries_for_message<'a, S: State + 'a>(
     entries: impl Iterator<Item = &'a Entry<S::Change>>,
@@ -342,9 +496,7 @@
     let mut bytes = 0;
     let fitting = entries.take(MAX_MESSAGE_ENTRIES).take_while(|entry| {
         let full = bytes >= MESSAGE_FULL_BYTES;
-        if let Content::Change(change) = &entry.content {
-            bytes += S::change_size(change);
-        }
+        bytes += change_size::<S>(entry);
         !full
     });
     fitting.cloned().collect()
--- a/crates/nutmegyoke-core/src/process/control/store.rs
+++ b/crates/nutmegyoke-core/src/process/control/store.rs
@@ -144,6 +144,15 @@
         }
     }
 
+    fn is_repeat(change: &Change, earlier: &Change) -> bool {
+        match (change, earlier) {
+            (Change::Publish { document }, Change::Publish { document: earlier }) => {
+                document.number == earlier.number && document.source == earlier.source
+            }
+            _ => false,
+        }
+    }
+
     fn change_size(change: &Change) -> usize {
         match change {
             Change::Configure { configuration } => row_count(configuration) * ROW_BYTES,
--- a/crates/nutmegyoke-core/src/process/gateway/freshness.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/freshness.rs
@@ -18,6 +18,10 @@
 /// have it within one round trip.
 const LOG_GRACE: Duration = Duration::from_millis(250);
 
+/// For each other gateway, the longest time that a fetch is put off at random: all gateways hear
+/// of a document at once, most of them from the leader, whose link must not be busy for long.
+const FETCH_SPREAD: Duration = Duration::from_millis(30);
+
 /// The delay before a document is fetched again.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(600);
 
@@ -76,7 +80,10 @@
         if number <= self.document() {
             return;
         }
-        let due = self.newer.map_or(now + LOG_GRACE, |newer| newer.due);
+        let due = match self.newer {
+            Some(newer) => newer.due,
+            None => now + LOG_GRACE + self.fetch_spread(),
+        };
         if self.newer.is_none_or(|newer| newer.number <= number) {
             self.newer = Some(Newer {
                 number,
@@ -93,16 +100,28 @@
     {
         let document = self.document();
         self.newer = self.newer.filter(|newer| document < newer.number);
-        let Some(newer) = self.newer.as_mut().filter(|newer| newer.due <= now) else {
+        if self.newer.is_none_or(|newer| now < newer.due) {
+            return;
+        }
+        let spread = self.fetch_spread();
+        let Some(newer) = self.newer.as_mut() else {
             return;
         };
-        newer.due = now + FETCH_RETRY_DELAY;
+        newer.due = now + FETCH_RETRY_DELAY + spread;
         out.push(Command::Fetch {
             gateway: newer.gateway,
             above: document,
         });
     }
 
+    /// A random time that a fetch is put off.
+    fn fetch_spread(&mut self) -> Duration {
+        let gateways = u32::try_from(self.gossip.len()).unwrap_or(u32::MAX);
+        FETCH_SPREAD
+            .saturating_mul(gateways)
+            .mul_f64(self.rng.f64())
+    }
+
     /// Whether the document was the newest when a request had arrived.
     pub(super) fn is_document_confirmed(&self, arrived: Instant) -> bool {
         let confirmed_at = self.confirmation.confirmed_at;
--- a/crates/nutmegyoke-core/tests/freshness.rs
+++ b/crates/nutmegyoke-core/tests/freshness.rs
@@ -15,6 +15,16 @@
 /// A time that is longer than the log usually takes, but shorter than two fetches.
 const WAIT: Duration = Duration::from_millis(300);
 
+fn setup() -> Setup {
+    Setup {
+        data_centre: "alp-a".into(),
+        address: address(200),
+        heartbeat_period: Duration::from_secs(1),
+        retry_bound: Bound::default(),
+        seed: 1,
+    }
+}
+
 /// A gateway with document 1 and a simulated clock.
 struct Harness {
     now: Instant,
@@ -23,16 +33,9 @@
 
 impl Harness {
     fn open() -> Self {
-        let setup = Setup {
-            data_centre: "alp-a".into(),
-            address: address(200),
-            heartbeat_period: Duration::from_secs(1),
-            retry_bound: Bound::default(),
-            seed: 1,
-        };
         let mut harness = Self {
             now: Instant::now(),
-            gateway: Gateway::open(setup),
+            gateway: Gateway::open(setup()),
         };
         harness.configure(1);
         harness
@@ -247,3 +250,32 @@
     let out = harness.feed(Event::Ticked);
     assert_eq!(refusals(&out), [(1, Reason::Unconfirmed)]);
 }
+
+/// All gateways that heard of a document from its leader fetched it there in the same instant,
+/// and the leader's link was busy for longer than its lease.
+#[test]
+fn gateways_of_a_large_fleet_do_not_fetch_a_document_at_once() {
+    const GATEWAYS: u8 = 30;
+    const INTERVAL: Duration = Duration::from_millis(100);
+    let mut harnesses: Vec<Harness> = (0..GATEWAYS).map(|_| Harness::open()).collect();
+    let mut most = 0;
+    for (seed, harness) in (1..).zip(&mut harnesses) {
+        harness.gateway = Gateway::open(Setup { seed, ..setup() });
+        harness.configure(1);
+        let others: Vec<_> = (1..=GATEWAYS).map(address).collect();
+        harness.feed(Event::PeersListed { gateways: &others });
+        harness.hear(1, 2);
+    }
+    let mut total = 0;
+    for _ in 0..12 {
+        let mut count = 0;
+        for harness in &mut harnesses {
+            harness.now += INTERVAL;
+            count += fetches(&harness.feed(Event::Ticked)).len();
+        }
+        total += count;
+        most = most.max(count);
+    }
+    assert!(total >= usize::from(GATEWAYS), "{total} fetches");
+    assert!(most <= usize::from(GATEWAYS) / 3, "{most} fetches at once");
+}
--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nutmegyoke_cases::cases;
-use nutmegyoke_core::process::control::replica::Event;
+use nutmegyoke_core::process::control::replica::{Content, Entry, Event};
 use nutmegyoke_core::process::control::store::{Change, Store};
 use nutmegyoke_core::version::Document;
 use support::{ELECTION_TIMEOUT, Link, Simulation};
@@ -235,3 +235,109 @@
     simulation.run(CATCH_UP_TIME);
     assert_eq!(document(&simulation, OBSERVER), LONG_DOCUMENTS);
 }
+
+/// A document that a leader's lease does not outlast if it is sent to all replicas at once.
+const LARGE_DOCUMENT_BYTES: usize = 70 * 1024;
+
+fn propose(simulation: &mut Simulation<Store>, call: u64, bytes: usize) {
+    let document = Rc::new(Document {
+        number: 1,
+        source: vec![b' '; bytes].into(),
+    });
+    let change = &Change::Publish { document };
+    let leader = simulation.leader().expect("no leader");
+    simulation.feed(leader, Event::Proposed { call, change });
+}
+
+fn is_publication(entry: &Entry<Change>) -> bool {
+    matches!(&entry.content, Content::Change(Change::Publish { .. }))
+}
+
+/// The leader sent a large document to all replicas at once, and its heartbeats waited behind it.
+#[test]
+fn large_document_is_sent_to_few_replicas_at_a_time() {
+    const VOTERS: usize = 5;
+    const OBSERVERS: usize = 16;
+    const MAX_TRANSFERS: usize = 3;
+    let count = VOTERS + OBSERVERS;
+    let mut simulation = Simulation::open_with_contacts(count, 2, LINK, |vm| vm >= VOTERS);
+    simulation.run(Duration::from_secs(20));
+    simulation.bytes_sent.clear();
+    propose(&mut simulation, 1, LARGE_DOCUMENT_BYTES);
+    let has_document = |simulation: &Simulation<Store>, vm: usize| document(simulation, vm) == 1;
+    for _ in 0..500 {
+        let sent = simulation.bytes_sent.iter();
+        let sent = sent.filter(|&(_, &bytes)| bytes >= LARGE_DOCUMENT_BYTES);
+        let sent: Vec<usize> = sent.map(|(&vm, _)| vm).collect();
+        let waiting = sent.iter().filter(|&&vm| {
+            let replica = simulation.vms[vm].replica.as_ref().unwrap();
+            let mut entries = replica.log().entries_from(0);
+            !entries.any(is_publication)
+        });
+        let waiting = waiting.count();
+        assert!(waiting <= MAX_TRANSFERS, "{waiting} transfers");
+        let leader = simulation.leader().expect("no leader");
+        let to_observer = sent.iter().any(|&vm| vm >= VOTERS);
+        assert!(
+            !to_observer || has_document(&simulation, leader),
+            "sent to an observer before it was committed"
+        );
+        if (0..count).all(|vm| has_document(&simulation, vm)) {
+            return;
+        }
+        simulation.run(Duration::from_millis(1));
+    }
+    panic!("some replicas lack the document");
+}
+
+/// A replica that a transfer is on its way to got no heartbeats, and a lost one was not repeated.
+fn transfer_does_not_replace_heartbeats(lost: bool) {
+    let mut simulation = spawn();
+    let leader = simulation.leader().unwrap();
+    let term = |simulation: &Simulation<Store>| {
+        let replica = simulation.vms[leader].replica.as_ref().unwrap();
+        (replica.is_leader(), replica.term())
+    };
+    let before = term(&simulation);
+    simulation.held_bytes = Some((LARGE_DOCUMENT_BYTES, lost));
+    propose(&mut simulation, 1, LARGE_DOCUMENT_BYTES);
+    simulation.run(ELECTION_TIMEOUT * 3);
+    assert_eq!(
+        document(&simulation, leader),
+        0,
+        "no voter has the document"
+    );
+    assert_eq!(term(&simulation), before, "another leader");
+    simulation.held_bytes = None;
+    simulation.run(ELECTION_TIMEOUT * 3);
+    for vm in 0..REPLICAS {
+        assert_eq!(document(&simulation, vm), 1);
+    }
+}
+
+cases!(transfer_does_not_replace_heartbeats {
+    slow: (false),
+    lost: (true),
+});
+
+/// Each time that an operator sent a document again, it was appended once more, although the
+/// first entry was on its way.
+#[test]
+fn document_that_is_sent_again_is_not_appended_again() {
+    let mut simulation = spawn();
+    let leader = simulation.leader().unwrap();
+    let others = (0..REPLICAS).filter(|&vm| vm != leader);
+    simulation.frozen = others.collect();
+    for call in 1..=3 {
+        propose(&mut simulation, call, 10);
+        simulation.run(Duration::from_millis(50));
+    }
+    simulation.frozen.clear();
+    simulation.run(ELECTION_TIMEOUT);
+    let replica = simulation.vms[leader].replica.as_ref().unwrap();
+    let entries = replica.log().entries_from(0);
+    assert_eq!(entries.filter(|entry| is_publication(entry)).count(), 1);
+    for call in 1..=3 {
+        assert!(simulation.outcomes.contains_key(&call), "call {call}");
+    }
+}
--- a/crates/nutmegyoke-core/tests/roster.rs
+++ b/crates/nutmegyoke-core/tests/roster.rs
@@ -240,6 +240,28 @@
     assert_eq!(observer.state().document.as_ref().unwrap().number, 7);
 }
 
+/// Without a leader, each replica asked all others to let it join, several times a second, and
+/// the voters were too busy to elect a leader.
+#[test]
+fn replicas_without_a_leader_ask_few_others_to_join() {
+    const OBSERVERS: usize = 20;
+    // Three contacts for each of five heartbeats, each of which forwards the request.
+    const REQUESTS_PER_SECOND: usize = 30;
+    let count = 3 + OBSERVERS;
+    let mut simulation = Simulation::<Store>::open_with_contacts(count, 40, RELIABLE, |vm| vm >= 3);
+    simulation.run(JOIN_TIME);
+    assert_eq!(member_names(&simulation, false).len(), OBSERVERS);
+    for vm in 0..3 {
+        simulation.kill(vm);
+    }
+    simulation.run(ELECTION_TIMEOUT * 3);
+    simulation.joins_sent = 0;
+    simulation.run(Duration::from_secs(1));
+    let sent = simulation.joins_sent;
+    assert!(sent > 0, "no requests");
+    assert!(sent <= OBSERVERS * REQUESTS_PER_SECOND, "{sent} requests");
+}
+
 fn publish(number: u64) -> Change {
     let document = Rc::new(Document {
         number,
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -87,6 +87,12 @@
     pub bytes_sent: BTreeMap<usize, usize>,
     /// How many snapshots were sent to each VM.
     pub snapshots_sent: BTreeMap<usize, usize>,
+    /// The size from which on messages are held back, and whether they are then lost.
+    pub held_bytes: Option<(usize, bool)>,
+    /// The messages that are held back.
+    held: Vec<(SocketAddr, Message<S>)>,
+    /// How many requests to join were sent.
+    pub joins_sent: usize,
     /// The outcomes of committed changes, by call.
     pub outcomes: BTreeMap<u64, S::Outcome>,
     /// Calls that were redirected to the leader.
@@ -150,6 +156,9 @@
             entries_sent: BTreeMap::new(),
             bytes_sent: BTreeMap::new(),
             snapshots_sent: BTreeMap::new(),
+            held_bytes: None,
+            held: Vec::new(),
+            joins_sent: 0,
             outcomes: BTreeMap::new(),
             redirected: BTreeSet::new(),
             random: fastrand::Rng::with_seed(seed),
@@ -291,6 +300,7 @@
                 *self.entries_sent.entry(other).or_default() += entries.len();
             }
             Body::Install { .. } => *self.snapshots_sent.entry(other).or_default() += 1,
+            Body::Join { .. } => self.joins_sent += 1,
             _ => {}
         }
         if self.isolated.contains(&vm) != self.isolated.contains(&other) {
@@ -299,6 +309,14 @@
         if self.random.u32(..100) < self.link.loss_percent {
             return;
         }
+        match self.held_bytes {
+            Some((size, true)) if message.size() >= size => return,
+            Some((size, false)) if message.size() >= size => {
+                self.held.push((to, message.clone()));
+                return;
+            }
+            _ => {}
+        }
         let copies = 1 + usize::from(self.random.u32(..100) < self.link.duplicate_percent);
         for _ in 0..copies {
             let delay = Duration::from_millis(self.random.u64(..=self.link.max_delay_ms));
@@ -328,6 +346,11 @@
 
     fn deliver(&mut self) {
         let now = self.now;
+        if self.held_bytes.is_none() {
+            let held = self.held.drain(..);
+            self.in_flight
+                .extend(held.map(|(to, message)| (now, to, message)));
+        }
         let due = self.in_flight.extract_if(.., |(at, to, _)| {
             *at <= now && !self.frozen.contains(&(usize::from(to.port()) - 1))
         });
--- a/crates/nutmegyoke-host/src/process/control/gateway.rs
+++ b/crates/nutmegyoke-host/src/process/control/gateway.rs
@@ -12,16 +12,25 @@
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::version::document;
 
-use super::{Control, HANDOVER_DELAY, proposal};
+use super::{Control, HANDOVER_DELAY, Peers, proposal};
 
 /// How long another process may take to send its routing document, whose size is not known
-/// before. The next one is asked sooner, if there is one.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// before.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl<C: Clock + 'static> Control<C> {
     /// Publishes a routing document. Returns the number of the document in force
     /// afterwards, `None` if no leader answered.
     pub async fn publish(&self, document: &Rc<Document>) -> Option<u64> {
+        let known = self.document().map(|document| document.number);
+        let is_known = known.is_some_and(|known| document.number <= known);
+        if is_known || Peers::is_large(document.source.len()) {
+            // An operator sends a document again until it is acknowledged. The leader may have it.
+            let newest = self.newest_number().await?;
+            if is_known || newest.is_some_and(|newest| document.number <= newest) {
+                return newest;
+            }
+        }
         self.propose(&proposal::Publish(document)).await.flatten()
     }
 
@@ -39,16 +48,37 @@
 
     /// Fetches the routing document of the process with a replica at `address`; `None` if its
     /// number is not above `above`, or if there is no answer.
+    ///
+    /// The leader isn't asked while its messages arrive: it sends the document to one replica
+    /// after the other, and its link would be busy if all of them fetched it.
     pub async fn fetch_document(&self, address: SocketAddr, above: u64) -> Option<Rc<Document>> {
+        if self.hears_leader() && self.leader_address() == Some(address) {
+            return None;
+        }
         let fetch = |client| fetch_document(client, above);
-        let fetched = self.peers.call(address, FETCH_TIMEOUT, fetch).await;
+        let peers = self.peers.for_documents();
+        let fetched = peers.call(address, FETCH_TIMEOUT, fetch).await;
         fetched.ok().flatten()
     }
 
+    /// Whether the replicated log brings documents that this replica lacks.
+    #[must_use]
+    pub fn hears_leader(&self) -> bool {
+        let now = self.driver.clock().now();
+        self.driver.machine().replica().hears_leader(now)
+    }
+
+    fn leader_address(&self) -> Option<SocketAddr> {
+        let machine = self.driver.machine();
+        machine.replica().leader().map(|peer| peer.seed.address)
+    }
+
     /// Fetches the routing document of the leader, like [`Control::fetch_document`].
     pub async fn fetch_leader_document(&self, above: u64) -> Option<Rc<Document>> {
         let fetch = |client| fetch_document(client, above);
-        self.call_leader(FETCH_TIMEOUT, fetch).await.flatten()
+        let peers = self.peers.for_documents();
+        let fetched = self.call_leader(peers, FETCH_TIMEOUT, fetch).await;
+        fetched.flatten()
     }
 
     /// The last recorded demand for models, in prompt tokens per second.
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -7,12 +7,14 @@
 //!
 //! * [`server`]: the calls of other processes;
 //! * [`proposal`]: changes of the log, which go to the leader;
+//! * [`peers`]: the connections to other replicas;
 //! * [`transport`]: messages to other replicas and the journal;
 //! * [`gateway`]: the calls of a gateway to the replica in its process;
 //! * [`options`]: the startup options of a replica.
 
 mod gateway;
 pub mod options;
+mod peers;
 mod proposal;
 mod server;
 mod transport;
@@ -41,6 +43,7 @@
 use prometheus::Registry;
 
 pub use self::options::Options;
+use self::peers::Peers;
 use self::server::Server;
 use super::driver::Addressed;
 use super::journal::medium::Discard;
@@ -66,7 +69,7 @@
     planner: Planner<C>,
     metrics: Metrics,
     member: Member,
-    peers: Rc<Pool<replica::Client>>,
+    peers: Rc<Peers>,
     /// The number of proposals without an answer yet.
     pending: Cell<usize>,
     journal_failure: RefCell<Option<oneshot::Receiver<journal::Failure>>>,
@@ -178,11 +181,11 @@
         let listener = Listener::bind(settings.listen, "listen", Rc::clone(&control)).await?;
         let operators = Operators::open(&control);
         let operators = Listener::bind(settings.operators, "operators", operators).await?;
-        let (driver, pool) = (Rc::clone(&control.driver), Rc::clone(&control.peers));
+        let (driver, peers) = (Rc::clone(&control.driver), Rc::clone(&control.peers));
         let transport = transport::run(
             driver,
             background,
-            pool,
+            peers,
             journal,
             (failure_sender, change_sender),
         );
@@ -295,11 +298,15 @@
 
     /// The leader's status, or that of this process if no leader answers.
     async fn status(&self) -> Status {
-        let status = self.call_leader(STATUS_TIMEOUT, |leader| async move {
-            let response = leader.status_request().send().promise.await?;
-            let status = Status::decode(response.get()?.get_json()?);
-            status.map_err(|error| capnp::Error::failed(error.to_string()))
-        });
+        let status = self.call_leader(
+            self.peers.for_size(0),
+            STATUS_TIMEOUT,
+            |leader| async move {
+                let response = leader.status_request().send().promise.await?;
+                let status = Status::decode(response.get()?.get_json()?);
+                status.map_err(|error| capnp::Error::failed(error.to_string()))
+            },
+        );
         status.await.unwrap_or_else(|| self.local_status())
     }
 
--- a/crates/nutmegyoke-host/src/process/control/proposal.rs
+++ b/crates/nutmegyoke-host/src/process/control/proposal.rs
@@ -18,6 +18,7 @@
 use nutmegyoke_wire::version::{acceptance, document, lists};
 
 use super::{Control, unix_millis};
+use crate::connection::Pool;
 use crate::connection::link::transfer_time;
 
 /// How long a proposal is retried before it fails.
@@ -27,6 +28,9 @@
 /// second.
 const ROUTING_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// A large proposal is transferred to the leader, and from there to the other replicas.
+const TRANSFERS_PER_PROPOSAL: u32 = 2;
+
 /// The delay between two tries.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -43,7 +47,7 @@
     /// The leader's answer.
     type Answer;
 
-    /// How long the proposal is retried before it fails.
+    /// How long the proposal is retried before it fails, besides the time of the transfers.
     const TIMEOUT: Duration = PROPOSAL_TIMEOUT;
 
     /// How long the leader may take to answer if it is another process, besides the time of the
@@ -74,7 +78,8 @@
     /// `None` if there was none within [`Proposal::TIMEOUT`].
     pub(super) async fn propose<P: Proposal>(&self, proposal: &P) -> Option<P::Answer> {
         self.pending.set(self.pending.get() + 1);
-        let answer = compio::time::timeout(P::TIMEOUT, self.retry_until_answered(proposal)).await;
+        let timeout = P::TIMEOUT + transfer_time(proposal.size()) * TRANSFERS_PER_PROPOSAL;
+        let answer = compio::time::timeout(timeout, self.retry_until_answered(proposal)).await;
         self.pending.set(self.pending.get() - 1);
         answer.ok()
     }
@@ -89,17 +94,19 @@
             }
             let forward = |leader: replica::Client| async move { proposal.forward(&leader).await };
             let timeout = P::FORWARD_TIMEOUT + transfer_time(proposal.size());
-            if let Some(answer) = self.call_leader(timeout, forward).await {
+            let peers = self.peers.for_size(proposal.size());
+            if let Some(answer) = self.call_leader(peers, timeout, forward).await {
                 return answer;
             }
             compio::time::sleep(RETRY_DELAY).await;
         }
     }
 
-    /// Makes a call to the leader; `None` if the leader is not known or is this process, or the
-    /// call fails.
+    /// Makes a call to the leader on one of these connections; `None` if the leader is not known
+    /// or is this process, or the call fails.
     pub(super) async fn call_leader<R, F>(
         &self,
+        peers: &Rc<Pool<replica::Client>>,
         timeout: Duration,
         call: impl FnOnce(replica::Client) -> F,
     ) -> Option<R>
@@ -112,7 +119,7 @@
             let leader = replica.leader().filter(|peer| peer.id != replica.id())?;
             leader.seed.address
         };
-        self.peers.call(address, timeout, call).await.ok()
+        peers.call(address, timeout, call).await.ok()
     }
 }
 
--- a/crates/nutmegyoke-host/src/process/control/transport.rs
+++ b/crates/nutmegyoke-host/src/process/control/transport.rs
@@ -15,8 +15,9 @@
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::process::replica as wire;
 
+use super::Peers;
 use crate::connection::link::transfer_time;
-use crate::connection::{Pool, pool};
+use crate::connection::pool;
 use crate::process::journal::{Failure, Journal, Medium};
 use crate::process::{Driver, Event};
 
@@ -24,8 +25,9 @@
 /// the time of the transfer.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How often a message is sent: once more, on a new connection, if the first is silent.
-const SENDS_PER_MESSAGE: usize = 2;
+/// How much longer a message is waited for that is sent again, on a new connection, because the
+/// first one was silent. Its link may be slower than a transfer is taken to be.
+const RESEND_PATIENCE: u32 = 4;
 
 /// The delay before a write is retried on a full disk.
 const DISK_FULL_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -34,7 +36,7 @@
 pub async fn run<C, M>(
     driver: Rc<Driver<decision::Control, C>>,
     mut background: mpsc::UnboundedReceiver<Command>,
-    pool: Rc<Pool<replica::Client>>,
+    peers: Rc<Peers>,
     journal: Journal<M>,
     (failure_sender, mut change_sender): (oneshot::Sender<Failure>, mpsc::Sender<()>),
 ) where
@@ -47,8 +49,8 @@
     while let Some(command) = background.next().await {
         match command {
             Command::Send { address, message } => {
-                let (pool, unacknowledged) = (Rc::clone(&pool), Rc::clone(&unacknowledged));
-                compio::runtime::spawn(send(pool, unacknowledged, address, message)).detach();
+                let (peers, unacknowledged) = (Rc::clone(&peers), Rc::clone(&unacknowledged));
+                compio::runtime::spawn(send(peers, unacknowledged, address, message)).detach();
             }
             Command::Persist { batch } => {
                 // The journal task ends only when the disk fails.
@@ -63,27 +65,30 @@
     }
 }
 
+/// A connection to a replica: its address, and whether it is for large messages.
+type Lane = (SocketAddr, bool);
+
 /// The bytes that were sent to each replica and are not acknowledged. A message follows them on
 /// its connection.
 #[derive(Debug, Default)]
-struct Unacknowledged(RefCell<HashMap<SocketAddr, usize>>);
+struct Unacknowledged(RefCell<HashMap<Lane, usize>>);
 
 impl Unacknowledged {
     /// Adds a message of `size` bytes and returns the total.
-    fn add(&self, address: SocketAddr, size: usize) -> usize {
+    fn add(&self, lane: Lane, size: usize) -> usize {
         let mut sizes = self.0.borrow_mut();
-        let total = sizes.entry(address).or_default();
+        let total = sizes.entry(lane).or_default();
         *total += size;
         *total
     }
 
     /// Removes a message of `size` bytes, acknowledged or given up.
-    fn remove(&self, address: SocketAddr, size: usize) {
+    fn remove(&self, lane: Lane, size: usize) {
         let mut sizes = self.0.borrow_mut();
-        if let Some(total) = sizes.get_mut(&address) {
+        if let Some(total) = sizes.get_mut(&lane) {
             *total = total.saturating_sub(size);
             if *total == 0 {
-                sizes.remove(&address);
+                sizes.remove(&lane);
             }
         }
     }
@@ -91,14 +96,16 @@
 
 /// Sends a message, and once more if its connection is silent.
 async fn send(
-    pool: Rc<Pool<replica::Client>>,
+    peers: Rc<Peers>,
     unacknowledged: Rc<Unacknowledged>,
     address: SocketAddr,
     message: Message<Store>,
 ) {
     let size = message.size();
-    let timeout = SEND_TIMEOUT + transfer_time(unacknowledged.add(address, size));
-    for _ in 0..SENDS_PER_MESSAGE {
+    let pool = peers.for_size(size);
+    let lane = (address, Peers::is_large(size));
+    let timeout = SEND_TIMEOUT + transfer_time(unacknowledged.add(lane, size));
+    for timeout in [timeout, timeout * RESEND_PATIENCE] {
         let delivery = pool.call(address, timeout, |client: replica::Client| {
             let mut request = client.deliver_request();
             wire::write(&message, request.get().init_message());
@@ -109,7 +116,7 @@
             break;
         }
     }
-    unacknowledged.remove(address, size);
+    unacknowledged.remove(lane, size);
 }
 
 /// Writes batches in order. While one is synced, the machine collects the next.
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -63,6 +63,12 @@
 /// for the refusals to be sent.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// How long a call waits for this replica to catch up with the leader.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How often it checks whether the replica has caught up.
+const CATCH_UP_POLL_PERIOD: Duration = Duration::from_millis(20);
+
 /// A running gateway.
 pub struct Gateway<C: Clock + 'static, D: Codec> {
     driver: Rc<Driver<decision::Gateway, C>>,
@@ -78,6 +84,8 @@
     gossip_port: u16,
     steward_port: u16,
     listeners: OnceCell<[Listener; 4]>,
+    /// Whether a routing document is being fetched.
+    fetching: Cell<bool>,
     stopping: Cell<bool>,
     closing: Latch,
     /// The connections of clients, and to the registrar, on which a request has come.
@@ -153,6 +161,7 @@
             gossip_port: role_settings.exchange.port(),
             steward_port: role_settings.steward_port,
             listeners: OnceCell::new(),
+            fetching: Cell::new(false),
             stopping: Cell::new(false),
             closing: Latch::default(),
             used_connections: Tally::default(),
@@ -273,30 +282,53 @@
         self.document.borrow().clone()
     }
 
-    /// Asks the leader for the number of the newest routing document, and applies that document;
-    /// `None` if no leader answered.
+    /// Asks the leader for the number of the newest routing document, and gets that document if
+    /// this gateway lacks it; `None` if no leader answered.
     async fn confirm_document(&self) -> Option<u64> {
         let newest = self.control.newest_number().await?.unwrap_or(0);
         if let Some(document) = self.control.document() {
             self.apply_document(&document, None);
         }
         let above = self.driver.machine().document();
-        if above < newest
-            && let Some(document) = self.control.fetch_leader_document(above).await
-        {
+        if above >= newest {
+            return Some(newest);
+        }
+        if self.control.hears_leader() {
+            self.wait_for_document(newest).await;
+        } else if let Some(document) = self.control.fetch_leader_document(above).await {
             self.apply_document(&document, None);
         }
         Some(newest)
     }
 
+    /// Waits a short time for the replicated log to bring the routing document with this number,
+    /// or a newer one.
+    async fn wait_for_document(&self, number: u64) -> Option<Rc<Document>> {
+        let caught_up = async {
+            loop {
+                let document = self.document();
+                if let Some(document) = document.filter(|document| document.number >= number) {
+                    return document;
+                }
+                compio::time::sleep(CATCH_UP_POLL_PERIOD).await;
+            }
+        };
+        let caught_up = compio::time::timeout(CATCH_UP_TIMEOUT, caught_up).await;
+        caught_up.ok()
+    }
+
     /// Fetches and applies the routing document of another gateway, which receives gossip at
-    /// `gateway`, if its number is above `above`.
+    /// `gateway`, if its number is above `above`. One is fetched at a time.
     async fn fetch_document(&self, gateway: SocketAddr, above: u64) {
+        if self.fetching.replace(true) {
+            return;
+        }
         // All replicas listen at the same port.
         let replica = SocketAddr::new(gateway.ip(), self.member.address.port());
         if let Some(document) = self.control.fetch_document(replica, above).await {
             self.apply_document(&document, Some(gateway));
         }
+        self.fetching.set(false);
     }
 
     /// The gateway's replica of the replicated log.
--- a/crates/nutmegyoke-host/src/process/gateway/registrar.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/registrar.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use compio::net::TcpStream;
@@ -28,12 +27,6 @@
 /// The largest body of a call, in bytes. The largest bodies are routing documents.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// How long a read waits for this replica to catch up with the leader.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// How often a read checks whether the replica has caught up.
-const CATCH_UP_POLL_PERIOD: Duration = Duration::from_millis(20);
-
 /// The longest description of a malformed heartbeat, in bytes. It may quote a value.
 const MAX_FAULT_BYTES: usize = 300;
 
@@ -154,18 +147,9 @@
         let Some(newest) = newest else {
             return error_response(StatusCode::NOT_FOUND, "no document was published yet");
         };
-        let caught_up = async {
-            loop {
-                let document = self.0.document();
-                if let Some(document) = document.filter(|document| document.number >= newest) {
-                    return document;
-                }
-                compio::time::sleep(CATCH_UP_POLL_PERIOD).await;
-            }
-        };
-        match compio::time::timeout(CATCH_UP_TIMEOUT, caught_up).await {
-            Ok(document) => respond(StatusCode::OK, JSON, document.source.to_vec()),
-            Err(_) => error_response(StatusCode::SERVICE_UNAVAILABLE, unavailable),
+        match self.0.wait_for_document(newest).await {
+            Some(document) => respond(StatusCode::OK, JSON, document.source.to_vec()),
+            None => error_response(StatusCode::SERVICE_UNAVAILABLE, unavailable),
         }
     }
 }
--- a/tests/stale_configuration.rs
+++ b/tests/stale_configuration.rs
@@ -35,6 +35,19 @@
     document
 }
 
+/// A document of [`MANY_ROUTES`] routes, `/new/` among them.
+fn large_document(version: u64) -> Value {
+    let mut document = config_with_new_route(version);
+    let routes = document["routes"].as_array_mut().unwrap();
+    let route = routes[0].clone();
+    for number in 0..MANY_ROUTES {
+        let mut route = route.clone();
+        route["path-prefix"] = format!("/many-{number}/").into();
+        routes.push(route);
+    }
+    document
+}
+
 fn publish(registrar: SocketAddr, document: &Value) {
     let body = document.to_string();
     let put = || call(registrar, "PUT", "/config", body.as_bytes());
@@ -118,14 +131,7 @@
     }
     let slow = &gateways.relays[GATEWAYS - 1].replica;
     slow.limit(SLOW_RATE);
-    let mut document = config_with_new_route(2);
-    let routes = document["routes"].as_array_mut().unwrap();
-    let route = routes[0].clone();
-    for number in 0..MANY_ROUTES {
-        let mut route = route.clone();
-        route["path-prefix"] = format!("/many-{number}/").into();
-        routes.push(route);
-    }
+    let document = large_document(2);
     let carried = slow.carried();
     publish(gateways.addresses.registrar(0), &document);
     let acknowledged = Instant::now();
@@ -144,3 +150,22 @@
     let size = u64::try_from(document.to_string().len()).unwrap();
     assert!(carried < size * 3 / 2, "{carried} of {size} bytes");
 }
+
+/// Heartbeats waited behind a large document on their connections for longer than the leader's
+/// lease. It stepped down, and the next leader began in the same way, so that neither this
+/// document nor a later one was ever acknowledged.
+#[test]
+fn leader_outlasts_a_large_document_over_slow_links() {
+    let gateways = spawn();
+    for relays in &gateways.relays {
+        relays.replica.limit(SLOW_RATE);
+    }
+    let elections = |gateways: &Gateways| {
+        let log = gateways.log();
+        log.iter().filter(|line| line.contains("NY0420")).count()
+    };
+    let before = elections(&gateways);
+    publish(gateways.addresses.registrar(0), &large_document(2));
+    publish(gateways.addresses.registrar(1), &config_with_new_route(3));
+    assert_eq!(elections(&gateways), before, "another leader");
+}
