Membership: a replaced voter leaves as it stops, or soon after

Cause: the successor is a fourth voter beside the one that it replaces, and that one counted for 6 s after its end, whether it stopped as planned or not. A majority of four is three. The voter that lost its disk comes back under a new id and joins only through a leader, so two of four voters were left, which elect none and change no membership.

Ruled out: the successor had not caught up (it answers reads before the old machine stops).

Change: a gateway whose vote is one of an even number asks the leader to remove it, last before its process ends; the leader does so only while more than three voters are an even number, so two that stop at once don't both leave. A voter of an even number that doesn't answer is removed after two election timeouts in place of 6 s. That is safe at once, because the fleet tolerates more failures without it, and one that was only paused joins again.

--- a/crates/nutmegyoke-core/src/process/control/replica/join.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/join.rs
@@ -235,8 +235,11 @@
                 membership.names.insert(name.to_owned());
             }
             Change::Remove(name) => {
+                let keep_voters = membership.open && !membership.has_surplus_voter();
                 membership.names.remove(name);
-                membership.peers.retain(|peer| peer.seed.name != name);
+                membership
+                    .peers
+                    .retain(|peer| peer.seed.name != name || (peer.voter && keep_voters));
             }
         }
         if self.is_leader() && membership == self.membership && self.may_change_membership() {
--- a/crates/nutmegyoke-core/src/process/control/replica/membership.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/membership.rs
@@ -58,7 +58,8 @@
 pub enum Change<'a> {
     /// Lets the VM of this name join.
     Add(&'a str),
-    /// Removes the VM of this name and its replica.
+    /// Removes the VM of this name and its replica. In an open membership a voter stays if the
+    /// fleet tolerates fewer failures without it.
     Remove(&'a str),
 }
 
@@ -99,6 +100,14 @@
         self.voters().count() / 2 + 1
     }
 
+    /// Whether the fleet tolerates more failures with one voter less: a majority of four is
+    /// three, and one of three is two. Three voters always stay.
+    #[must_use]
+    pub fn has_surplus_voter(&self) -> bool {
+        let voters = self.voters().count();
+        voters > 3 && voters.is_multiple_of(2)
+    }
+
     /// The replica with this id, if it is a member.
     #[must_use]
     pub fn peer(&self, id: Id) -> Option<&Peer> {
--- a/crates/nutmegyoke-core/src/process/control/replica/pruning.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/pruning.rs
@@ -1,13 +1,17 @@
-//! Removes voters that no longer answer, and lets removed voters join again.
+//! Removes voters that no longer answer or that stop, and lets removed voters join again.
 
 use std::time::{Duration, Instant};
 
 use super::{Command, Id, Replica, Role, Roster, Sink, State};
 
-/// The time without an answer after which a voter may be removed; longer than a
-/// restart or a pause of the process.
+/// The time without an answer after which a voter of an odd number may be removed; longer
+/// than a restart or a pause of the process.
 const DEAD_VOTER_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// The same for an even number, in election timeouts. It is short, because the fleet tolerates
+/// more failures without the voter at once, and a voter that was only paused joins again.
+const SURPLUS_VOTER_TIMEOUTS: u32 = 2;
+
 impl<S: State> Replica<S> {
     /// Removes one dead voter, if the fleet tolerates more failures without it.
     ///
@@ -23,15 +27,20 @@
             return;
         };
         let own_id = self.setup.id;
+        let surplus = self.membership.has_surplus_voter();
+        let timeout = if surplus {
+            self.setup.election_timeout * SURPLUS_VOTER_TIMEOUTS
+        } else {
+            DEAD_VOTER_TIMEOUT
+        };
         let voters: Vec<Id> = self.membership.voters().map(|peer| peer.id).collect();
         let acked_sent_at = |id: &Id| progress.get(id).map(|peer| peer.acked_sent_at);
         let dead = voters.iter().filter(|&&id| id != own_id).filter(|id| {
             let at = acked_sent_at(id);
-            at.is_some_and(|at| at + DEAD_VOTER_TIMEOUT <= now)
+            at.is_some_and(|at| at + timeout <= now)
         });
         let dead: Vec<Id> = dead.copied().collect();
-        let improves_tolerance =
-            voters.len() > 3 && (voters.len().is_multiple_of(2) || dead.len() > 1);
+        let improves_tolerance = surplus || (voters.len() > 3 && dead.len() > 1);
         let longest_dead = dead.iter().min_by_key(|id| acked_sent_at(id));
         let Some(&id) = longest_dead
             .filter(|_| improves_tolerance && self.membership.open && self.may_change_membership())
@@ -43,6 +52,14 @@
         self.change_membership(now, membership, out);
     }
 
+    /// Whether this replica should leave the membership before its process stops: it votes, and
+    /// the fleet tolerates more failures without it. If it doesn't leave, its vote counts as
+    /// that of a dead voter from its stop on.
+    #[must_use]
+    pub fn should_leave(&self) -> bool {
+        self.is_voter() && self.membership.open && self.membership.has_surplus_voter()
+    }
+
     /// Asks to join again, as a voter without a leader may have been removed from the
     /// membership. A leader ignores the request of a replica that is still a member.
     pub(super) fn rejoin<K>(&mut self, out: &mut K)
--- a/crates/nutmegyoke-core/tests/roster.rs
+++ b/crates/nutmegyoke-core/tests/roster.rs
@@ -189,6 +189,102 @@
     two_voters: (2, 22),
 });
 
+/// How a voter that has been replaced ends.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// It leaves the membership first.
+    Planned,
+    /// It is killed.
+    Killed,
+}
+
+/// Which of the remaining voters loses its disk.
+#[derive(Clone, Copy, Debug)]
+enum Victim {
+    Leader,
+    Follower,
+    Successor,
+}
+
+/// How long after the end of a voter another one may lose its disk: no time after a planned one,
+/// and else as long as a machine counts as lost.
+fn time_until_loss(end: End) -> Duration {
+    match end {
+        End::Planned => Duration::ZERO,
+        End::Killed => Duration::from_secs(4),
+    }
+}
+
+/// Three voters and their successor; the first to end is the leader or another one.
+fn replace_voter(simulation: &mut Simulation<Store>, end: End, leads: bool) -> usize {
+    simulation.run(JOIN_TIME);
+    simulation.start(3);
+    simulation.run(Duration::from_secs(6));
+    assert_eq!(member_names(simulation, true).len(), 4);
+    let leader = simulation.leader().unwrap();
+    let other = (0..3).find(|&vm| vm != leader).unwrap();
+    let replaced = if leads { leader } else { other };
+    if matches!(end, End::Planned) {
+        simulation.feed(replaced, Event::Stopping);
+        simulation.run(ELECTION_TIMEOUT);
+        let replica = simulation.vms[replaced].replica.as_ref().unwrap();
+        assert!(replica.should_leave());
+        let name = format!("control-{replaced}");
+        let change = MembershipChange::Remove(&name);
+        let leader = simulation.leader().unwrap();
+        simulation.feed(leader, Event::MembershipProposed { call: 1, change });
+        simulation.run(ELECTION_TIMEOUT / 10);
+    }
+    simulation.kill(replaced);
+    replaced
+}
+
+/// A voter that ended was a fourth one for 6 s more. If another one lost its disk meanwhile, two
+/// of four were left, and no leader could be elected nor the membership be changed, for good.
+fn disk_may_be_lost_after_a_voter_was_replaced(end: End, leads: bool, victim: Victim, seed: u64) {
+    let mut simulation = Simulation::<Store>::open_with_contacts(4, seed, RELIABLE, |_| false);
+    simulation.kill(3);
+    let replaced = replace_voter(&mut simulation, end, leads);
+    simulation.run(time_until_loss(end));
+    let leader = simulation.leader().expect("no leader");
+    let victim = match victim {
+        Victim::Leader => leader,
+        Victim::Follower => (0..3).find(|&vm| vm != leader && vm != replaced).unwrap(),
+        Victim::Successor => 3,
+    };
+    simulation.wipe(victim);
+    simulation.run(Duration::from_millis(1500));
+    simulation.start(victim);
+    simulation.run(JOIN_TIME);
+    assert_eq!(member_names(&simulation, true).len(), 3);
+}
+
+cases!(disk_may_be_lost_after_a_voter_was_replaced {
+    planned_then_the_leader: (End::Planned, false, Victim::Leader, 31),
+    planned_then_a_follower: (End::Planned, false, Victim::Follower, 32),
+    planned_then_the_successor: (End::Planned, false, Victim::Successor, 33),
+    planned_end_of_the_leader: (End::Planned, true, Victim::Leader, 34),
+    killed_then_the_leader: (End::Killed, false, Victim::Leader, 35),
+    killed_then_a_follower: (End::Killed, false, Victim::Follower, 36),
+    killed_then_the_successor: (End::Killed, false, Victim::Successor, 37),
+    killed_leader: (End::Killed, true, Victim::Leader, 38),
+});
+
+/// Two voters of four that stop at the same time must not both leave.
+#[test]
+fn three_voters_stay_when_two_leave_at_once() {
+    let mut simulation = Simulation::<Store>::open_with_contacts(4, 39, RELIABLE, |_| false);
+    simulation.run(JOIN_TIME);
+    let leader = simulation.leader().unwrap();
+    for (call, vm) in (1..).zip((0..4).filter(|&vm| vm != leader).take(2)) {
+        let name = format!("control-{vm}");
+        let change = MembershipChange::Remove(&name);
+        simulation.feed(leader, Event::MembershipProposed { call, change });
+        simulation.run(ELECTION_TIMEOUT / 10);
+    }
+    assert_eq!(member_names(&simulation, true).len(), 3);
+}
+
 #[test]
 fn removed_voter_that_still_runs_rejoins_soon() {
     let mut simulation = Simulation::<Store>::open_with_contacts(4, 24, RELIABLE, |_| false);
--- a/crates/nutmegyoke-host/src/process/control/gateway.rs
+++ b/crates/nutmegyoke-host/src/process/control/gateway.rs
@@ -7,17 +7,22 @@
 use futures_util::StreamExt;
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::control::Event as Input;
+use nutmegyoke_core::process::control::replica::Change;
 use nutmegyoke_core::version::{Document, Model};
 
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::version::document;
 
 use super::{Control, HANDOVER_DELAY, Peers, proposal};
+use crate::process::Event;
 
 /// How long another process may take to send its routing document, whose size is not known
 /// before.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How long a stopping replica may take to leave the membership.
+pub(crate) const LEAVE_TIMEOUT: Duration = Duration::from_millis(400);
+
 impl<C: Clock + 'static> Control<C> {
     /// Publishes a routing document. Returns the number of the document in force
     /// afterwards, `None` if no leader answered.
@@ -124,6 +129,19 @@
         self.driver.feed(Input::ContactsChanged { contacts });
     }
 
+    /// Leaves the membership, if the fleet tolerates more failures without this replica. Called
+    /// last before the process ends: a replica that is no member receives no documents.
+    pub async fn leave(&self) {
+        if !self.driver.machine().replica().should_leave() {
+            return;
+        }
+        let change = proposal::Membership(Change::Remove(&self.member.vm.name));
+        let leaving = Box::pin(self.propose(&change));
+        let left = compio::time::timeout(LEAVE_TIMEOUT, leaving).await;
+        let left = matches!(left, Ok(Some(())));
+        Event::VoterLeft { left }.log();
+    }
+
     /// Hands leadership over to another replica, if this one leads. A control process that
     /// stops calls this too.
     pub async fn step_down(&self) {
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -42,6 +42,7 @@
 use nutmegyoke_wire::version::json;
 use prometheus::Registry;
 
+pub(crate) use self::gateway::LEAVE_TIMEOUT;
 pub use self::options::Options;
 use self::peers::Peers;
 use self::server::Server;
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -220,6 +220,8 @@
     },
     /// The replica of this gateway leads in `term`; `None` if it no longer leads.
     Leads { term: Option<u64> },
+    /// A replica that votes has asked to leave the membership, because its process stops.
+    VoterLeft { left: bool },
     /// The leader directed a steward to load a model, after unloading others for it.
     Placing {
         endpoint: &'a str,
@@ -299,6 +301,7 @@
             Self::Placed => 604,
             Self::Placing => 605,
             Self::Leads => 420,
+            Self::VoterLeft => 421,
         }
     }
 }
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -28,6 +28,7 @@
 use std::time::Duration;
 
 use compio::net::TcpStream;
+use futures_util::pin_mut;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use nutmegyoke_core::process as decision;
@@ -42,7 +43,7 @@
 use nutmegyoke_wire::process::{Settings, settings};
 use prometheus::Registry;
 
-use super::control::Options;
+use super::control::{LEAVE_TIMEOUT, Options};
 use super::driver::Addressed;
 use super::sampler::Sampler;
 use super::{Codec, Control, Driver, Event, Failure, Metrics};
@@ -216,7 +217,8 @@
     }
 
     /// Reports not ready and hands leadership over, stops accepting connections once the load
-    /// balancer has noticed, and waits until all requests that were read have been answered.
+    /// balancer has noticed, waits until all requests that were read have been answered, and
+    /// leaves the membership of the replicas.
     ///
     /// The process ends `limit` after the start. Shortly before that, the requests without an
     /// answer are refused.
@@ -237,7 +239,22 @@
             listener.close();
         }
         self.closing.open();
-        super::wait_until_idle(|| self.in_flight()).await;
+        let idle = super::wait_until_idle(|| self.in_flight());
+        pin_mut!(idle);
+        let is_idle = if let Some(limit) = limit {
+            // The process ends at the limit, idle or not.
+            let patience = limit.saturating_sub(delay + LEAVE_TIMEOUT * 2);
+            let waited = compio::time::timeout(patience, idle.as_mut());
+            waited.await.is_ok()
+        } else {
+            idle.as_mut().await;
+            true
+        };
+        if is_idle {
+            self.control.leave().await;
+        } else {
+            futures_util::join!(self.control.leave(), idle);
+        }
     }
 }
 
