Registry: entries of services that no document names are held back

Cause: an entry with a later start at an address signs off the endpoints there, and the registry didn't know which services there are. The same on related paths, shown by the tests: an entry that comes first keeps the engine from being listed, and one under the engine's identifier takes its place. By reading: one with a later start counts as the restart of an engine that broke off an answer, so that a sound prompt may be held for a deadly one.

Ruled out: the gossip (the receiving gateway signs the engine off by itself).

Change: heartbeats and rumors of services that the document in force doesn't name are held back, by identifier and service, and listed when a document names the service. Endpoints whose service a document drops give up their address.

--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/gateway/endpoints.rs
@@ -0,0 +1,101 @@
+//! Heartbeats of endpoints and rumors about them, on their way to the registry.
+//!
+//! Only endpoints whose service the routing document names are listed. The others are held back
+//! in [`Pending`](crate::process::registry::Pending) until a document names their service.
+
+use std::time::Instant;
+
+use super::{Command, Gateway, Sink};
+use crate::process::registry::{Announcement, Content, Heartbeat, Rumor};
+
+impl Gateway {
+    /// Whether an endpoint of this identifier sent a heartbeat, listed or not.
+    #[must_use]
+    pub fn knows_endpoint(&self, id: &str) -> bool {
+        self.registry.row(id).is_some() || self.pending.contains(id)
+    }
+
+    /// Whether the routing document names a service.
+    fn is_named(&self, service: &str) -> bool {
+        let routing = self.routing.as_ref();
+        routing.is_some_and(|routing| routing.pool(service).is_some())
+    }
+
+    /// Lists an endpoint that sent a heartbeat to this gateway.
+    pub(super) fn receive_heartbeat<S>(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+        out: &mut S,
+    ) where
+        S: Sink<Command = Command>,
+    {
+        if !self.is_named(announcement.service.as_str()) {
+            return self.pending.insert(Heartbeat {
+                announcement: announcement.clone(),
+                received_at: now,
+                direct: true,
+            });
+        }
+        self.confirm_restart(now, announcement, out);
+        let changed = self.registry.record_heartbeat(now, announcement);
+        self.update_adapters(now, &announcement.id);
+        self.wake_on_change(now, changed);
+    }
+
+    /// Applies what another gateway tells of an endpoint.
+    pub(super) fn receive_rumor<S>(&mut self, now: Instant, rumor: &Rumor, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        match &rumor.content {
+            Content::Announced(announcement) if !self.is_named(announcement.service.as_str()) => {
+                return self.pending.insert(Heartbeat {
+                    announcement: Announcement::clone(announcement),
+                    received_at: rumor.received_at(now),
+                    direct: false,
+                });
+            }
+            Content::SignedOff(announcement) if !self.is_named(announcement.service.as_str()) => {
+                return self.pending.remove(&announcement.id);
+            }
+            Content::Renewed { id, stamp } => {
+                self.pending.renew(rumor.received_at(now), id, *stamp);
+            }
+            Content::Announced(_) | Content::SignedOff(_) => {}
+        }
+        let changed = self.registry.apply(now, rumor);
+        if let Content::Announced(announcement) = &rumor.content {
+            self.update_adapters(now, &announcement.id);
+            self.confirm_restart(now, announcement, out);
+        }
+        self.wake_on_change(now, changed);
+    }
+
+    /// Ends the listing of an endpoint that signed off at this gateway.
+    pub(super) fn receive_sign_off(&mut self, now: Instant, id: &str) {
+        self.pending.remove(id);
+        let changed = self.registry.record_sign_off(now, id);
+        self.wake_on_change(now, changed);
+    }
+
+    /// Lists the endpoints whose services a new routing document names. Those whose services it
+    /// no longer names give up their addresses.
+    pub(super) fn update_services<S>(&mut self, now: Instant, out: &mut S)
+    where
+        S: Sink<Command = Command>,
+    {
+        let Some(routing) = self.routing.clone() else {
+            return;
+        };
+        let named = |service: &str| routing.pool(service).is_some();
+        self.registry.set_named(named);
+        for heartbeat in self.pending.take(named) {
+            let announcement = &heartbeat.announcement;
+            self.confirm_restart(now, announcement, out);
+            let changed = self.registry.list(&heartbeat);
+            self.update_adapters(now, &announcement.id);
+            self.wake_on_change(now, changed);
+        }
+    }
+}
--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! it has no endpoint, and is refused in [`refusal`] if it fails.
 //!
 //! * [`event`]: the events and commands;
+//! * [`endpoints`]: heartbeats and rumors, on their way to the registry;
 //! * [`call`]: the state of a request in flight;
 //! * [`attempts`]: routing, attempts and retries of a request;
 //! * [`prepare`]: loading adapters before a request is sent;
@@ -28,6 +29,7 @@
 mod call;
 mod crash;
 pub mod demand;
+mod endpoints;
 pub mod event;
 mod freshness;
 mod pick;
@@ -59,7 +61,7 @@
 use stop::Stop;
 pub use tracker::Tracker;
 
-use super::registry::{Content, Gossip, Revision};
+use super::registry::{Gossip, Pending, Revision};
 use super::throttle::{Limits, Pacer};
 use super::{DataCentre, Machine, Placement, Quarantine, Registry, Sink};
 use crate::version::{Routing, Service};
@@ -91,6 +93,8 @@
     newer: Option<Newer>,
     confirmation: Confirmation,
     registry: Registry,
+    /// The endpoints whose services the routing document does not name.
+    pending: Pending,
     /// What each other gateway has acknowledged of the registry.
     gossip: Gossip,
     /// What this gateway's requests show of each endpoint, by its id.
@@ -139,6 +143,7 @@
             newer: None,
             confirmation: Confirmation::default(),
             registry: Registry::default(),
+            pending: Pending::default(),
             gossip: Gossip::default(),
             trackers: HashMap::new(),
             budgets: HashMap::new(),
@@ -222,6 +227,7 @@
         self.refute_crashes(now);
         self.quarantine.expire(now);
         self.registry.expire(now);
+        self.pending.expire(now);
         self.trackers
             .retain(|id, tracker| tracker.in_flight > 0 || self.registry.row(id).is_some());
     }
@@ -260,17 +266,14 @@
                     // The leader has it first, so the others need not repeat it to each other.
                     self.gossip.expedite(now);
                 }
+                self.update_services(now, out);
                 self.admit_unrouted(now, out);
             }
             Event::Announced { announcement } => {
-                self.confirm_restart(now, announcement, out);
-                let changed = self.registry.record_heartbeat(now, announcement);
-                self.update_adapters(now, &announcement.id);
-                self.wake_on_change(now, changed);
+                self.receive_heartbeat(now, announcement, out);
             }
             Event::SignedOff { id } => {
-                let changed = self.registry.record_sign_off(now, id);
-                self.wake_on_change(now, changed);
+                self.receive_sign_off(now, id);
             }
             Event::Gossiped {
                 from,
@@ -283,12 +286,7 @@
                     self.limits.apply(now, statement);
                 }
                 for rumor in rumors {
-                    let changed = self.registry.apply(now, rumor);
-                    if let Content::Announced(announcement) = &rumor.content {
-                        self.update_adapters(now, &announcement.id);
-                        self.confirm_restart(now, announcement, out);
-                    }
-                    self.wake_on_change(now, changed);
+                    self.receive_rumor(now, rumor, out);
                 }
                 // The rumors tell which of the endpoints did not crash.
                 self.receive_evidence(now, evidence, out);
--- a/crates/nutmegyoke-core/src/process/registry/mod.rs
+++ b/crates/nutmegyoke-core/src/process/registry/mod.rs
@@ -3,9 +3,13 @@
 //! Each change gets a revision, so that another gateway is sent only the changes that
 //! it has not acknowledged, see [`gossip`]. The row of an endpoint that signed off stays
 //! for a while, so that a late heartbeat does not list the endpoint again.
+//!
+//! An endpoint replaces those with an earlier start at its address. The heartbeats of endpoints
+//! whose service is not known don't get here, see [`pending`].
 
 pub mod announcement;
 pub mod gossip;
+pub mod pending;
 pub mod rumor;
 
 use std::collections::BTreeMap;
@@ -14,6 +18,7 @@
 
 pub use announcement::{Announcement, Stamp};
 pub use gossip::{Gossip, Revision};
+pub use pending::{Heartbeat, Pending};
 pub use rumor::{Content, Rumor};
 
 use super::endpoint::Phase;
@@ -44,6 +49,9 @@
     pub last_heard: Instant,
     /// Whether the endpoint signed off.
     pub signed_off: bool,
+    /// Whether the routing document no longer names its service, so that it has no claim to its
+    /// address.
+    unnamed: bool,
     /// The revision of the latest change.
     changed_revision: u64,
     /// The revision of the latest heartbeat that is gossiped.
@@ -106,6 +114,21 @@
         changed
     }
 
+    /// Lists an endpoint whose heartbeat was held back. Returns whether its state has changed.
+    pub fn list(&mut self, heartbeat: &Heartbeat) -> bool {
+        if heartbeat.direct {
+            return self.record_heartbeat(heartbeat.received_at, &heartbeat.announcement);
+        }
+        self.update(heartbeat.received_at, &heartbeat.announcement, false)
+    }
+
+    /// Updates which endpoints belong to services for which `named` returns true.
+    pub fn set_named(&mut self, named: impl Fn(&str) -> bool) {
+        for row in self.rows.values_mut() {
+            row.unnamed = !named(row.announcement.service.as_str());
+        }
+    }
+
     /// Records that an endpoint signed off at this gateway. Returns false if the endpoint is
     /// not known.
     pub fn record_sign_off(&mut self, now: Instant, id: &str) -> bool {
@@ -136,7 +159,7 @@
 
     /// Applies a rumor of another gateway. Returns whether the endpoint's state has changed.
     pub fn apply(&mut self, now: Instant, rumor: &Rumor) -> bool {
-        let last_heard = now.checked_sub(rumor.age).unwrap_or(now);
+        let last_heard = rumor.received_at(now);
         match &rumor.content {
             Content::Announced(announcement) => self.update(last_heard, announcement, false),
             Content::Renewed { id, stamp } => {
@@ -233,6 +256,7 @@
             stamp: announcement.stamp,
             last_heard,
             signed_off: false,
+            unnamed: false,
             changed_revision: if gossiped { self.revision } else { 0 },
             renewed_revision: 0,
             last_gossiped: None,
@@ -248,6 +272,7 @@
         self.rows.values().any(|row| {
             row.announcement.address == announcement.address
                 && row.stamp.started_ms > announcement.stamp.started_ms
+                && !row.unnamed
         })
     }
 
--- /dev/null
+++ b/crates/nutmegyoke-core/src/process/registry/pending.rs
@@ -0,0 +1,76 @@
+//! The heartbeats of endpoints whose service the routing document does not name.
+//!
+//! They may be sent by another system, or a document that names the service may be on its way.
+//! Until it is in force they must not affect other endpoints: one with the address or the
+//! identifier of a known endpoint would replace it.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use super::{Announcement, RETENTION, Stamp};
+use crate::version::Service;
+
+/// The latest heartbeat of each endpoint, by identifier and service.
+#[derive(Debug, Default)]
+pub struct Pending {
+    heartbeats: BTreeMap<(String, Service), Heartbeat>,
+}
+
+/// A heartbeat that is held back.
+#[derive(Clone, Debug)]
+pub struct Heartbeat {
+    pub announcement: Announcement,
+    /// When a gateway received it.
+    pub received_at: Instant,
+    /// Whether the endpoint sent it to this gateway, and not to another one.
+    pub direct: bool,
+}
+
+impl Pending {
+    /// Whether a heartbeat of this endpoint is held back.
+    #[must_use]
+    pub fn contains(&self, id: &str) -> bool {
+        self.heartbeats.keys().any(|(held, _)| held == id)
+    }
+
+    /// Holds back a heartbeat, unless a later one of the endpoint is held.
+    pub fn insert(&mut self, heartbeat: Heartbeat) {
+        let Announcement { id, service, .. } = &heartbeat.announcement;
+        let key = (id.clone(), service.clone());
+        let held = self.heartbeats.get(&key);
+        if held.is_none_or(|held| held.announcement.stamp < heartbeat.announcement.stamp) {
+            self.heartbeats.insert(key, heartbeat);
+        }
+    }
+
+    /// Records a later heartbeat without changes.
+    pub fn renew(&mut self, received_at: Instant, id: &str, stamp: Stamp) {
+        let held = self.heartbeats.values_mut();
+        for heartbeat in held.filter(|heartbeat| heartbeat.announcement.id == id) {
+            let known = &mut heartbeat.announcement.stamp;
+            if known.started_ms == stamp.started_ms && *known < stamp {
+                *known = stamp;
+                heartbeat.received_at = heartbeat.received_at.max(received_at);
+            }
+        }
+    }
+
+    /// Drops the heartbeats of an endpoint that signed off.
+    pub fn remove(&mut self, id: &str) {
+        self.heartbeats.retain(|(held, _), _| held != id);
+    }
+
+    /// Takes the heartbeats of the services for which `named` returns true.
+    pub fn take(&mut self, named: impl Fn(&str) -> bool) -> Vec<Heartbeat> {
+        let taken = self
+            .heartbeats
+            .extract_if(.., |(_, service), _| named(service.as_str()));
+        taken.map(|(_, heartbeat)| heartbeat).collect()
+    }
+
+    /// Removes the heartbeats that are too old to count.
+    pub fn expire(&mut self, now: Instant) {
+        self.heartbeats
+            .retain(|_, heartbeat| now < heartbeat.received_at + RETENTION);
+    }
+}
--- a/crates/nutmegyoke-core/src/process/registry/rumor.rs
+++ b/crates/nutmegyoke-core/src/process/registry/rumor.rs
@@ -1,7 +1,7 @@
 //! The content of gossip between gateways: the state of each endpoint.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::{Announcement, Stamp};
 
@@ -14,6 +14,14 @@
     pub content: Content,
 }
 
+impl Rumor {
+    /// When a gateway received the heartbeat that the rumor tells of.
+    #[must_use]
+    pub fn received_at(&self, now: Instant) -> Instant {
+        now.checked_sub(self.age).unwrap_or(now)
+    }
+}
+
 /// The content of a rumor.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Content {
--- a/crates/nutmegyoke-host/src/process/gateway/registrar.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/registrar.rs
@@ -103,7 +103,7 @@
     }
 
     fn sign_off(&self, id: &str) -> Response<Body> {
-        if self.0.driver.machine().registry().row(id).is_none() {
+        if !self.0.driver.machine().knows_endpoint(id) {
             // The endpoint retries at another gateway, which may know it.
             return error_response(StatusCode::SERVICE_UNAVAILABLE, "no such endpoint is known");
         }
