--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -35,7 +35,8 @@
 /// A heartbeat with one field replaced.
 fn heartbeat(field: &str, value: &str) -> Vec<u8> {
     let mut body = json!({
-        "backend": "desk", "address": "127.0.0.1:9", "zone": "alp-a", "slots": 6,
+        "backend": "desk", "address": "127.0.0.1:9", "zone": "alp-a",
+        "version": "v1", "slots": 6,
         "state": "ready", "seq": 1, "cold-left-ms": 0, "born": 1,
     });
     body[field] = json!("PLACEHOLDER");
--- a/tests/support/engines.rs
+++ b/tests/support/engines.rs
@@ -168,7 +168,8 @@
     /// Sends a heartbeat to the gateways in turn, until one acknowledges it.
     fn send_heartbeat(&self, number: usize, address: SocketAddr, born: u64, seq: u64) {
         let body = json!({
-            "backend": "desk", "address": address.to_string(), "zone": "alp-a", "slots": 64,
+            "backend": "desk", "address": address.to_string(), "zone": "alp-a",
+            "version": "v1", "slots": 64,
             "state": "ready", "seq": seq, "cold-left-ms": 0, "born": born,
         });
         let body = body.to_string();
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -107,7 +107,8 @@
     /// Sends a heartbeat of endpoint `i-{number}`.
     pub fn announce(&self, number: u64, address: SocketAddr, seq: u64) -> Answer {
         let body = json!({
-            "backend": "desk", "address": address.to_string(), "zone": "alp-a", "slots": 6,
+            "backend": "desk", "address": address.to_string(), "zone": "alp-a",
+            "version": "v1", "slots": 6,
             "state": "ready", "seq": seq, "cold-left-ms": 0, "born": 1,
         });
         let path = format!("/instances/i-{number}");
