--- a/crates/nutmegyoke-host/src/process/journal/folder.rs
+++ b/crates/nutmegyoke-host/src/process/journal/folder.rs
@@ -35,7 +35,10 @@
             source,
         };
         std::fs::create_dir_all(path).map_err(failure)?;
-        let lock = std::fs::File::create(path.join(LOCK_FILE)).map_err(failure)?;
+        // A full disk may refuse to truncate it.
+        let mut options = std::fs::OpenOptions::new();
+        options.write(true).create(true).truncate(false);
+        let lock = options.open(path.join(LOCK_FILE)).map_err(failure)?;
         match lock.try_lock() {
             Ok(()) => {}
             Err(TryLockError::WouldBlock) => {
--- a/crates/nutmegyoke-host/src/process/journal/mod.rs
+++ b/crates/nutmegyoke-host/src/process/journal/mod.rs
@@ -28,12 +28,15 @@
     length: u64,
     /// Whether the file may hold bytes of a failed write after that length.
     dirty: bool,
+    /// Whether there is a file. If there is none, the disk was full when the journal was opened.
+    created: bool,
 }
 
 impl<M: Medium> Journal<M> {
     /// Opens the journal, or creates it with the id `new_id`.
     ///
-    /// A torn last frame is truncated: its batch was never reported as synced.
+    /// A torn last frame is truncated: its batch was never reported as synced. If the disk is full,
+    /// that waits for the first batch, as the creation does.
     ///
     /// # Errors
     ///
@@ -64,15 +67,18 @@
             id: id.unwrap_or(new_id),
             length,
             dirty: length < bytes.len() as u64,
+            created: id.is_some(),
         };
-        journal
-            .truncate_unsynced()
-            .await
-            .map_err(|source| Failure::Write { source })?;
-        if id.is_none() {
-            journal.create().await?;
+        let prepared = if journal.created {
+            let truncated = journal.truncate_unsynced().await;
+            truncated.map_err(|source| Failure::Write { source })
+        } else {
+            journal.create().await
+        };
+        match prepared {
+            Err(failure) if !failure.is_full() => Err(failure),
+            _ => Ok((journal, recovered)),
         }
-        Ok((journal, recovered))
     }
 
     /// The id of the replica that owns the journal.
@@ -96,12 +102,8 @@
     pub async fn append(&mut self, batch: &Batch<Store>) -> Result<(), Failure> {
         let frame = frame::encode(&record::encode(self.id, batch));
         let length = frame.len() as u64;
-        if batch.snapshot.is_some() {
-            let replaced = self.medium.replace(frame).await;
-            replaced.map_err(|source| Failure::Write { source })?;
-            self.length = length;
-            self.dirty = false;
-            return Ok(());
+        if batch.snapshot.is_some() || !self.created {
+            return self.replace(frame).await;
         }
         self.truncate_unsynced()
             .await
@@ -122,10 +124,19 @@
             snapshot: None,
             entries: Vec::new(),
         };
-        let frame = frame::encode(&record::encode(self.id, &batch));
-        self.length = frame.len() as u64;
-        let created = self.medium.replace(frame).await;
-        created.map_err(|source| Failure::Write { source })
+        self.replace(frame::encode(&record::encode(self.id, &batch)))
+            .await
+    }
+
+    /// Replaces the whole file by one frame.
+    async fn replace(&mut self, frame: Vec<u8>) -> Result<(), Failure> {
+        let length = frame.len() as u64;
+        let replaced = self.medium.replace(frame).await;
+        replaced.map_err(|source| Failure::Write { source })?;
+        self.length = length;
+        self.dirty = false;
+        self.created = true;
+        Ok(())
     }
 
     /// Truncates what a failed write left after the last synced frame.
--- a/crates/nutmegyoke-host/tests/journal.rs
+++ b/crates/nutmegyoke-host/tests/journal.rs
@@ -27,6 +27,8 @@
 struct State {
     bytes: Vec<u8>,
     fault: Option<Fault>,
+    /// Whether the disk refuses everything but reads.
+    full: bool,
 }
 
 /// The fault of the next write.
@@ -39,6 +41,13 @@
 }
 
 impl FakeFile {
+    fn check_room(&self) -> io::Result<()> {
+        if self.0.borrow().full {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
     fn write(&self, offset: usize, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.0.borrow_mut();
         let (written, result) = match state.fault.take() {
@@ -67,10 +76,12 @@
             offset,
             "append not at the end of the file"
         );
+        self.check_room()?;
         self.write(offset, &bytes)
     }
 
     async fn replace(&mut self, bytes: Vec<u8>) -> io::Result<()> {
+        self.check_room()?;
         if let Some(fault) = self.0.borrow_mut().fault.take() {
             return Err(match fault {
                 Fault::Full(_) => io::ErrorKind::StorageFull.into(),
@@ -82,6 +93,7 @@
     }
 
     async fn truncate(&mut self, length: u64) -> io::Result<()> {
+        self.check_room()?;
         let length = usize::try_from(length).unwrap();
         self.0.borrow_mut().bytes.truncate(length);
         Ok(())
@@ -124,6 +136,37 @@
     block_on(Journal::open(file.clone(), NEW_ID))
 }
 
+/// A process that started while its disk was full ended at once, although it could read the
+/// journal.
+fn journal_opens_on_a_full_disk(file: &FakeFile, expected: &[u64]) {
+    file.0.borrow_mut().full = true;
+    let (mut journal, recovered) = open(file).unwrap();
+    assert_eq!(indices(&recovered), expected);
+    let batch = batch(4, 1);
+    let refused = block_on(journal.append(&batch)).unwrap_err();
+    assert!(refused.is_full(), "{refused}");
+    file.0.borrow_mut().full = false;
+    block_on(journal.append(&batch)).unwrap();
+    let id = journal.id();
+    drop(journal);
+    let (journal, recovered) = open(file).unwrap();
+    assert_eq!(journal.id(), id);
+    assert_eq!(indices(&recovered), [expected, &[4]].concat());
+}
+
+/// A journal whose last write was torn.
+fn torn() -> FakeFile {
+    let (file, _) = three_batches();
+    file.0.borrow_mut().bytes.extend_from_slice(&[1, 0, 0]);
+    file
+}
+
+cases!(journal_opens_on_a_full_disk {
+    without_a_journal: (&FakeFile::default(), &[]),
+    with_a_journal: (&three_batches().0, &[1, 2, 3]),
+    with_a_torn_journal: (&torn(), &[1, 2, 3]),
+});
+
 /// The indices of the recovered entries.
 fn indices(recovered: &Recovered<Store>) -> Vec<u64> {
     let entries = recovered.entries.iter();
