Replication: slow observers don't keep transfers from voters

Transfers to voters and to others are counted apart. Otherwise three observers with slow links hold all places for seconds while the next document waits for the voters.

--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -25,7 +25,8 @@
 /// The size of a message, in bytes, from which on it is a transfer.
 pub const TRANSFER_BYTES: usize = 64 * 1024;
 
-/// The maximum number of transfers in flight from a leader, enough for two voters and one more.
+/// The maximum number of transfers in flight from a leader to voters, and to others. Those to
+/// voters don't wait for a slow observer.
 const MAX_TRANSFERS: usize = 3;
 
 /// The lowest rate of a transfer, in bytes a second. A slower one is considered lost.
@@ -52,6 +53,8 @@
     pub acked_sent_at: Instant,
     /// The large message that was sent and is not acknowledged.
     transfer: Option<Transfer>,
+    /// Whether the replica votes.
+    voter: bool,
     /// Whether the replica has answered this leader. One that may be down is sent no transfer.
     answered: bool,
     /// When the latest append was sent, and the commit index in it.
@@ -89,16 +92,18 @@
         for peer in &self.membership.peers {
             // A full lease, as if `now` were answered: a new leader was just elected by a
             // majority, and a new member has not been sent anything yet.
-            progress.entry(peer.id).or_insert(Progress {
+            let progress = progress.entry(peer.id).or_insert(Progress {
                 next,
                 moved_back: 0,
                 matched: 0,
                 acked_sent_at: now,
                 transfer: None,
+                voter: peer.voter,
                 answered: false,
                 last_sent: None,
                 unanswered_since: None,
             });
+            progress.voter = peer.voter;
         }
     }
 
@@ -208,9 +213,11 @@
             return false;
         };
         let election_timeout = self.setup.election_timeout;
-        let in_flight = progress
-            .values()
-            .filter(|peer| peer.transfer.is_some() && !peer.is_silent(now, election_timeout));
+        let in_flight = progress.values().filter(|other| {
+            other.voter == peer.voter
+                && other.transfer.is_some()
+                && !other.is_silent(now, election_timeout)
+        });
         peer.answered && in_flight.count() < MAX_TRANSFERS
     }
 
@@ -237,11 +244,8 @@
             return;
         };
         let silent = peer.is_silent(now, election_timeout);
-        if !silent
-            && peer
-                .transfer
-                .is_some_and(|transfer| transfer.resend_at <= now)
-        {
+        let lost = peer.transfer.is_some_and(|sent| sent.resend_at <= now);
+        if lost && !silent {
             peer.transfer = None;
             peer.next = peer.matched + 1;
         }
@@ -391,9 +395,7 @@
             return;
         };
         peer.matched = peer.matched.max(matched);
-        let transferred = peer
-            .transfer
-            .is_some_and(|transfer| transfer.last <= matched);
+        let transferred = peer.transfer.is_some_and(|sent| sent.last <= matched);
         if transferred {
             peer.transfer = None;
         }
--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -239,9 +239,9 @@
 /// A document that a leader's lease does not outlast if it is sent to all replicas at once.
 const LARGE_DOCUMENT_BYTES: usize = 70 * 1024;
 
-fn propose(simulation: &mut Simulation<Store>, call: u64, bytes: usize) {
+fn propose(simulation: &mut Simulation<Store>, call: u64, number: u64, bytes: usize) {
     let document = Rc::new(Document {
-        number: 1,
+        number,
         source: vec![b' '; bytes].into(),
     });
     let change = &Change::Publish { document };
@@ -263,7 +263,7 @@
     let mut simulation = Simulation::open_with_contacts(count, 2, LINK, |vm| vm >= VOTERS);
     simulation.run(Duration::from_secs(20));
     simulation.bytes_sent.clear();
-    propose(&mut simulation, 1, LARGE_DOCUMENT_BYTES);
+    propose(&mut simulation, 1, 1, LARGE_DOCUMENT_BYTES);
     let has_document = |simulation: &Simulation<Store>, vm: usize| document(simulation, vm) == 1;
     for _ in 0..500 {
         let sent = simulation.bytes_sent.iter();
@@ -300,7 +300,7 @@
     };
     let before = term(&simulation);
     simulation.held_bytes = Some((LARGE_DOCUMENT_BYTES, lost));
-    propose(&mut simulation, 1, LARGE_DOCUMENT_BYTES);
+    propose(&mut simulation, 1, 1, LARGE_DOCUMENT_BYTES);
     simulation.run(ELECTION_TIMEOUT * 3);
     assert_eq!(
         document(&simulation, leader),
@@ -320,6 +320,25 @@
     lost: (true),
 });
 
+/// Observers with slow links must not keep the next document from the voters.
+#[test]
+fn slow_observers_delay_no_document() {
+    const VOTERS: usize = 3;
+    const OBSERVERS: usize = 4;
+    let count = VOTERS + OBSERVERS;
+    let mut simulation = Simulation::open_with_contacts(count, 3, LINK, |vm| vm >= VOTERS);
+    simulation.run(Duration::from_secs(20));
+    simulation.held_bytes = Some((LARGE_DOCUMENT_BYTES, false));
+    simulation.held_from = VOTERS;
+    for number in 1..=2 {
+        propose(&mut simulation, number, number, LARGE_DOCUMENT_BYTES);
+        simulation.run(Duration::from_millis(300));
+        let leader = simulation.leader().unwrap();
+        assert_eq!(document(&simulation, leader), number);
+        assert_eq!(document(&simulation, count - 1), 0);
+    }
+}
+
 /// Each time that an operator sent a document again, it was appended once more, although the
 /// first entry was on its way.
 #[test]
@@ -329,7 +348,7 @@
     let others = (0..REPLICAS).filter(|&vm| vm != leader);
     simulation.frozen = others.collect();
     for call in 1..=3 {
-        propose(&mut simulation, call, 10);
+        propose(&mut simulation, call, 1, 10);
         simulation.run(Duration::from_millis(50));
     }
     simulation.frozen.clear();
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -89,6 +89,8 @@
     pub snapshots_sent: BTreeMap<usize, usize>,
     /// The size from which on messages are held back, and whether they are then lost.
     pub held_bytes: Option<(usize, bool)>,
+    /// The first VM to which messages are held back.
+    pub held_from: usize,
     /// The messages that are held back.
     held: Vec<(SocketAddr, Message<S>)>,
     /// How many requests to join were sent.
@@ -157,6 +159,7 @@
             bytes_sent: BTreeMap::new(),
             snapshots_sent: BTreeMap::new(),
             held_bytes: None,
+            held_from: 0,
             held: Vec::new(),
             joins_sent: 0,
             outcomes: BTreeMap::new(),
@@ -309,7 +312,8 @@
         if self.random.u32(..100) < self.link.loss_percent {
             return;
         }
-        match self.held_bytes {
+        let held_bytes = self.held_bytes.filter(|_| other >= self.held_from);
+        match held_bytes {
             Some((size, true)) if message.size() >= size => return,
             Some((size, false)) if message.size() >= size => {
                 self.held.push((to, message.clone()));
