Replication: observers are sent the newest of several documents

Cause: eight documents of some 300 KB each within 3 s. Each observer was sent each of them, 62 MB over the leader's link, and always in the order of the membership, so that the last observers were the furthest behind. Ruled out: another leader (none from 10.4 s on), unanswered calls (none after 20 s).

Those that lack most come first. A transfer that is slower than usual no longer takes a place from others.

--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -5,9 +5,10 @@
 //! documents for as long as the lease lasts, however many replicas there are. Observers are sent
 //! only committed entries, so that the link is free for the voters until then.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::{Body, Command, Content, Entry, Id, Position, Replica, Role, Sink, State};
+use super::{Body, Command, Content, Entry, Id, Peer, Position, Replica, Role, Sink, State};
 
 /// The maximum number of entries in one message.
 const MAX_MESSAGE_ENTRIES: usize = 512;
@@ -29,6 +30,9 @@
 /// voters don't wait for a slow observer.
 const MAX_TRANSFERS: usize = 3;
 
+/// The usual rate of a transfer, in bytes a second. A slower one leaves room for others.
+const USUAL_TRANSFER_RATE: u64 = 2_000_000;
+
 /// The lowest rate of a transfer, in bytes a second. A slower one is considered lost.
 const MIN_TRANSFER_RATE: u64 = 200_000;
 
@@ -68,6 +72,8 @@
 struct Transfer {
     /// The last index in the message.
     last: u64,
+    /// When it counts no longer against [`MAX_TRANSFERS`].
+    slow_at: Instant,
     /// When the message is considered lost and sent again.
     resend_at: Instant,
 }
@@ -156,7 +162,9 @@
         let own_id = self.setup.id;
         let peers = &self.membership.peers;
         let voters = peers.iter().filter(|peer| peer.voter);
-        let others = peers.iter().filter(|peer| !peer.voter);
+        let mut others: Vec<&Peer> = peers.iter().filter(|peer| !peer.voter).collect();
+        // Those that lack most come first; otherwise a series of documents starves the last.
+        others.sort_by_key(|peer| self.matched(peer.id));
         let ids: Vec<Id> = voters.chain(others).map(|peer| peer.id).collect();
         for id in ids.into_iter().filter(|&id| id != own_id) {
             self.send_missing(now, id, heartbeat, out);
@@ -164,28 +172,40 @@
     }
 
     /// Whether a replica that lacks the entries from `next` on gets a snapshot in place of
-    /// them: they are compacted, or much larger than the state.
-    fn needs_snapshot(&self, next: u64) -> bool {
+    /// them: they are compacted, or larger than the state; for a voter much larger, because the
+    /// snapshot rewrites its journal.
+    fn needs_snapshot(&self, next: u64, observer: bool) -> bool {
         if next <= self.log.base().index {
             return true;
         }
-        let limit = MESSAGE_FULL_BYTES.max(self.state.snapshot_size() * SNAPSHOT_ADVANTAGE);
+        let state = self.state.snapshot_size();
+        let limit = if observer {
+            TRANSFER_BYTES.max(state)
+        } else {
+            MESSAGE_FULL_BYTES.max(state * SNAPSHOT_ADVANTAGE)
+        };
         let lacking = self.log.entries_from(next);
         let lacking = lacking.take_while(|entry| entry.position.index <= self.applied_index);
         exceeds::<S>(lacking, limit)
     }
 
-    /// Sends the latest snapshot, and takes one first if too much would be missing after it.
+    /// Sends a snapshot: to an observer one of the applied state, to others the latest, which is
+    /// taken anew if too much would be missing after it.
     fn send_snapshot<K>(&mut self, now: Instant, id: Id, stamp: u64, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
-        let latest = self.snapshot.as_ref();
-        let included = latest.map_or(0, |snapshot| snapshot.position.index);
-        if self.needs_snapshot(included + 1) {
-            self.force_snapshot();
-        }
-        let Some(snapshot) = self.snapshot.clone() else {
+        let snapshot = if self.is_observer(id) {
+            self.applied_snapshot().map(Rc::new)
+        } else {
+            let latest = self.snapshot.as_ref();
+            let included = latest.map_or(0, |snapshot| snapshot.position.index);
+            if self.needs_snapshot(included + 1, false) {
+                self.force_snapshot();
+            }
+            self.snapshot.clone()
+        };
+        let Some(snapshot) = snapshot else {
             return;
         };
         let transfer = self.transfer(now, snapshot.position.index, snapshot.state.snapshot_size());
@@ -200,10 +220,13 @@
 
     /// A transfer of `bytes` that is sent now.
     fn transfer(&self, now: Instant, last: u64, bytes: usize) -> Transfer {
-        let time = Duration::from_millis(bytes as u64 * 1000 / MIN_TRANSFER_RATE);
+        let election_timeout = self.setup.election_timeout;
+        let time = |rate| Duration::from_millis(bytes as u64 * 1000 / rate);
+        let latest = election_timeout * TRANSFER_ELECTION_TIMEOUTS + time(MIN_TRANSFER_RATE);
         Transfer {
             last,
-            resend_at: now + self.setup.election_timeout * TRANSFER_ELECTION_TIMEOUTS + time,
+            slow_at: now + election_timeout / 4 + time(USUAL_TRANSFER_RATE),
+            resend_at: now + latest,
         }
     }
 
@@ -215,7 +238,7 @@
         let election_timeout = self.setup.election_timeout;
         let in_flight = progress.values().filter(|other| {
             other.voter == peer.voter
-                && other.transfer.is_some()
+                && other.transfer.is_some_and(|sent| now < sent.slow_at)
                 && !other.is_silent(now, election_timeout)
         });
         peer.answered && in_flight.count() < MAX_TRANSFERS
@@ -253,7 +276,7 @@
         if silent || peer.transfer.is_some() {
             return self.send_heartbeat(now, id, heartbeat, out);
         }
-        if self.needs_snapshot(peer.next) {
+        if self.needs_snapshot(peer.next, self.is_observer(id)) {
             if self.may_transfer(now, &peer) {
                 self.send_snapshot(now, id, stamp, out);
             } else {
--- a/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
@@ -37,23 +37,26 @@
 
     /// Takes a snapshot of the applied state, regardless of the size of the log.
     pub fn force_snapshot(&mut self) {
-        let Some(term) = self.log.term(self.applied_index) else {
+        let Some(snapshot) = self.applied_snapshot() else {
             return;
         };
-        let position = Position {
-            term,
-            index: self.applied_index,
-        };
         self.bytes_since_snapshot = 0;
-        self.snapshot = Some(Rc::new(Snapshot {
-            position,
-            membership: self.applied_membership.clone(),
-            state: self.state.clone(),
-        }));
+        self.snapshot = Some(Rc::new(snapshot));
         self.log.compact(self.first_retained() - 1);
         self.disk.rewrite(self.log.base().index + 1);
     }
 
+    /// A snapshot of the applied state, which leaves the log as it is.
+    pub(super) fn applied_snapshot(&self) -> Option<Snapshot<S>> {
+        let index = self.applied_index;
+        let term = self.log.term(index)?;
+        Some(Snapshot {
+            position: Position { term, index },
+            membership: self.applied_membership.clone(),
+            state: self.state.clone(),
+        })
+    }
+
     /// The index of the first entry to keep after a snapshot of the applied state.
     fn first_retained(&self) -> u64 {
         let mut bytes = 0;
--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -339,6 +340,39 @@
     }
 }
 
+/// In a series of documents an observer was sent each of them, and those that came last in the
+/// membership were seconds behind the others.
+#[test]
+fn observers_are_sent_the_newest_of_several_documents() {
+    const VOTERS: usize = 3;
+    const OBSERVERS: usize = 8;
+    const DOCUMENTS: u64 = 4;
+    let count = VOTERS + OBSERVERS;
+    let mut simulation = Simulation::open_with_contacts(count, 4, LINK, |vm| vm >= VOTERS);
+    simulation.run(Duration::from_secs(20));
+    simulation.held_bytes = Some((LARGE_DOCUMENT_BYTES, false));
+    simulation.held_from = VOTERS;
+    simulation.bytes_sent.clear();
+    for number in 1..=DOCUMENTS {
+        propose(&mut simulation, number, number, LARGE_DOCUMENT_BYTES);
+        simulation.run(Duration::from_millis(100));
+    }
+    let first = |simulation: &Simulation<Store>| {
+        let sent = simulation.bytes_sent.iter();
+        let sent = sent.filter(|&(&vm, &bytes)| vm >= VOTERS && bytes >= LARGE_DOCUMENT_BYTES);
+        sent.map(|(&vm, _)| vm).collect::<BTreeSet<usize>>()
+    };
+    let served = first(&simulation);
+    simulation.held_bytes = None;
+    simulation.run(Duration::from_secs(1));
+    for vm in VOTERS..count {
+        assert_eq!(document(&simulation, vm), DOCUMENTS);
+        let documents = if served.contains(&vm) { 2 } else { 1 };
+        let sent = simulation.bytes_sent[&vm] / LARGE_DOCUMENT_BYTES;
+        assert!(sent <= documents, "{sent} documents sent to {vm}");
+    }
+}
+
 /// Each time that an operator sent a document again, it was appended once more, although the
 /// first entry was on its way.
 #[test]
