Replication: slow transfers are few as well

The test found a second way to too many: an observer with a transfer got a heartbeat in an election timeout, counted as silent just then, and its place was free.

Change: at most five transfers to voters and five to others, three of them at the usual rate. A replica with a transfer gets each heartbeat. slow_transfers_are_few_as_well failed with the bound alone (8 transfers) and passes with both.

--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -30,6 +30,9 @@
 /// voters don't wait for a slow observer.
 const MAX_TRANSFERS: usize = 3;
 
+/// The same with those that are slower than usual. On a slow link all of them are.
+const MAX_SLOW_TRANSFERS: usize = 5;
+
 /// The usual rate of a transfer, in bytes a second. A slower one leaves room for others.
 const USUAL_TRANSFER_RATE: u64 = 2_000_000;
 
@@ -72,7 +75,7 @@
 struct Transfer {
     /// The last index in the message.
     last: u64,
-    /// When it counts no longer against [`MAX_TRANSFERS`].
+    /// When it is slower than usual and counts no longer against [`MAX_TRANSFERS`].
     slow_at: Instant,
     /// When the message is considered lost and sent again.
     resend_at: Instant,
@@ -236,12 +239,12 @@
             return false;
         };
         let election_timeout = self.setup.election_timeout;
-        let in_flight = progress.values().filter(|other| {
-            other.voter == peer.voter
-                && other.transfer.is_some_and(|sent| now < sent.slow_at)
-                && !other.is_silent(now, election_timeout)
-        });
-        peer.answered && in_flight.count() < MAX_TRANSFERS
+        let others = progress
+            .values()
+            .filter(|other| other.voter == peer.voter && !other.is_silent(now, election_timeout));
+        let in_flight: Vec<Transfer> = others.filter_map(|other| other.transfer).collect();
+        let usual = in_flight.iter().filter(|sent| now < sent.slow_at);
+        peer.answered && usual.count() < MAX_TRANSFERS && in_flight.len() < MAX_SLOW_TRANSFERS
     }
 
     /// Whether more entries may be sent to a replica that has been sent all before `next` and
@@ -324,8 +327,10 @@
             if silent {
                 return now < at + self.heartbeat_interval();
             }
-            // Observers count for neither lease nor quorum, so they need few heartbeats.
-            observer && commit == self.commit_index && now < at + election_timeout
+            // Observers count for neither lease nor quorum, so they need few heartbeats. During a
+            // transfer only heartbeats show that they are not silent.
+            let few = observer && peer.transfer.is_none() && commit == self.commit_index;
+            few && now < at + election_timeout
         });
         if recent {
             return;
--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -373,6 +373,32 @@
     }
 }
 
+/// On a slow link each transfer is slow. If those don't count, a document goes to all observers at
+/// once, and the leader steps down.
+#[test]
+fn slow_transfers_are_few_as_well() {
+    const VOTERS: usize = 3;
+    const OBSERVERS: usize = 12;
+    const MAX_TRANSFERS: usize = 5;
+    let count = VOTERS + OBSERVERS;
+    let mut simulation = Simulation::open_with_contacts(count, 5, LINK, |vm| vm >= VOTERS);
+    simulation.run(Duration::from_secs(20));
+    simulation.held_bytes = Some((LARGE_DOCUMENT_BYTES, false));
+    simulation.held_from = VOTERS;
+    simulation.bytes_sent.clear();
+    propose(&mut simulation, 1, 1, LARGE_DOCUMENT_BYTES);
+    simulation.run(ELECTION_TIMEOUT * 3);
+    let sent = simulation.bytes_sent.iter();
+    let sent = sent.filter(|&(&vm, &bytes)| vm >= VOTERS && bytes >= LARGE_DOCUMENT_BYTES);
+    let sent = sent.count();
+    assert!(sent <= MAX_TRANSFERS, "{sent} transfers");
+    simulation.held_bytes = None;
+    simulation.run(ELECTION_TIMEOUT * 3);
+    for vm in 0..count {
+        assert_eq!(document(&simulation, vm), 1);
+    }
+}
+
 /// Each time that an operator sent a document again, it was appended once more, although the
 /// first entry was on its way.
 #[test]
