Logs tell why a lease is lost, who votes and what is held back; large messages share the link

NY0423 tells a lost lease with the bytes that are not acknowledged and how late the process noticed. NY0422 tells the voters, NY0511 an entry that is held back.

Trial with 2,800 routes on links of a quarter, on: transfers to voters and observers were cut after 1.08 s, the time of one document alone, and began again; and 15 gateways fetched from the same observer at once, all in vain after 3 s. Now a large message is waited for as long as all large ones of the process take, and a process sends three documents at a time to those that fetch.

The same causes on related paths: a configuration that is sent again isn't appended again, and goes on the connection for large messages; a fetch is put off by 1 s at most, however many gateways there are; the sign-off of a listed endpoint is applied also while no document names its service; an entry that is held back is logged once for each start, not for each heartbeat.

Renamed and split: replica::transfer, Peers::small and large, Gateway::finish_requests_and_leave. Tests: lost_lease_is_reported_with_what_is_unacknowledged, few_documents_are_sent_at_a_time, change_that_is_sent_again_is_not_appended_again (the configuration's case failed before by the same count), sign_off_is_gossiped_for_a_dropped_service.

--- a/crates/nutmegyoke-core/src/process/control/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/event.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -102,6 +103,13 @@
     Persist { batch: Batch<Store> },
     /// The routing document, the membership or this replica's leadership changed.
     Notify,
+    /// This replica no longer leads, because a majority has not answered within the lease.
+    LeaseLost {
+        /// The size of what was sent and is not acknowledged, in bytes.
+        unacknowledged_bytes: usize,
+        /// How late this was noticed: the process was paused or busy for that long.
+        late: Duration,
+    },
 }
 
 /// The outcome of submitting a configuration.
--- a/crates/nutmegyoke-core/src/process/control/relay.rs
+++ b/crates/nutmegyoke-core/src/process/control/relay.rs
@@ -18,6 +18,13 @@
             replica::Command::Persist { batch } => Command::Persist { batch },
             replica::Command::MembershipChanged { call } => Command::AnswerMembership { call },
             replica::Command::Redirect { call } => Command::Redirect { call },
+            replica::Command::LeaseLost {
+                unacknowledged_bytes,
+                late,
+            } => Command::LeaseLost {
+                unacknowledged_bytes,
+                late,
+            },
             replica::Command::Outcome { call, outcome } => match outcome {
                 Outcome::Configured { acceptance } => {
                     Command::AnswerConfiguration { call, acceptance }
--- a/crates/nutmegyoke-core/src/process/control/replica/election.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/election.rs
@@ -198,6 +198,10 @@
             peer.id == self.setup.id || acked_sent_at.is_some_and(|at| at + lease > now)
         });
         if responsive.count() < self.membership.quorum() {
+            out.push(Command::LeaseLost {
+                unacknowledged_bytes: self.unacknowledged_bytes(),
+                late: now.saturating_duration_since(self.timeout_at),
+            });
             self.become_follower(now, out);
         }
     }
--- a/crates/nutmegyoke-core/src/process/control/replica/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/event.rs
@@ -102,6 +102,13 @@
     Outcome { call: u64, outcome: S::Outcome },
     /// A proposed change of the membership is committed.
     MembershipChanged { call: u64 },
+    /// This replica no longer leads, because a majority has not answered within the lease.
+    LeaseLost {
+        /// The size of what was sent and is not acknowledged, in bytes.
+        unacknowledged_bytes: usize,
+        /// How late this was noticed: the process was paused or busy for that long.
+        late: Duration,
+    },
     /// The caller must ask the leader; the change may or may not be committed.
     Redirect { call: u64 },
 }
--- a/crates/nutmegyoke-core/src/process/control/replica/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! * [`election`]: elects a leader and ends its lease;
 //! * [`replication`]: sends entries from the leader to the other replicas;
+//! * [`transfer`]: limits the large messages among them;
 //! * [`follower`]: dispatches messages and appends the leader's entries;
 //! * [`snapshot`]: replaces a long log by a snapshot of the state;
 //! * [`bootstrap`]: creates the first membership of a fleet;
@@ -26,6 +27,7 @@
 mod pruning;
 pub mod replication;
 pub mod snapshot;
+pub mod transfer;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -1,13 +1,12 @@
 //! Replication of the leader's log to the other replicas.
 //!
-//! A large message, or a snapshot, is a [`Transfer`]. The leader has few of them in flight, those
-//! to voters first, and keeps sending heartbeats beside them: its link must not be busy with
-//! documents for as long as the lease lasts, however many replicas there are. Observers are sent
-//! only committed entries, so that the link is free for the voters until then.
+//! Large messages are sent to few replicas at a time, see [`super::transfer`]. Observers are sent
+//! only committed entries, so that the leader's link is free for the voters until then.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::transfer::{TRANSFER_BYTES, Transfer};
 use super::{Body, Command, Content, Entry, Id, Peer, Position, Replica, Role, Sink, State};
 
 /// The maximum number of entries in one message.
@@ -23,26 +22,6 @@
 /// further ones are sent: enough to fill one message. All of them are kept in memory.
 const MAX_IN_FLIGHT_BYTES: usize = MESSAGE_FULL_BYTES;
 
-/// The size of a message, in bytes, from which on it is a transfer.
-pub const TRANSFER_BYTES: usize = 64 * 1024;
-
-/// The maximum number of transfers in flight from a leader to voters, and to others. Those to
-/// voters don't wait for a slow observer.
-const MAX_TRANSFERS: usize = 3;
-
-/// The same with those that are slower than usual. On a slow link all of them are.
-const MAX_SLOW_TRANSFERS: usize = 5;
-
-/// The usual rate of a transfer, in bytes a second. A slower one leaves room for others.
-const USUAL_TRANSFER_RATE: u64 = 2_000_000;
-
-/// The lowest rate of a transfer, in bytes a second. A slower one is considered lost.
-const MIN_TRANSFER_RATE: u64 = 200_000;
-
-/// How long a transfer may take besides, in election timeouts: the host sends it again, on a new
-/// connection, if the first is silent.
-const TRANSFER_ELECTION_TIMEOUTS: u32 = 4;
-
 /// How many times as large as the state the committed entries that a replica lacks have to be
 /// so that it gets a snapshot in place of them. A snapshot rewrites the journal.
 const SNAPSHOT_ADVANTAGE: usize = 2;
@@ -59,32 +38,21 @@
     /// When the leader sent the latest message that the replica has answered.
     pub acked_sent_at: Instant,
     /// The large message that was sent and is not acknowledged.
-    transfer: Option<Transfer>,
+    pub(super) transfer: Option<Transfer>,
     /// Whether the replica votes.
-    voter: bool,
+    pub(super) voter: bool,
     /// Whether the replica has answered this leader. One that may be down is sent no transfer.
-    answered: bool,
+    pub(super) answered: bool,
     /// When the latest append was sent, and the commit index in it.
     last_sent: Option<(Instant, u64)>,
     /// When the leader sent the first message since the replica last answered.
     unanswered_since: Option<Instant>,
 }
 
-/// A large message to a replica, which is sent only heartbeats until it has acknowledged it.
-#[derive(Clone, Copy, Debug)]
-struct Transfer {
-    /// The last index in the message.
-    last: u64,
-    /// When it is slower than usual and counts no longer against [`MAX_TRANSFERS`].
-    slow_at: Instant,
-    /// When the message is considered lost and sent again.
-    resend_at: Instant,
-}
-
 impl Progress {
     /// Whether the replica has not answered for `timeout`. It may be frozen; then everything that
     /// is sent to it stays in memory, here or there, until it goes on.
-    fn is_silent(&self, now: Instant, timeout: Duration) -> bool {
+    pub(super) fn is_silent(&self, now: Instant, timeout: Duration) -> bool {
         let since = self.unanswered_since;
         since.is_some_and(|since| since + timeout <= now)
     }
@@ -211,7 +179,8 @@
         let Some(snapshot) = snapshot else {
             return;
         };
-        let transfer = self.transfer(now, snapshot.position.index, snapshot.state.snapshot_size());
+        let transfer =
+            self.open_transfer(now, snapshot.position.index, snapshot.state.snapshot_size());
         if let Role::Leader { progress, .. } = &mut self.role
             && let Some(peer) = progress.get_mut(&id)
         {
@@ -221,32 +190,6 @@
         self.send(id, Body::Install { snapshot, stamp }, out);
     }
 
-    /// A transfer of `bytes` that is sent now.
-    fn transfer(&self, now: Instant, last: u64, bytes: usize) -> Transfer {
-        let election_timeout = self.setup.election_timeout;
-        let time = |rate| Duration::from_millis(bytes as u64 * 1000 / rate);
-        let latest = election_timeout * TRANSFER_ELECTION_TIMEOUTS + time(MIN_TRANSFER_RATE);
-        Transfer {
-            last,
-            slow_at: now + election_timeout / 4 + time(USUAL_TRANSFER_RATE),
-            resend_at: now + latest,
-        }
-    }
-
-    /// Whether a transfer to `peer` may begin: the replica answers, and few others are in flight.
-    fn may_transfer(&self, now: Instant, peer: &Progress) -> bool {
-        let Role::Leader { progress, .. } = &self.role else {
-            return false;
-        };
-        let election_timeout = self.setup.election_timeout;
-        let others = progress
-            .values()
-            .filter(|other| other.voter == peer.voter && !other.is_silent(now, election_timeout));
-        let in_flight: Vec<Transfer> = others.filter_map(|other| other.transfer).collect();
-        let usual = in_flight.iter().filter(|sent| now < sent.slow_at);
-        peer.answered && usual.count() < MAX_TRANSFERS && in_flight.len() < MAX_SLOW_TRANSFERS
-    }
-
     /// Whether more entries may be sent to a replica that has been sent all before `next` and
     /// has acknowledged those up to `matched`.
     fn is_window_open(&self, next: u64, matched: u64) -> bool {
@@ -295,7 +238,7 @@
         }
         let previous = self.log_position(peer.next - 1);
         let next = peer.next + entries.len() as u64;
-        let transfer = large.then(|| self.transfer(now, next - 1, size));
+        let transfer = large.then(|| self.open_transfer(now, next - 1, size));
         self.record_sent(now, id, |peer| {
             peer.next = next;
             peer.transfer = transfer;
@@ -364,6 +307,22 @@
         }
     }
 
+    /// The size of the entries and snapshots that were sent to all replicas and are not
+    /// acknowledged, in bytes.
+    pub(super) fn unacknowledged_bytes(&self) -> usize {
+        let Role::Leader { progress, .. } = &self.role else {
+            return 0;
+        };
+        let bytes = progress.values().map(|peer| {
+            let sent = self.log.entries_from(peer.matched + 1);
+            let sent = sent.take_while(|entry| entry.position.index < peer.next);
+            let snapshot = peer.transfer.filter(|sent| sent.last >= peer.next);
+            let snapshot = snapshot.map_or(0, |_| self.state.snapshot_size());
+            snapshot + sent.map(change_size::<S>).sum::<usize>()
+        });
+        bytes.sum()
+    }
+
     /// The position of the entry at `index`, which is not compacted.
     fn log_position(&self, index: u64) -> Position {
         let term = self.log.term(index).unwrap_or_default();
--- a/crates/nutmegyoke-core/src/process/control/store.rs
+++ b/crates/nutmegyoke-core/src/process/control/store.rs
@@ -104,6 +104,13 @@
         }
     }
 
+    /// The approximate size of a configuration in the log or a snapshot, in bytes.
+    #[must_use]
+    pub fn configuration_size(configuration: &Configuration) -> usize {
+        let lists = configuration.lists();
+        (lists.plans.len() + lists.grants.len()) * ROW_BYTES
+    }
+
     fn newest_document(&self) -> Outcome {
         Outcome::Published {
             number: self.document.as_ref().map(|document| document.number),
@@ -149,13 +156,22 @@
             (Change::Publish { document }, Change::Publish { document: earlier }) => {
                 document.number == earlier.number && document.source == earlier.source
             }
+            (
+                Change::Configure { configuration },
+                Change::Configure {
+                    configuration: earlier,
+                },
+            ) => {
+                configuration.number() == earlier.number()
+                    && configuration.digest() == earlier.digest()
+            }
             _ => false,
         }
     }
 
     fn change_size(change: &Change) -> usize {
         match change {
-            Change::Configure { configuration } => row_count(configuration) * ROW_BYTES,
+            Change::Configure { configuration } => Self::configuration_size(configuration),
             Change::Publish { document } => document.source.len(),
             Change::RecordDemand { demand } => demand.len() * DEMAND_BYTES,
             Change::Claim { .. } | Change::Conclude { .. } | Change::Barrier => CLAIM_BYTES,
@@ -168,15 +184,9 @@
             .as_ref()
             .map_or(0, |document| document.source.len());
         let demand = self.demand.len() * DEMAND_BYTES;
-        row_count(&self.configuration) * ROW_BYTES
+        Self::configuration_size(&self.configuration)
             + self.claims.len() * CLAIM_BYTES
             + document
             + demand
     }
 }
-
-/// The number of plans and grants.
-fn row_count(configuration: &Configuration) -> usize {
-    let lists = configuration.lists();
-    lists.plans.len() + lists.grants.len()
-}
--- a/crates/nutmegyoke-core/src/process/gateway/endpoints.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/endpoints.rs
@@ -6,7 +6,9 @@
 use std::time::Instant;
 
 use super::{Command, Gateway, Sink};
+use crate::process::endpoint::Phase;
 use crate::process::registry::{Announcement, Content, Heartbeat, Rumor};
+use crate::version::Service;
 
 impl Gateway {
     /// Whether an endpoint of this identifier sent a heartbeat, listed or not.
@@ -15,8 +17,19 @@
         self.registry.row(id).is_some() || self.pending.contains(id)
     }
 
+    /// The start and the phase of an endpoint as its latest heartbeat tells, listed or not.
+    #[must_use]
+    pub fn last_heartbeat(&self, id: &str, service: &Service) -> Option<(u64, Phase)> {
+        let row = self.registry.row(id);
+        let row = row.filter(|row| row.announcement.service == *service);
+        let held = || self.pending.get(id, service);
+        let listed = row.map(|row| (row.stamp.started_ms, row.announcement.phase));
+        listed.or_else(|| held().map(|held| (held.stamp.started_ms, held.phase)))
+    }
+
     /// Whether the routing document names a service.
-    fn is_named(&self, service: &str) -> bool {
+    #[must_use]
+    pub fn is_named(&self, service: &str) -> bool {
         let routing = self.routing.as_ref();
         routing.is_some_and(|routing| routing.pool(service).is_some())
     }
@@ -56,13 +69,19 @@
                     direct: false,
                 });
             }
-            Content::SignedOff(announcement) if !self.is_named(announcement.service.as_str()) => {
-                return self.pending.remove(&announcement.id);
-            }
             Content::Renewed { id, stamp } => {
                 self.pending.renew(rumor.received_at(now), id, *stamp);
             }
-            Content::Announced(_) | Content::SignedOff(_) => {}
+            Content::SignedOff(announcement) => {
+                self.pending.remove(&announcement.id);
+                let row = self.registry.row(&announcement.id);
+                let is_listed =
+                    row.is_some_and(|row| row.announcement.service == announcement.service);
+                if !is_listed && !self.is_named(announcement.service.as_str()) {
+                    return;
+                }
+            }
+            Content::Announced(_) => {}
         }
         let changed = self.registry.apply(now, rumor);
         if let Content::Announced(announcement) = &rumor.content {
--- a/crates/nutmegyoke-core/src/process/gateway/freshness.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/freshness.rs
@@ -22,6 +22,9 @@
 /// of a document at once, most of them from the leader, whose link must not be busy for long.
 const FETCH_SPREAD: Duration = Duration::from_millis(30);
 
+/// The longest time that a fetch is put off, however many gateways there are.
+const MAX_FETCH_SPREAD: Duration = Duration::from_secs(1);
+
 /// The delay before a document is fetched again.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(600);
 
@@ -117,9 +120,8 @@
     /// A random time that a fetch is put off.
     fn fetch_spread(&mut self) -> Duration {
         let gateways = u32::try_from(self.gossip.len()).unwrap_or(u32::MAX);
-        FETCH_SPREAD
-            .saturating_mul(gateways)
-            .mul_f64(self.rng.f64())
+        let longest = FETCH_SPREAD.saturating_mul(gateways).min(MAX_FETCH_SPREAD);
+        longest.mul_f64(self.rng.f64())
     }
 
     /// Whether the document was the newest when a request had arrived.
--- a/crates/nutmegyoke-core/src/process/registry/pending.rs
+++ b/crates/nutmegyoke-core/src/process/registry/pending.rs
@@ -33,6 +33,13 @@
         self.heartbeats.keys().any(|(held, _)| held == id)
     }
 
+    /// The heartbeat of an endpoint that is held back.
+    #[must_use]
+    pub fn get(&self, id: &str, service: &Service) -> Option<&Announcement> {
+        let held = self.heartbeats.get(&(id.to_owned(), service.clone()));
+        held.map(|heartbeat| &heartbeat.announcement)
+    }
+
     /// Holds back a heartbeat, unless a later one of the endpoint is held.
     pub fn insert(&mut self, heartbeat: Heartbeat) {
         let Announcement { id, service, .. } = &heartbeat.announcement;
--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -9,7 +9,8 @@
 use nutmegyoke_cases::cases;
 use nutmegyoke_core::process::control::replica::{Content, Entry, Event};
 use nutmegyoke_core::process::control::store::{Change, Store};
-use nutmegyoke_core::version::Document;
+use nutmegyoke_core::version::configuration::Lists;
+use nutmegyoke_core::version::{Configuration, Document};
 use support::{ELECTION_TIMEOUT, Link, Simulation};
 
 const LINK: Link = Link {
@@ -399,24 +400,73 @@
     }
 }
 
-/// Each time that an operator sent a document again, it was appended once more, although the
-/// first entry was on its way.
-#[test]
-fn document_that_is_sent_again_is_not_appended_again() {
+/// A change that an operator sends.
+#[derive(Clone, Copy, Debug)]
+enum Sent {
+    Document,
+    Configuration,
+}
+
+impl Sent {
+    fn change(self) -> Change {
+        match self {
+            Self::Document => Change::Publish {
+                document: Rc::new(Document {
+                    number: 1,
+                    source: b"routes".as_slice().into(),
+                }),
+            },
+            Self::Configuration => Change::Configure {
+                configuration: Configuration::open(Lists {
+                    number: 1,
+                    ..Lists::default()
+                })
+                .unwrap(),
+            },
+        }
+    }
+}
+
+/// Each time that an operator sent a change again, it was appended once more, although the first
+/// entry was on its way.
+fn change_that_is_sent_again_is_not_appended_again(sent: Sent) {
     let mut simulation = spawn();
     let leader = simulation.leader().unwrap();
-    let others = (0..REPLICAS).filter(|&vm| vm != leader);
-    simulation.frozen = others.collect();
+    let last = |simulation: &Simulation<Store>| {
+        let replica = simulation.vms[leader].replica.as_ref();
+        replica.expect("the leader runs").log().last().index
+    };
+    let before = last(&simulation);
+    simulation.frozen = (0..REPLICAS).filter(|&vm| vm != leader).collect();
     for call in 1..=3 {
-        propose(&mut simulation, call, 1, 10);
+        let change = &sent.change();
+        simulation.feed(leader, Event::Proposed { call, change });
         simulation.run(Duration::from_millis(50));
     }
     simulation.frozen.clear();
     simulation.run(ELECTION_TIMEOUT);
-    let replica = simulation.vms[leader].replica.as_ref().unwrap();
-    let entries = replica.log().entries_from(0);
-    assert_eq!(entries.filter(|entry| is_publication(entry)).count(), 1);
+    assert_eq!(last(&simulation), before + 1);
     for call in 1..=3 {
         assert!(simulation.outcomes.contains_key(&call), "call {call}");
     }
 }
+
+cases!(change_that_is_sent_again_is_not_appended_again {
+    document: (Sent::Document),
+    configuration: (Sent::Configuration),
+});
+
+/// The log line of a lost lease has to tell whether the link was busy or the process.
+#[test]
+fn lost_lease_is_reported_with_what_is_unacknowledged() {
+    let mut simulation = spawn();
+    let leader = simulation.leader().unwrap();
+    simulation.isolated = [leader].into();
+    propose(&mut simulation, 1, 1, LARGE_DOCUMENT_BYTES);
+    simulation.run(ELECTION_TIMEOUT);
+    let &[unacknowledged_bytes] = simulation.lost_leases.as_slice() else {
+        panic!("{:?}", simulation.lost_leases);
+    };
+    assert!(unacknowledged_bytes >= LARGE_DOCUMENT_BYTES);
+    assert!(unacknowledged_bytes <= REPLICAS * LARGE_DOCUMENT_BYTES);
+}
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -93,6 +93,8 @@
     pub held_from: usize,
     /// The messages that are held back.
     held: Vec<(SocketAddr, Message<S>)>,
+    /// The bytes that were not acknowledged to leaders that lost their leases.
+    pub lost_leases: Vec<usize>,
     /// How many requests to join were sent.
     pub joins_sent: usize,
     /// The outcomes of committed changes, by call.
@@ -161,6 +163,7 @@
             held_bytes: None,
             held_from: 0,
             held: Vec::new(),
+            lost_leases: Vec::new(),
             joins_sent: 0,
             outcomes: BTreeMap::new(),
             redirected: BTreeSet::new(),
@@ -289,6 +292,10 @@
                 self.outcomes.insert(call, outcome);
             }
             Command::MembershipChanged { .. } => {}
+            Command::LeaseLost {
+                unacknowledged_bytes,
+                ..
+            } => self.lost_leases.push(unacknowledged_bytes),
             Command::Redirect { call } => {
                 self.redirected.insert(call);
             }
--- a/crates/nutmegyoke-core/tests/unnamed_service.rs
+++ b/crates/nutmegyoke-core/tests/unnamed_service.rs
@@ -135,6 +135,22 @@
     assert!(fleet.gateways[0].registry().row(id).is_none());
 }
 
+/// A sign-off reaches an endpoint that is listed also while no document names its service.
+#[test]
+fn sign_off_is_gossiped_for_a_dropped_service() {
+    let mut fleet = Fleet::open(2, &[]);
+    announce(&mut fleet, 0, &sound());
+    configure(&mut fleet, draft_without_engines());
+    let id = &sound().id;
+    fleet.feed(0, Event::SignedOff { id });
+    fleet.now += GOSSIP_TIME;
+    fleet.feed(0, Event::Ticked);
+    configure(&mut fleet, draft());
+    for gateway in &fleet.gateways {
+        assert!(!gateway.registry().row(id).unwrap().accepts_requests());
+    }
+}
+
 /// An endpoint whose service a document has dropped keeps no other one from its address.
 #[test]
 fn endpoint_of_a_dropped_service_gives_up_its_address() {
--- a/crates/nutmegyoke-host/src/process/control/gateway.rs
+++ b/crates/nutmegyoke-host/src/process/control/gateway.rs
@@ -61,7 +61,7 @@
             return None;
         }
         let fetch = |client| fetch_document(client, above);
-        let peers = self.peers.for_documents();
+        let peers = self.peers.large();
         let fetched = peers.call(address, FETCH_TIMEOUT, fetch).await;
         fetched.ok().flatten()
     }
@@ -81,7 +81,7 @@
     /// Fetches the routing document of the leader, like [`Control::fetch_document`].
     pub async fn fetch_leader_document(&self, above: u64) -> Option<Rc<Document>> {
         let fetch = |client| fetch_document(client, above);
-        let peers = self.peers.for_documents();
+        let peers = self.peers.large();
         let fetched = self.call_leader(peers, FETCH_TIMEOUT, fetch).await;
         fetched.flatten()
     }
@@ -113,6 +113,16 @@
         peers.map(|peer| peer.seed.address).collect()
     }
 
+    /// The names of the replicas that vote, in order.
+    #[must_use]
+    pub fn voters(&self) -> Vec<String> {
+        let machine = self.driver.machine();
+        let voters = machine.replica().membership().voters();
+        let mut names: Vec<String> = voters.map(|peer| peer.seed.name.clone()).collect();
+        names.sort();
+        names
+    }
+
     /// Waits for the next change of the routing document, the membership or this replica's
     /// leadership.
     pub async fn changed(&self) {
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -9,6 +9,7 @@
 //! * [`proposal`]: changes of the log, which go to the leader;
 //! * [`peers`]: the connections to other replicas;
 //! * [`transport`]: messages to other replicas and the journal;
+//! * [`uploads`]: a limit of the documents that other processes fetch;
 //! * [`gateway`]: the calls of a gateway to the replica in its process;
 //! * [`options`]: the startup options of a replica.
 
@@ -18,6 +19,7 @@
 mod proposal;
 mod server;
 mod transport;
+mod uploads;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
@@ -46,6 +48,7 @@
 pub use self::options::Options;
 use self::peers::Peers;
 use self::server::Server;
+pub use self::uploads::Uploads;
 use super::driver::Addressed;
 use super::journal::medium::Discard;
 use super::journal::{self, Folder, Journal, Medium};
@@ -71,6 +74,7 @@
     metrics: Metrics,
     member: Member,
     peers: Rc<Peers>,
+    uploads: Uploads,
     /// The number of proposals without an answer yet.
     pending: Cell<usize>,
     journal_failure: RefCell<Option<oneshot::Receiver<journal::Failure>>>,
@@ -90,7 +94,9 @@
             | Self::AnswerConfiguration { call, .. }
             | Self::AnswerMembership { call }
             | Self::Redirect { call } => Some(*call),
-            Self::Send { .. } | Self::Persist { .. } | Self::Notify => None,
+            Self::Send { .. } | Self::Persist { .. } | Self::Notify | Self::LeaseLost { .. } => {
+                None
+            }
         }
     }
 }
@@ -172,6 +178,7 @@
             metrics: Metrics::open(registry, &member)?,
             member,
             peers: Rc::default(),
+            uploads: Uploads::default(),
             pending: Cell::new(0),
             journal_failure: RefCell::new(Some(journal_failure)),
             listeners: OnceCell::new(),
@@ -299,15 +306,11 @@
 
     /// The leader's status, or that of this process if no leader answers.
     async fn status(&self) -> Status {
-        let status = self.call_leader(
-            self.peers.for_size(0),
-            STATUS_TIMEOUT,
-            |leader| async move {
-                let response = leader.status_request().send().promise.await?;
-                let status = Status::decode(response.get()?.get_json()?);
-                status.map_err(|error| capnp::Error::failed(error.to_string()))
-            },
-        );
+        let status = self.call_leader(self.peers.small(), STATUS_TIMEOUT, |leader| async move {
+            let response = leader.status_request().send().promise.await?;
+            let status = Status::decode(response.get()?.get_json()?);
+            status.map_err(|error| capnp::Error::failed(error.to_string()))
+        });
         status.await.unwrap_or_else(|| self.local_status())
     }
 
--- a/crates/nutmegyoke-host/src/process/control/peers.rs
+++ b/crates/nutmegyoke-host/src/process/control/peers.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use nutmegyoke_core::process::control::replica::replication::TRANSFER_BYTES;
+use nutmegyoke_core::process::control::replica::transfer::TRANSFER_BYTES;
 use nutmegyoke_wire::connection::replica_capnp::replica;
 
 use crate::connection::Pool;
@@ -21,7 +21,17 @@
         bytes >= TRANSFER_BYTES
     }
 
-    /// The connections for calls that transfer about `bytes`.
+    /// The connections for small messages.
+    pub fn small(&self) -> &Rc<Pool<replica::Client>> {
+        &self.small
+    }
+
+    /// The connections for large messages, and for calls with a large answer.
+    pub fn large(&self) -> &Rc<Pool<replica::Client>> {
+        &self.large
+    }
+
+    /// The connections for messages of about `bytes`.
     pub fn for_size(&self, bytes: usize) -> &Rc<Pool<replica::Client>> {
         if Self::is_large(bytes) {
             &self.large
@@ -29,9 +39,4 @@
             &self.small
         }
     }
-
-    /// The connections for calls with a routing document as their answer.
-    pub fn for_documents(&self) -> &Rc<Pool<replica::Client>> {
-        &self.large
-    }
 }
--- a/crates/nutmegyoke-host/src/process/control/proposal.rs
+++ b/crates/nutmegyoke-host/src/process/control/proposal.rs
@@ -10,7 +10,7 @@
 use capnp::capability::FromClientHook;
 use nutmegyoke_core::process::Clock;
 use nutmegyoke_core::process::control::replica::Change as MembershipChange;
-use nutmegyoke_core::process::control::{Acceptance, Command, Event as Input};
+use nutmegyoke_core::process::control::{Acceptance, Command, Event as Input, Store};
 use nutmegyoke_core::request::{Id, Verdict, claim};
 use nutmegyoke_core::version::{Configuration, Document};
 use nutmegyoke_wire::connection::replica_capnp::replica;
@@ -129,6 +129,10 @@
 impl Proposal for Apply<'_> {
     type Answer = Acceptance;
 
+    fn size(&self) -> usize {
+        Store::configuration_size(self.0)
+    }
+
     fn event<C: Clock>(&self, call: u64, _: &C) -> Input<'_> {
         Input::Submitted {
             call,
--- a/crates/nutmegyoke-host/src/process/control/server.rs
+++ b/crates/nutmegyoke-host/src/process/control/server.rs
@@ -60,16 +60,14 @@
             update::write(&update, results.get().init_news());
             return Ok(());
         }
-        let exchanged = self.0.call_leader(
-            self.0.peers.for_size(0),
-            FORWARD_TIMEOUT,
-            |leader| async move {
-                let mut request = leader.cast_to::<control::Client>().exchange_request();
-                request.get().set_member(params.get_member()?)?;
-                request.get().set_known(params.get_known()?)?;
-                request.send().promise.await
-            },
-        );
+        let exchanged =
+            self.0
+                .call_leader(self.0.peers.small(), FORWARD_TIMEOUT, |leader| async move {
+                    let mut request = leader.cast_to::<control::Client>().exchange_request();
+                    request.get().set_member(params.get_member()?)?;
+                    request.get().set_known(params.get_known()?)?;
+                    request.send().promise.await
+                });
         let response = exchanged.await.ok_or_else(no_leader)?;
         results.get().set_news(response.get()?.get_news()?)
     }
@@ -186,7 +184,10 @@
     ) -> capnp::Result<()> {
         let above = params.get()?.get_above();
         let held = self.0.document();
-        if let Some(held) = held.filter(|held| held.number > above) {
+        let now = self.0.driver.clock().now();
+        if let Some(held) = held.filter(|held| held.number > above)
+            && self.0.uploads.begin(now, held.source.len())
+        {
             document::write(&held, results.get().init_document());
         }
         Ok(())
--- a/crates/nutmegyoke-host/src/process/control/transport.rs
+++ b/crates/nutmegyoke-host/src/process/control/transport.rs
@@ -1,7 +1,7 @@
 //! Executes the state machine's background commands: sends messages to other replicas,
 //! writes the journal and wakes [`Control::changed`](super::Control::changed).
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +12,7 @@
 use nutmegyoke_core::process::control::replica::{Batch, Message};
 use nutmegyoke_core::process::control::{Command, Event as Input, Store};
 use nutmegyoke_core::process::{self as decision, Clock};
+use nutmegyoke_wire::connection::convert::milliseconds;
 use nutmegyoke_wire::connection::replica_capnp::replica;
 use nutmegyoke_wire::process::replica as wire;
 
@@ -25,9 +26,8 @@
 /// the time of the transfer.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How much longer a message is waited for that is sent again, on a new connection, because the
-/// first one was silent. Its link may be slower than a transfer is taken to be.
-const RESEND_PATIENCE: u32 = 4;
+/// How often a message is sent: once more, on a new connection, if the first is silent.
+const SENDS_PER_MESSAGE: usize = 2;
 
 /// The delay before a write is retried on a full disk.
 const DISK_FULL_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -60,35 +60,51 @@
                 // A full channel already wakes the watcher.
                 let _ = change_sender.try_send(());
             }
+            Command::LeaseLost {
+                unacknowledged_bytes,
+                late,
+            } => Event::LeaseLost {
+                unacknowledged_bytes,
+                late_ms: milliseconds(late),
+            }
+            .log(),
             _ => {}
         }
     }
 }
 
-/// A connection to a replica: its address, and whether it is for large messages.
-type Lane = (SocketAddr, bool);
-
-/// The bytes that were sent to each replica and are not acknowledged. A message follows them on
-/// its connection.
+/// The bytes that were sent and are not acknowledged. A small message follows those to the same
+/// replica on its connection; a large one shares the link of this process with all large ones.
 #[derive(Debug, Default)]
-struct Unacknowledged(RefCell<HashMap<Lane, usize>>);
+struct Unacknowledged {
+    small: RefCell<HashMap<SocketAddr, usize>>,
+    large: Cell<usize>,
+}
 
 impl Unacknowledged {
-    /// Adds a message of `size` bytes and returns the total.
-    fn add(&self, lane: Lane, size: usize) -> usize {
-        let mut sizes = self.0.borrow_mut();
-        let total = sizes.entry(lane).or_default();
+    /// Adds a message of `size` bytes and returns how many have to be sent until it has arrived.
+    fn add(&self, address: SocketAddr, size: usize) -> usize {
+        if Peers::is_large(size) {
+            self.large.set(self.large.get() + size);
+            return self.large.get();
+        }
+        let mut small = self.small.borrow_mut();
+        let total = small.entry(address).or_default();
         *total += size;
         *total
     }
 
     /// Removes a message of `size` bytes, acknowledged or given up.
-    fn remove(&self, lane: Lane, size: usize) {
-        let mut sizes = self.0.borrow_mut();
-        if let Some(total) = sizes.get_mut(&lane) {
+    fn remove(&self, address: SocketAddr, size: usize) {
+        if Peers::is_large(size) {
+            self.large.set(self.large.get().saturating_sub(size));
+            return;
+        }
+        let mut small = self.small.borrow_mut();
+        if let Some(total) = small.get_mut(&address) {
             *total = total.saturating_sub(size);
             if *total == 0 {
-                sizes.remove(&lane);
+                small.remove(&address);
             }
         }
     }
@@ -103,9 +119,8 @@
 ) {
     let size = message.size();
     let pool = peers.for_size(size);
-    let lane = (address, Peers::is_large(size));
-    let timeout = SEND_TIMEOUT + transfer_time(unacknowledged.add(lane, size));
-    for timeout in [timeout, timeout * RESEND_PATIENCE] {
+    let timeout = SEND_TIMEOUT + transfer_time(unacknowledged.add(address, size));
+    for _ in 0..SENDS_PER_MESSAGE {
         let delivery = pool.call(address, timeout, |client: replica::Client| {
             let mut request = client.deliver_request();
             wire::write(&message, request.get().init_message());
@@ -116,7 +131,7 @@
             break;
         }
     }
-    unacknowledged.remove(lane, size);
+    unacknowledged.remove(address, size);
 }
 
 /// Writes batches in order. While one is synced, the machine collects the next.
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -179,6 +179,13 @@
         /// When the endpoint started, in milliseconds since the Unix epoch.
         born: u64,
     },
+    /// An endpoint without an agent announced itself for a service that the routing document does
+    /// not name, for the first time or after another start. It is not listed.
+    EndpointHeldBack {
+        id: &'a str,
+        address: SocketAddr,
+        service: &'a str,
+    },
     /// An endpoint without an agent signed off.
     EndpointLeft { id: &'a str },
     /// An endpoint crashed while it had requests that may have caused it.
@@ -220,6 +227,15 @@
     },
     /// The replica of this gateway leads in `term`; `None` if it no longer leads.
     Leads { term: Option<u64> },
+    /// The replica of this gateway has these voters in its membership.
+    Voters { names: &'a [String] },
+    /// The replica no longer leads, because a majority has not answered within the lease.
+    LeaseLost {
+        /// The size of what was sent and is not acknowledged, in bytes.
+        unacknowledged_bytes: usize,
+        /// How late this was noticed, in milliseconds: the process was paused or busy.
+        late_ms: u64,
+    },
     /// A replica that votes has asked to leave the membership, because its process stops.
     VoterLeft { left: bool },
     /// The leader directed a steward to load a model, after unloading others for it.
@@ -293,6 +309,7 @@
             Self::EndpointLeaving => 508,
             Self::EndpointPaused => 509,
             Self::SignalMalformed => 510,
+            Self::EndpointHeldBack => 511,
             Self::Throttled => 308,
             Self::StewardSilent => 403,
             Self::CallUnanswered => 404,
@@ -302,6 +319,8 @@
             Self::Placing => 605,
             Self::Leads => 420,
             Self::VoterLeft => 421,
+            Self::Voters => 422,
+            Self::LeaseLost => 423,
         }
     }
 }
@@ -330,6 +349,8 @@
             | Self::Quarantined { .. }
             | Self::LimitMalformed { .. }
             | Self::SignalMalformed { .. }
+            | Self::EndpointHeldBack { .. }
+            | Self::LeaseLost { .. }
             | Self::Volatile
             | Self::DiskFull { .. }
             | Self::AnnouncementRefused { .. } => Level::Warn,
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -186,10 +186,16 @@
     /// gateways and the leadership.
     async fn follow_log(self: Rc<Self>) {
         let mut leading_term = None;
+        let mut voters = Vec::new();
         loop {
             if let Some(document) = self.control.document() {
                 self.apply_document(&document, None);
             }
+            let names = self.control.voters();
+            if voters != names {
+                Event::Voters { names: &names }.log();
+                voters = names;
+            }
             let own_address = self.member.address;
             let peers = self.control.peers();
             let others = peers.into_iter().filter(|&address| address != own_address);
@@ -239,18 +245,21 @@
             listener.close();
         }
         self.closing.open();
+        let ends_in = limit.map(|limit| limit.saturating_sub(delay));
+        self.finish_requests_and_leave(ends_in).await;
+    }
+
+    /// Waits until all requests have been answered, and leaves the membership of the replicas
+    /// then, or in time before the process ends.
+    async fn finish_requests_and_leave(&self, ends_in: Option<Duration>) {
         let idle = super::wait_until_idle(|| self.in_flight());
         pin_mut!(idle);
-        let is_idle = if let Some(limit) = limit {
-            // The process ends at the limit, idle or not.
-            let patience = limit.saturating_sub(delay + LEAVE_TIMEOUT * 2);
-            let waited = compio::time::timeout(patience, idle.as_mut());
-            waited.await.is_ok()
-        } else {
-            idle.as_mut().await;
-            true
+        let Some(ends_in) = ends_in else {
+            idle.await;
+            return self.control.leave().await;
         };
-        if is_idle {
+        let patience = ends_in.saturating_sub(LEAVE_TIMEOUT * 2);
+        if compio::time::timeout(patience, idle.as_mut()).await.is_ok() {
             self.control.leave().await;
         } else {
             futures_util::join!(self.control.leave(), idle);
--- a/crates/nutmegyoke-host/src/process/gateway/registrar.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/registrar.rs
@@ -83,19 +83,29 @@
                 return error_response(StatusCode::BAD_REQUEST, &why);
             }
         };
-        let previous = {
+        let (previous, is_named) = {
             let machine = self.0.driver.machine();
-            let row = machine.registry().row(id);
-            row.map(|row| (row.stamp.started_ms, row.announcement.phase))
+            let previous = machine.last_heartbeat(id, &announcement.service);
+            (previous, machine.is_named(announcement.service.as_str()))
         };
         if previous != Some((announcement.stamp.started_ms, announcement.phase)) {
-            Event::EndpointHeard {
-                id,
-                address: announcement.address,
-                phase: announcement.phase,
-                born: announcement.stamp.started_ms,
+            let address = announcement.address;
+            if is_named {
+                Event::EndpointHeard {
+                    id,
+                    address,
+                    phase: announcement.phase,
+                    born: announcement.stamp.started_ms,
+                }
+                .log();
+            } else {
+                Event::EndpointHeldBack {
+                    id,
+                    address,
+                    service: announcement.service.as_str(),
+                }
+                .log();
             }
-            .log();
         }
         let announcement = &announcement;
         self.0.driver.feed(Input::Announced { announcement });
