--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -292,7 +292,7 @@
     panic!("some replicas lack the document");
 }
 
-/// A replica that a transfer is on its way to got no heartbeats, and a lost one was not repeated.
+/// A replica gets heartbeats while a transfer is on its way to it, and a lost transfer again.
 fn transfer_does_not_replace_heartbeats(lost: bool) {
     let mut simulation = spawn();
     let leader = simulation.leader().unwrap();
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use nutmegyoke_cases::cases;
 use serde_json::{Value, json};
 use support::free_address;
@@ -60,6 +62,38 @@
     nothing: (b""),
 });
 
+/// An entry of another writer at the address of a sound endpoint, for a service that no document
+/// names, took the endpoint out until its next start.
+#[test]
+fn entry_of_an_unnamed_service_displaces_no_endpoint() {
+    let actions = [Action::Send(OK_RESPONSE)];
+    let (gateway, upstreams) = Gateway::spawn_with_endpoints(&actions);
+    let address = upstreams[0].address.to_string();
+    for seq in 1..=3 {
+        let body = json!({
+            "backend": "inventory", "address": address, "zone": "alp-a", "version": "v1",
+            "slots": 6, "state": "ready", "seq": seq, "cold-left-ms": 0, "born": 1000,
+        });
+        let body = body.to_string();
+        let answer = call(gateway.registrar, "PUT", "/instances/odd", body.as_bytes());
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(gateway.request("/book/1", "r1").status, 200);
+    // The line of a refused document comes after those of the entries.
+    call(gateway.registrar, "PUT", "/config", b"no document");
+    while !gateway
+        .daemon
+        .log()
+        .iter()
+        .any(|line| line.contains("NY0202"))
+    {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let lines = gateway.daemon.log();
+    let held_back = lines.iter().filter(|line| line.contains("NY0511"));
+    assert_eq!(held_back.count(), 1);
+}
+
 /// Numbers that are valid in a document, but no time that a clock could reach.
 fn extreme_document_does_not_end_the_process(change: fn(&mut Value)) {
     let gateway = Gateway::spawn();
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -1,6 +1,7 @@
 //! A fleet of gateway processes on this machine, each with an address of its own.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicU16, Ordering};
 
@@ -23,7 +24,7 @@
 /// The first port of the first fleet of a test process.
 const FIRST_PORT: u16 = 28_000;
 
-/// The number of gateways that vote.
+/// The number of gateways that vote, at first.
 const VOTERS: usize = 3;
 
 /// The addresses of the gateways of a fleet, by their numbers.
@@ -53,6 +54,7 @@
     folder: TempDir,
     pub addresses: Addresses,
     daemons: Vec<Option<Daemon>>,
+    voters: usize,
     /// What the other gateways reach the first gateways through.
     pub relays: Vec<Relays>,
 }
@@ -76,6 +78,7 @@
             folder: TempDir::new().unwrap(),
             addresses,
             daemons: Vec::new(),
+            voters: VOTERS,
             relays: (0..relayed.min(count)).map(relays).collect(),
         };
         for number in 0..count {
@@ -97,8 +100,8 @@
             .collect();
         let advertised = self.advertised(number);
         let folder = self.folder.path();
-        let data = folder.join(format!("data-{number}"));
-        let voter = number < VOTERS;
+        let data = self.data(number);
+        let voter = number < self.voters;
         let text = format!(
             "[process]\nrole = gateway\nname = front-{number}\ndata-centre = alp-a\n\
              listen = {listen}\nadvertise = {advertised}\noperators = {operators}\n[gateway]\n\
@@ -116,6 +119,26 @@
         self.daemons[number] = Some(Daemon::spawn(command, "\"gateway\""));
     }
 
+    /// Starts one more gateway, which votes.
+    pub fn start_voter(&mut self) {
+        let number = self.daemons.len();
+        self.daemons.push(None);
+        self.voters = number + 1;
+        self.start(number, false);
+    }
+
+    /// Kills the process of a gateway and empties its disk.
+    pub fn wipe(&mut self, number: usize) {
+        if let Some(mut daemon) = self.take(number) {
+            daemon.kill();
+        }
+        std::fs::remove_dir_all(self.data(number)).unwrap();
+    }
+
+    fn data(&self, number: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{number}"))
+    }
+
     /// The address at which the other gateways reach one.
     fn advertised(&self, number: usize) -> Ipv4Addr {
         if number < self.relays.len() {
