--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -268,6 +268,17 @@
         vms.max_by_key(|&vm| self.vms[vm].replica.as_ref().map(Replica::term))
     }
 
+    /// The leader with the highest term; there must be one.
+    pub fn expect_leader(&self) -> usize {
+        self.leader().expect("no replica leads")
+    }
+
+    /// The replica of a VM, which must run.
+    pub fn replica(&self, vm: usize) -> &Replica<S> {
+        let replica = self.vms[vm].replica.as_ref();
+        replica.unwrap_or_else(|| panic!("VM {vm} is down"))
+    }
+
     /// Feeds an event to the replica of a VM, if it runs, and carries out its commands.
     pub fn feed(&mut self, vm: usize, event: Event<'_, S>) {
         let mut out = Vec::new();
