--- a/crates/nutmegyoke-core/tests/transfer.rs
+++ b/crates/nutmegyoke-core/tests/transfer.rs
@@ -206,6 +206,59 @@
     }
 }
 
+/// Whatever happens to replicas and links while documents are on their way, all replicas have the
+/// newest one soon after. The simulation checks that no committed entry changes.
+fn all_replicas_have_the_newest_document_after_faults(link: Link, seed: u64) {
+    const STEPS: u64 = 12;
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut fleet = Fleet::open(3, 3, seed);
+    fleet.simulation.link = link;
+    for number in 1..=STEPS {
+        if fleet.simulation.leader().is_some() {
+            fleet.publish(number);
+        }
+        let vm = random.usize(..fleet.count);
+        match random.u8(..5) {
+            0 => fleet.simulation.isolated = [vm].into(),
+            1 => fleet.simulation.frozen = [vm].into(),
+            2 => fleet.hold(random.usize(..fleet.count), random.bool()),
+            3 => fleet.simulation.kill(vm),
+            _ => {
+                fleet.simulation.isolated.clear();
+                fleet.simulation.frozen.clear();
+                fleet.release();
+            }
+        }
+        let time = Duration::from_millis(random.u64(10..1500));
+        fleet.simulation.run(time);
+        fleet.simulation.start(vm);
+    }
+    fleet.simulation.link = LINK;
+    fleet.simulation.isolated.clear();
+    fleet.simulation.frozen.clear();
+    fleet.release();
+    fleet.simulation.run(ELECTION_TIMEOUT * 10);
+    fleet.publish(STEPS + 1);
+    fleet.simulation.run(ELECTION_TIMEOUT * 2);
+    for vm in 0..fleet.count {
+        assert_eq!(fleet.document(vm), STEPS + 1, "VM {vm}, seed {seed}");
+    }
+}
+
+/// Messages are lost, arrive twice and overtake each other.
+const LOSSY: Link = Link {
+    loss_percent: 10,
+    duplicate_percent: 10,
+    max_delay_ms: 20,
+};
+
+cases!(all_replicas_have_the_newest_document_after_faults {
+    reliable_links_seed_1: (LINK, 1),
+    reliable_links_seed_2: (LINK, 2),
+    lossy_links_seed_3: (LOSSY, 3),
+    lossy_links_seed_4: (LOSSY, 4),
+});
+
 /// The log line of a lost lease has to tell whether the link was busy or the process.
 #[test]
 fn lost_lease_is_reported_with_what_is_unacknowledged() {
