Voters are removed only down to what the tolerated losses need

With two of five machines down for 7 s, a config was acknowledged and two others lost their disks.

The leader had removed both silent voters. It took the smaller odd number for the safer one, but a silent voter still has its disk, and three voters tolerate the loss of one. Ruled out: that the change was on too few disks; three had it.

The settings now say `tolerated-losses`, and silent voters are removed only while 2f + 1 stay, whose majorities are f + 1 disks. Without the setting an odd number is not reduced. From an even number one voter is removed as before, as that lowers the majority.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -434,6 +434,7 @@
         },
         roster: Roster::default(),
         election_timeout: Duration::from_secs(1),
+        tolerated_losses: None,
         random_seed: 1,
     };
     let mut machine = Control::open(Instant::now(), 1, setup, Recovered::default());
--- a/benches/control.rs
+++ b/benches/control.rs
@@ -154,6 +154,7 @@
             seed: seed(),
             roster: Roster::default(),
             election_timeout: Duration::from_millis(100),
+            tolerated_losses: None,
             random_seed: 1,
         };
         let mut replica: Replica<Store> = Replica::open(Instant::now(), setup, recovered);
--- a/crates/nutmegyoke-core/src/process/control/replica/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/event.rs
@@ -19,6 +19,8 @@
     pub roster: Roster,
     /// The minimum time without a leader before a replica campaigns.
     pub election_timeout: Duration,
+    /// How many voters may be lost at the same time; `None` if the settings don't say.
+    pub tolerated_losses: Option<usize>,
     /// The seed of its random number generator.
     pub random_seed: u64,
 }
--- a/crates/nutmegyoke-core/src/process/control/replica/join.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/join.rs
@@ -235,7 +235,7 @@
                 membership.names.insert(name.to_owned());
             }
             Change::Remove(name) => {
-                let keep_voters = membership.open && !membership.has_surplus_voter();
+                let keep_voters = membership.open && !self.has_surplus_voter();
                 membership.names.remove(name);
                 membership
                     .peers
--- a/crates/nutmegyoke-core/src/process/control/replica/membership.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/membership.rs
@@ -100,14 +100,6 @@
         self.voters().count() / 2 + 1
     }
 
-    /// Whether the fleet tolerates more failures with one voter less: a majority of four is
-    /// three, and one of three is two. Three voters always stay.
-    #[must_use]
-    pub fn has_surplus_voter(&self) -> bool {
-        let voters = self.voters().count();
-        voters > 3 && voters.is_multiple_of(2)
-    }
-
     /// The replica with this id, if it is a member.
     #[must_use]
     pub fn peer(&self, id: Id) -> Option<&Peer> {
--- a/crates/nutmegyoke-core/tests/network/control.rs
+++ b/crates/nutmegyoke-core/tests/network/control.rs
@@ -18,6 +18,7 @@
         },
         roster: Roster::default(),
         election_timeout: Duration::from_secs(1),
+        tolerated_losses: None,
         random_seed: 1,
     };
     let mut control = Control::open(Instant::now(), 1, setup, Recovered::default());
--- a/crates/nutmegyoke-core/tests/replica.rs
+++ b/crates/nutmegyoke-core/tests/replica.rs
@@ -581,6 +581,7 @@
         seed: seed(1),
         roster: Roster::default(),
         election_timeout: support::ELECTION_TIMEOUT,
+        tolerated_losses: None,
         random_seed: 1,
     };
     let recovered = Recovered {
@@ -654,6 +655,7 @@
         },
         roster: Roster::default(),
         election_timeout: support::ELECTION_TIMEOUT,
+        tolerated_losses: None,
         random_seed: 1,
     };
     let mut now = Instant::now();
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -106,6 +106,8 @@
     /// Whether any VM may join, with the first three as contacts, instead of a fixed list of
     /// voters.
     open_roster: bool,
+    /// The tolerated losses in the settings of VMs that start.
+    pub tolerated_losses: Option<usize>,
     /// Messages with their time of arrival and their destination.
     in_flight: Vec<(Instant, SocketAddr, Message<S>)>,
     /// The terms and contents of committed entries by index, as first seen. They must
@@ -170,6 +172,7 @@
             random: fastrand::Rng::with_seed(seed),
             seeds: seeds.collect(),
             open_roster,
+            tolerated_losses: None,
             in_flight: Vec::new(),
             committed: BTreeMap::new(),
             membership: Membership::default(),
@@ -202,8 +205,9 @@
         let setup = Setup {
             id: self.vms[vm].id,
             seed: self.seeds[vm].clone(),
-            roster: self.roster(),
+            roster: self.roster(self.vms[vm].wipes == 0),
             election_timeout: ELECTION_TIMEOUT,
+            tolerated_losses: self.tolerated_losses,
             random_seed: self.random.u64(..),
         };
         let disk = self.vms[vm].disk.clone();
@@ -215,12 +219,13 @@
         self.vms[vm].replica = Some(Replica::open(self.now, setup, recovered));
     }
 
-    fn roster(&self) -> Roster {
+    /// The roster of a VM; with an open one only a VM with its first disk may bootstrap.
+    fn roster(&self, first_disk: bool) -> Roster {
         if self.open_roster {
             let contacts = self.seeds.iter().take(3).map(|seed| seed.address);
             Roster::Open {
                 contacts: contacts.collect(),
-                bootstrap: true,
+                bootstrap: first_disk,
             }
         } else {
             Roster::Listed {
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -173,6 +173,7 @@
             },
             roster: options.roster.clone(),
             election_timeout: options.election_timeout,
+            tolerated_losses: options.tolerated_losses,
             random_seed: run,
         };
         let machine = decision::Control::open(clock.now(), run, setup, recovered);
--- a/crates/nutmegyoke-host/src/process/control/options.rs
+++ b/crates/nutmegyoke-host/src/process/control/options.rs
@@ -17,6 +17,8 @@
     pub observer: bool,
     /// How long a replica waits for messages from the leader before it starts an election.
     pub election_timeout: Duration,
+    /// How many voters may be lost at the same time; `None` if unknown.
+    pub tolerated_losses: Option<usize>,
 }
 
 impl From<&settings::Control> for Options {
@@ -28,6 +30,7 @@
             },
             observer: false,
             election_timeout: role_settings.election_timeout,
+            tolerated_losses: None,
         }
     }
 }
--- a/crates/nutmegyoke-host/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-host/src/process/gateway/mod.rs
@@ -486,6 +486,7 @@
         },
         observer: !role_settings.voter,
         election_timeout: role_settings.election_timeout,
+        tolerated_losses: role_settings.tolerated_losses,
     }
 }
 
--- a/crates/nutmegyoke-wire/src/process/settings/gateway.rs
+++ b/crates/nutmegyoke-wire/src/process/settings/gateway.rs
@@ -51,6 +51,8 @@
     pub data: Option<PathBuf>,
     /// How long a replica waits for a message of the leader before it starts an election.
     pub election_timeout: Duration,
+    /// How many voters may be lost at the same time; `None` if unknown.
+    pub tolerated_losses: Option<usize>,
     /// The period of the endpoints' heartbeats.
     pub heartbeat_period: Duration,
     /// The bound on the retries of all requests together.
@@ -86,6 +88,7 @@
             bootstrap: section.optional("found", BOOLEAN_FORMAT)?.unwrap_or(false),
             data: data.filter(|path| !path.is_empty()).map(PathBuf::from),
             election_timeout: read_election_timeout(&section)?,
+            tolerated_losses: read_tolerated_losses(&section)?,
             heartbeat_period: Duration::from_millis(heartbeat),
             retry_bound: read_retry_bound(&section)?,
             options: Options {
@@ -108,6 +111,18 @@
     SocketAddr::new(address.ip(), address.port().wrapping_add(1))
 }
 
+/// Reads how many voters may be lost at the same time. That is unknown where whole data centres
+/// or regions may be lost, since the settings don't say how many voters these have.
+fn read_tolerated_losses(section: &Section<'_>) -> Result<Option<usize>, Fault> {
+    let read = |key| section.optional::<usize>(key, "a number of losses at the same time");
+    let losses = read("tolerated-losses")?;
+    let groups = [
+        read("tolerated-data-centre-losses")?,
+        read("tolerated-region-losses")?,
+    ];
+    Ok(losses.filter(|_| groups.into_iter().flatten().all(|count| count == 0)))
+}
+
 fn read_retry_bound(section: &Section<'_>) -> Result<Bound, Fault> {
     let default = Bound::default();
     Ok(Bound {
