--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -31,7 +31,7 @@
 pub struct Progress {
     /// The index of the next entry to send.
     pub next: u64,
-    /// The stamp of the time when `next` was last moved back.
+    /// The stamp of the time when `next` was last moved back or a snapshot was sent.
     moved_back: u64,
     /// The last index that the replica has synced.
     pub matched: u64,
@@ -185,6 +185,8 @@
             && let Some(peer) = progress.get_mut(&id)
         {
             peer.transfer = Some(transfer);
+            // Rejections of messages sent before the snapshot ask for nothing that it lacks.
+            peer.moved_back = stamp;
             peer.unanswered_since.get_or_insert(now);
         }
         self.send(id, Body::Install { snapshot, stamp }, out);
@@ -412,8 +414,8 @@
         let Some(peer) = self.record_ack(from, stamp) else {
             return;
         };
-        // Messages sent before `next` was last moved back may all be rejected; the entries that
-        // the replica lacks were sent since.
+        // Messages sent before `next` was last moved back may all be rejected; what the replica
+        // lacks was sent since.
         let is_new = stamp >= peer.moved_back;
         if is_new && previous > peer.matched && previous < peer.next {
             peer.next = (peer.matched + 1).max(previous.min(last + 1));
--- a/crates/nutmegyoke-core/tests/replication.rs
+++ b/crates/nutmegyoke-core/tests/replication.rs
@@ -40,9 +40,9 @@
     Isolated,
 }
 
-fn spawn() -> Simulation<Store> {
+fn spawn(seed: u64) -> Simulation<Store> {
     let mut simulation =
-        Simulation::open_with_contacts(REPLICAS, 1, LINK, |replica| replica == OBSERVER);
+        Simulation::open_with_contacts(REPLICAS, seed, LINK, |replica| replica == OBSERVER);
     simulation.run(Duration::from_secs(20));
     simulation
 }
@@ -91,8 +91,8 @@
 }
 
 impl Fleet {
-    fn open(fault: Fault, is_voter: bool) -> Self {
-        let mut simulation = spawn();
+    fn open(fault: Fault, is_voter: bool, seed: u64) -> Self {
+        let mut simulation = spawn(seed);
         let leader = simulation.leader().expect("no leader");
         let silent = if is_voter { (leader + 1) % 3 } else { OBSERVER };
         match fault {
@@ -129,7 +129,7 @@
 
 /// The leader kept in memory all that it sent to a replica which did not answer.
 fn silent_replica_is_sent_no_entries(fault: Fault, is_voter: bool) {
-    let mut fleet = Fleet::open(fault, is_voter);
+    let mut fleet = Fleet::open(fault, is_voter, 1);
     let until_silent = ELECTION_TIMEOUT.as_millis() / PUBLISH_INTERVAL.as_millis();
     let sent = fleet.sent();
     assert!(u128::from(sent) <= 2 * until_silent, "{sent} entries sent");
@@ -145,7 +145,7 @@
 
 /// All missing entries were sent again for each message that the replica had to reject.
 fn missing_entries_are_sent_once_to_a_replica_that_answers_again(fault: Fault, is_voter: bool) {
-    let mut fleet = Fleet::open(fault, is_voter);
+    let mut fleet = Fleet::open(fault, is_voter, 1);
     let before = fleet.sent();
     fleet.end_silence();
     let (sent, missing) = (fleet.sent() - before, fleet.published);
@@ -165,9 +165,10 @@
 const MANY_DOCUMENTS: u64 = 1200;
 const SHORT_INTERVAL: Duration = Duration::from_millis(1);
 
-/// The entries that it lacks are no longer in the leader's log.
-fn silent_replica_gets_the_snapshot_once_it_answers(fault: Fault, is_voter: bool) {
-    let mut fleet = Fleet::open(fault, is_voter);
+/// The entries that it lacks are no longer in the leader's log. The snapshot was sent again when the
+/// replica rejected a message that had been sent before it.
+fn silent_replica_gets_the_snapshot_once_it_answers(fault: Fault, is_voter: bool, seed: u64) {
+    let mut fleet = Fleet::open(fault, is_voter, seed);
     for _ in 0..MANY_DOCUMENTS {
         fleet.published += 1;
         publish(&mut fleet.simulation, fleet.published, SHORT_INTERVAL);
@@ -183,10 +184,14 @@
 }
 
 cases!(silent_replica_gets_the_snapshot_once_it_answers {
-    frozen_voter: (Fault::Frozen, true),
-    frozen_observer: (Fault::Frozen, false),
-    isolated_voter: (Fault::Isolated, true),
-    isolated_observer: (Fault::Isolated, false),
+    frozen_voter: (Fault::Frozen, true, 1),
+    frozen_observer: (Fault::Frozen, false, 1),
+    isolated_voter: (Fault::Isolated, true, 1),
+    isolated_observer: (Fault::Isolated, false, 1),
+    frozen_voter_seed_6: (Fault::Frozen, true, 6),
+    frozen_voter_seed_7: (Fault::Frozen, true, 7),
+    frozen_observer_seed_9: (Fault::Frozen, false, 9),
+    frozen_observer_seed_15: (Fault::Frozen, false, 15),
 });
 
 /// The size of a long document, and how many of them are in the log.
@@ -195,7 +200,7 @@
 
 /// A fleet whose log has many long documents, of which only the last counts.
 fn fleet_with_long_documents() -> Simulation<Store> {
-    let mut simulation = spawn();
+    let mut simulation = spawn(1);
     for number in 1..=LONG_DOCUMENTS {
         let source = vec![b' '; LONG_DOCUMENT_BYTES];
         publish_bytes(&mut simulation, number, source, PUBLISH_INTERVAL);
@@ -223,7 +228,7 @@
 /// Everything that a slow replica lacked was on its way to it at once.
 #[test]
 fn slow_replica_has_few_bytes_on_their_way() {
-    let mut simulation = spawn();
+    let mut simulation = spawn(1);
     simulation.frozen = [OBSERVER].into();
     simulation.bytes_sent.clear();
     for number in 1..=LONG_DOCUMENTS {
@@ -267,7 +272,7 @@
 /// Each time that an operator sent a change again, it was appended once more, although the first
 /// entry was on its way.
 fn change_that_is_sent_again_is_not_appended_again(sent: Sent) {
-    let mut simulation = spawn();
+    let mut simulation = spawn(1);
     let leader = simulation.expect_leader();
     let before = simulation.replica(leader).log().last().index;
     simulation.frozen = (0..REPLICAS).filter(|&vm| vm != leader).collect();
