Half of the voters replace one whose disk was lost

A machine with a caught-up successor went for good without SIGTERM, and 0.8 s later another one lost its disk after it had acknowledged a config.

The old machine still voted, so two of four voters were left: no majority, and without a leader the machine with the empty disk, a new replica, could not join. Ruled out: a lost entry, as both that were left had it; a successor that had not caught up. NY0422 showed four voters to the end. A shorter time until removal would only narrow the window.

Half of an even number of voters has a voter in common with each majority. It now elects a leader when another voter's machine asks to join under a new id; the first entry of that leader gives the seat to the new replica (NY0424). For this, memberships that are not known to be committed count together: elections, commits and leases need a majority of each, and a removed voter is sent entries until its removal is committed.

In learner_becomes_a_voter_only_with_all_committed_ entries_on_disk the learner's acknowledgement now covers the blank entry after the removal as well: it is still what is committed at that moment.

--- a/crates/nutmegyoke-core/src/process/control/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/event.rs
@@ -103,6 +103,9 @@
     Persist { batch: Batch<Store> },
     /// The routing document, the membership or the leader changed.
     Notify,
+    /// This replica leads and gives the seat of a voter whose disk was lost to the new replica of
+    /// the VM of this name.
+    Reseated { name: String },
     /// This replica no longer leads, because a majority has not answered within the lease.
     LeaseLost {
         /// The size of what was sent and is not acknowledged, in bytes.
--- a/crates/nutmegyoke-core/src/process/control/relay.rs
+++ b/crates/nutmegyoke-core/src/process/control/relay.rs
@@ -25,6 +25,7 @@
                 unacknowledged_bytes,
                 late,
             },
+            replica::Command::Reseated { name } => Command::Reseated { name },
             replica::Command::Outcome { call, outcome } => match outcome {
                 Outcome::Configured { acceptance } => {
                     Command::AnswerConfiguration { call, acceptance }
--- a/crates/nutmegyoke-core/src/process/control/replica/election.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/election.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    Body, Command, Content, Entry, Id, Message, Position, Replica, Role, Sink, State, Vote,
+    Body, Command, Content, Id, Message, Position, Replica, Reseat, Role, Sink, State, Vote,
 };
 
 impl<S: State> Replica<S> {
@@ -64,6 +64,10 @@
         if self.disk.full {
             return;
         }
+        if !self.quorum.is_settled() {
+            // The commit index may have moved since.
+            self.refresh_quorum();
+        }
         self.leader = None;
         self.role = Role::Polling {
             granted: BTreeSet::from([self.setup.id]),
@@ -77,9 +81,14 @@
     /// Becomes a candidate in the next term and asks the voters for their votes.
     ///
     /// With `forced`, after a handover, they vote even if they have recently heard from a
-    /// leader.
-    pub(super) fn campaign<K>(&mut self, now: Instant, forced: bool, out: &mut K)
-    where
+    /// leader. With `reseat` half of them elect it, to replace a lost voter.
+    pub(super) fn campaign<K>(
+        &mut self,
+        now: Instant,
+        forced: bool,
+        reseat: Option<Reseat>,
+        out: &mut K,
+    ) where
         K: Sink<Command = Command<S>>,
     {
         self.restart_election_timer(now);
@@ -91,6 +100,7 @@
         self.agreed_index = 0;
         self.role = Role::Candidate {
             granted: BTreeSet::new(),
+            reseat,
         };
         let last = self.log.last();
         self.send_to_voters(|| Body::Solicit { last, forced }, out);
@@ -101,7 +111,7 @@
         K: Sink<Command = Command<S>>,
     {
         let own = self.setup.id;
-        let voters: Vec<Id> = self.membership.voters().map(|peer| peer.id).collect();
+        let voters = self.quorum.voters();
         for id in voters.into_iter().filter(|&id| id != own) {
             self.send(id, body(), out);
         }
@@ -112,7 +122,7 @@
     where
         K: Sink<Command = Command<S>>,
     {
-        if let Role::Candidate { granted } = &mut self.role {
+        if let Role::Candidate { granted, .. } = &mut self.role {
             granted.insert(self.setup.id);
             self.count_votes(now, out);
         }
@@ -122,21 +132,32 @@
     where
         K: Sink<Command = Command<S>>,
     {
-        let (Role::Polling { granted } | Role::Candidate { granted }) = &self.role else {
-            return;
-        };
-        let granted = granted.iter().filter(|&&id| self.membership.is_voter(id));
-        if granted.count() < self.membership.quorum() {
-            return;
-        }
-        if matches!(self.role, Role::Polling { .. }) {
-            self.campaign(now, false, out);
-        } else {
-            self.become_leader(now, out);
+        match &self.role {
+            Role::Polling { granted } => {
+                if self.quorum.is_majority(|id| granted.contains(&id)) {
+                    return self.campaign(now, false, None, out);
+                }
+                let granted = granted.clone();
+                let reseat = self.find_reseat(now, &granted);
+                if reseat.is_some() {
+                    self.campaign(now, false, reseat, out);
+                }
+            }
+            Role::Candidate { granted, reseat } => {
+                let elected = match reseat {
+                    Some(reseat) => self.may_reseat(reseat, granted),
+                    None => self.quorum.is_majority(|id| granted.contains(&id)),
+                };
+                if elected {
+                    let reseat = reseat.clone();
+                    self.become_leader(now, reseat.as_ref(), out);
+                }
+            }
+            _ => {}
         }
     }
 
-    fn become_leader<K>(&mut self, now: Instant, out: &mut K)
+    fn become_leader<K>(&mut self, now: Instant, reseat: Option<&Reseat>, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
@@ -147,14 +168,14 @@
             progress: BTreeMap::new(),
             first,
         };
+        if let Some(reseat) = reseat {
+            let membership = self.reseated_membership(reseat, out);
+            self.append(Content::Membership(membership.clone()));
+            self.adopt_membership(membership, first);
+        } else {
+            self.append(Content::Blank);
+        }
         self.track_peers(now);
-        self.log.push(Entry {
-            position: Position {
-                term: self.vote.term,
-                index: first,
-            },
-            content: Content::Blank,
-        });
         self.replicate(now, true, out);
     }
 
@@ -191,13 +212,11 @@
             return;
         };
         let lease = self.lease();
-        let responsive = self.membership.voters().filter(|peer| {
-            let acked_sent_at = progress
-                .get(&peer.id)
-                .map(|progress| progress.acked_sent_at);
-            peer.id == self.setup.id || acked_sent_at.is_some_and(|at| at + lease > now)
-        });
-        if responsive.count() < self.membership.quorum() {
+        let is_responsive = |id| {
+            let acked_sent_at = progress.get(&id).map(|progress| progress.acked_sent_at);
+            id == self.setup.id || acked_sent_at.is_some_and(|at| at + lease > now)
+        };
+        if !self.quorum.is_majority(is_responsive) {
             out.push(Command::LeaseLost {
                 unacknowledged_bytes: self.unacknowledged_bytes(),
                 late: now.saturating_duration_since(self.timeout_at),
@@ -254,7 +273,7 @@
     {
         match &mut self.role {
             Role::Polling { granted } if pre_vote => granted.insert(from),
-            Role::Candidate { granted } if !pre_vote => granted.insert(from),
+            Role::Candidate { granted, .. } if !pre_vote => granted.insert(from),
             _ => return,
         };
         // A candidate may become leader only after its own vote is synced.
--- a/crates/nutmegyoke-core/src/process/control/replica/event.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/event.rs
@@ -111,6 +111,9 @@
         /// How late this was noticed: the process was paused or busy for that long.
         late: Duration,
     },
+    /// This replica, elected by half of the voters, gives the seat of a voter whose disk was lost
+    /// to the new replica of the same VM.
+    Reseated { name: String },
     /// The caller must ask the leader; the change may or may not be committed.
     Redirect { call: u64 },
 }
--- a/crates/nutmegyoke-core/src/process/control/replica/follower.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/follower.rs
@@ -20,7 +20,10 @@
             Body::Join { seed } if self.is_leader() => {
                 self.handle_join(now, message.from, seed, out);
             }
-            Body::Join { .. } => self.forward_join(message, out),
+            Body::Join { seed } => {
+                self.note_join(now, message.from, seed);
+                self.forward_join(message, out);
+            }
             Body::Probe => self.answer_probe(message, out),
             Body::Probed {
                 name,
@@ -92,7 +95,7 @@
                 self.acknowledge(out);
             }
             Body::Handover if self.is_voter() && self.leader == Some(from) => {
-                self.campaign(now, true, out);
+                self.campaign(now, true, None, out);
             }
             _ => {}
         }
@@ -165,11 +168,12 @@
             self.disk.truncate(index);
             self.reload_membership();
         }
-        if let Content::Membership(membership) = &entry.content {
-            self.membership = membership.clone();
-            self.membership_index = index;
-        }
         self.log.push(entry.clone());
+        match &entry.content {
+            Content::Membership(membership) => self.adopt_membership(membership.clone(), index),
+            Content::Blank if !self.quorum.is_settled() => self.refresh_quorum(),
+            Content::Blank | Content::Change(_) => {}
+        }
     }
 
     /// Acknowledges to the leader the index up to which the log matches its own and
--- a/crates/nutmegyoke-core/src/process/control/replica/join.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/join.rs
@@ -132,13 +132,15 @@
     ///
     /// Its content is ignored. But if the sender leads, a fresh replica asks it to
     /// join: the replica may be unable to find the fleet through its contacts, which
-    /// may all have been restarted too.
+    /// may all have been restarted too. A voter that polls learns from the request that the
+    /// previous replica's disk is lost.
     pub(super) fn handle_misaddressed<K>(&self, message: &Message<S>, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
         let from_leader = matches!(message.body, Body::Append { .. } | Body::Install { .. });
-        if from_leader && self.is_fresh() && self.leader.is_none() {
+        let poll = matches!(message.body, Body::Poll { .. });
+        if (poll || from_leader && self.is_fresh()) && self.leader.is_none() {
             self.send_join(message.reply, out);
         }
     }
@@ -165,8 +167,7 @@
         K: Sink<Command = Command<S>>,
     {
         let index = self.append(Content::Membership(membership.clone()));
-        self.membership = membership;
-        self.membership_index = index;
+        self.adopt_membership(membership, index);
         self.track_peers(now);
         self.replicate(now, false, out);
         index
--- a/crates/nutmegyoke-core/src/process/control/replica/membership.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/membership.rs
@@ -94,12 +94,6 @@
         self.peers.iter().filter(|peer| peer.voter)
     }
 
-    /// The number of voters that form a majority.
-    #[must_use]
-    pub fn quorum(&self) -> usize {
-        self.voters().count() / 2 + 1
-    }
-
     /// The replica with this id, if it is a member.
     #[must_use]
     pub fn peer(&self, id: Id) -> Option<&Peer> {
--- a/crates/nutmegyoke-core/src/process/control/replica/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/mod.rs
@@ -13,6 +13,8 @@
 //! * [`snapshot`]: replaces a long log by a snapshot of the state;
 //! * [`bootstrap`]: creates the first membership of a fleet;
 //! * [`join`], [`pruning`]: add and remove replicas;
+//! * [`quorum`]: the voters of which majorities decide;
+//! * [`reseat`]: replaces a voter whose disk was lost while there is no leader;
 //! * [`disk`]: tracks what is synced. Only synced data is acknowledged.
 
 mod bootstrap;
@@ -25,7 +27,9 @@
 pub mod membership;
 pub mod message;
 mod pruning;
+mod quorum;
 pub mod replication;
+mod reseat;
 pub mod snapshot;
 pub mod transfer;
 
@@ -41,7 +45,9 @@
 pub use log::{Content, Entry, Log, Position};
 pub use membership::{Change, Id, Membership, Peer, Roster, Seed};
 pub use message::{Body, Message};
+use quorum::Quorum;
 pub use replication::Progress;
+use reseat::{Request, Reseat};
 pub use snapshot::Snapshot;
 
 use crate::process::{Machine, Sink};
@@ -78,7 +84,11 @@
     /// a working leader undisturbed.
     Polling { granted: BTreeSet<Id> },
     /// Campaigns for election in the current term.
-    Candidate { granted: BTreeSet<Id> },
+    Candidate {
+        granted: BTreeSet<Id>,
+        /// The lost voter to replace once it is elected.
+        reseat: Option<Reseat>,
+    },
     /// Leads the current term. Only the leader appends new entries.
     Leader {
         progress: BTreeMap<Id, Progress>,
@@ -112,6 +122,10 @@
     applied_membership: Membership,
     membership: Membership,
     membership_index: u64,
+    /// The voters of the memberships that may be in force.
+    quorum: Quorum,
+    /// Requests to join that arrived without a leader, one for each lost voter.
+    requests: Vec<Request>,
     /// The last index up to which the log is known to match that of this term's leader.
     agreed_index: u64,
     /// The stamp of the leader's latest message, echoed in answers to it.
@@ -162,6 +176,8 @@
             applied_membership: membership.clone(),
             membership,
             membership_index: base.index,
+            quorum: Quorum::default(),
+            requests: Vec::new(),
             agreed_index: 0,
             leader_stamp: 0,
             held_messages: Vec::new(),
@@ -292,7 +308,8 @@
     {
         // A new replica has no membership yet and knows only the senders of messages.
         let peer = self.membership.peer(to).map(|peer| peer.seed.address);
-        if let Some(address) = peer.or_else(|| self.addresses.get(&to).copied()) {
+        let known = || self.addresses.get(&to).copied();
+        if let Some(address) = peer.or_else(|| self.quorum.address(to)).or_else(known) {
             out.push(Command::Send { address, message });
         }
     }
--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -59,28 +59,43 @@
 }
 
 impl<S: State> Replica<S> {
-    /// Tracks the replicas of the current membership and forgets all others.
+    /// Tracks the replicas of the current membership, and the voters that it removed until that
+    /// is committed, and forgets all others.
     pub(super) fn track_peers(&mut self, now: Instant) {
+        self.forget_removed_peers();
         let next = self.log.last().index + 1;
         let Role::Leader { progress, .. } = &mut self.role else {
             return;
         };
-        progress.retain(|&id, _| self.membership.peer(id).is_some());
-        for peer in &self.membership.peers {
+        let peers = self
+            .membership
+            .peers
+            .iter()
+            .map(|peer| (peer.id, peer.voter));
+        let removed = self.quorum.voters().into_iter().map(|id| (id, true));
+        let removed = removed.filter(|(id, _)| self.membership.peer(*id).is_none());
+        for (id, voter) in peers.chain(removed) {
             // A full lease, as if `now` were answered: a new leader was just elected by a
             // majority, and a new member has not been sent anything yet.
-            let progress = progress.entry(peer.id).or_insert(Progress {
+            let progress = progress.entry(id).or_insert(Progress {
                 next,
                 moved_back: 0,
                 matched: 0,
                 acked_sent_at: now,
                 transfer: None,
-                voter: peer.voter,
+                voter,
                 answered: false,
                 last_sent: None,
                 unanswered_since: None,
             });
-            progress.voter = peer.voter;
+            progress.voter = voter;
+        }
+    }
+
+    fn forget_removed_peers(&mut self) {
+        let voters = self.quorum.voters();
+        if let Role::Leader { progress, .. } = &mut self.role {
+            progress.retain(|&id, _| self.membership.peer(id).is_some() || voters.contains(&id));
         }
     }
 
@@ -136,7 +151,10 @@
         let mut others: Vec<&Peer> = peers.iter().filter(|peer| !peer.voter).collect();
         // Those that lack most come first; otherwise a series of documents starves the last.
         others.sort_by_key(|peer| self.matched(peer.id));
-        let ids: Vec<Id> = voters.chain(others).map(|peer| peer.id).collect();
+        let mut ids: Vec<Id> = voters.chain(others).map(|peer| peer.id).collect();
+        // A removed voter's answers count until its removal is committed.
+        let removed = self.quorum.voters().into_iter();
+        ids.extend(removed.filter(|&id| self.membership.peer(id).is_none()));
         for id in ids.into_iter().filter(|&id| id != own_id) {
             self.send_missing(now, id, heartbeat, out);
         }
@@ -425,6 +443,14 @@
         self.send_missing(now, from, false, out);
     }
 
+    /// Records in the log that the latest voters are committed, see
+    /// [`Replica::refresh_quorum`].
+    fn confirm_voters(&mut self) {
+        self.append(Content::Blank);
+        self.refresh_quorum();
+        self.forget_removed_peers();
+    }
+
     /// Commits and applies the entries that a majority has synced.
     ///
     /// Returns whether the commit index moved.
@@ -440,20 +466,16 @@
             Some(peer) => peer.matched,
             None => 0,
         };
-        let mut synced: Vec<u64> = self
-            .membership
-            .voters()
-            .map(|peer| matched(peer.id))
-            .collect();
-        synced.sort_unstable_by(|one, other| other.cmp(one));
-        let Some(&index) = synced.get(self.membership.quorum() - 1) else {
-            return false;
-        };
+        let index = self.quorum.reached(matched);
         // Entries of earlier terms are committed only through a later one of this term.
         let committed = index > self.commit_index && self.log.term(index) == Some(self.vote.term);
         if committed {
+            let unsettled = !self.quorum.is_settled() && index >= self.membership_index;
             self.commit_index = index;
             self.apply(out);
+            if unsettled {
+                self.confirm_voters();
+            }
         }
         committed
     }
--- a/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
@@ -107,7 +107,13 @@
             });
         let (index, membership) =
             latest.unwrap_or_else(|| (self.applied_index, self.applied_membership.clone()));
+        self.adopt_membership(membership, index);
+    }
+
+    /// Puts the membership at `index` in force, which is the latest in the log.
+    pub(super) fn adopt_membership(&mut self, membership: Membership, index: u64) {
         self.membership = membership;
         self.membership_index = index;
+        self.refresh_quorum();
     }
 }
--- a/crates/nutmegyoke-core/tests/lost_disks.rs
+++ b/crates/nutmegyoke-core/tests/lost_disks.rs
@@ -119,3 +119,101 @@
     two_losses: (2, 5),
     three_losses: (3, 7),
 });
+
+/// Which of the voters that are left loses its disk.
+#[derive(Clone, Copy, Debug)]
+enum Victim {
+    Leader,
+    Follower,
+    Successor,
+}
+
+/// What happens to the others while the lost disk's machine is down.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Beside {
+    Nothing,
+    /// They lose power and are back before it.
+    PowerLoss,
+    /// The machine loses its disk again before it has caught up.
+    SecondLoss,
+}
+
+/// A machine went for good right after its successor had joined, and another one lost its disk
+/// before the old one was removed: two of four voters were left, which elected no leader, and
+/// only a leader changes the membership. Control was gone for good.
+fn disk_may_be_lost_before_the_replaced_voter_is_removed(
+    voters: usize,
+    victim: Victim,
+    beside: Beside,
+    seed: u64,
+) {
+    let mut simulation = open_with_successor(voters, seed);
+    publish(&mut simulation, 1);
+    let leader = simulation.expect_leader();
+    let replaced = (0..voters).find(|&vm| vm != leader).unwrap();
+    simulation.kill(replaced);
+    simulation.run(ELECTION_TIMEOUT / 2);
+    publish(&mut simulation, 2);
+    let losses = (voters - 1) / 2;
+    let first = match victim {
+        Victim::Leader => simulation.expect_leader(),
+        Victim::Follower => (0..voters)
+            .rfind(|&vm| vm != leader && vm != replaced)
+            .unwrap(),
+        Victim::Successor => voters,
+    };
+    let others = (0..=voters).filter(|&vm| vm != replaced && vm != first);
+    let others: Vec<usize> = others.collect();
+    let mut victims = vec![first];
+    victims.extend(&others[..losses - 1]);
+    for &vm in &victims {
+        simulation.wipe(vm);
+    }
+    if beside == Beside::PowerLoss {
+        for &vm in &others[losses - 1..] {
+            simulation.kill(vm);
+            simulation.start(vm);
+        }
+    }
+    simulation.run(ELECTION_TIMEOUT * 3);
+    assert!(simulation.leader().is_none(), "half of the voters lead");
+    for &vm in &victims {
+        simulation.start(vm);
+    }
+    if beside == Beside::SecondLoss {
+        while simulation.reseats == 0 {
+            simulation.run(Duration::from_millis(1));
+        }
+        simulation.wipe(first);
+        simulation.run(ELECTION_TIMEOUT);
+        simulation.start(first);
+    }
+    simulation.run(JOIN_TIME);
+    check_document(&simulation, 2);
+    assert_eq!(simulation.membership.voters().count(), voters);
+}
+
+/// Starts `voters` machines, and one more once they all vote.
+fn open_with_successor(voters: usize, seed: u64) -> Simulation<Store> {
+    let mut simulation = Simulation::open_with_contacts(voters + 1, seed, RELIABLE, |_| false);
+    simulation.kill(voters);
+    simulation.run(JOIN_TIME);
+    assert_eq!(simulation.membership.voters().count(), voters);
+    simulation.start(voters);
+    simulation.run(JOIN_TIME);
+    assert_eq!(simulation.membership.voters().count(), voters + 1);
+    simulation
+}
+
+cases!(disk_may_be_lost_before_the_replaced_voter_is_removed {
+    of_the_leader: (3, Victim::Leader, Beside::Nothing, 11),
+    of_a_follower: (3, Victim::Follower, Beside::Nothing, 12),
+    of_the_successor: (3, Victim::Successor, Beside::Nothing, 13),
+    of_the_leader_and_the_others_restart: (3, Victim::Leader, Beside::PowerLoss, 14),
+    of_the_successor_and_the_others_restart: (3, Victim::Successor, Beside::PowerLoss, 15),
+    of_the_leader_twice: (3, Victim::Leader, Beside::SecondLoss, 16),
+    of_a_follower_twice: (3, Victim::Follower, Beside::SecondLoss, 17),
+    two_of_six_with_the_leader: (5, Victim::Leader, Beside::Nothing, 18),
+    two_of_six_with_a_follower: (5, Victim::Follower, Beside::Nothing, 19),
+    two_of_six_and_the_others_restart: (5, Victim::Leader, Beside::PowerLoss, 20),
+});
--- a/crates/nutmegyoke-core/tests/replica.rs
+++ b/crates/nutmegyoke-core/tests/replica.rs
@@ -533,20 +533,14 @@
             "the learner votes with only {matched} of {commit} entries"
         );
     }
-    let matched = *simulation.committed.keys().next_back().unwrap();
     let voters_before = simulation.membership.voters().count();
     for _ in 0..2 {
         // The first message removes the voter with the wiped disk, the second makes the
-        // learner a voter.
+        // learner a voter. Each acknowledges all that is committed, with the entry by which the
+        // leader confirms the removal.
+        let matched = *simulation.committed.keys().next_back().unwrap();
         let stamp = 0;
-        send_to_leader(
-            &mut simulation,
-            learner,
-            Body::Appended {
-                matched: matched + 1,
-                stamp,
-            },
-        );
+        send_to_leader(&mut simulation, learner, Body::Appended { matched, stamp });
     }
     assert!(simulation.membership.is_voter(learner));
     assert_eq!(simulation.membership.voters().count(), voters_before);
--- a/crates/nutmegyoke-core/tests/support/mod.rs
+++ b/crates/nutmegyoke-core/tests/support/mod.rs
@@ -59,6 +59,8 @@
     pub disk_full: bool,
     /// How often the VM's disk was wiped.
     wipes: u64,
+    /// The index up to which the contents of this process's committed entries were compared.
+    compared: u64,
 }
 
 /// The quality of the links between VMs.
@@ -95,6 +97,8 @@
     held: Vec<(SocketAddr, Message<S>)>,
     /// The bytes that were not acknowledged to leaders that lost their leases.
     pub lost_leases: Vec<usize>,
+    /// How many voters were replaced without a leader.
+    pub reseats: usize,
     /// How many requests to join were sent.
     pub joins_sent: usize,
     /// The outcomes of committed changes, by call.
@@ -166,6 +170,7 @@
             held_from: 0,
             held: Vec::new(),
             lost_leases: Vec::new(),
+            reseats: 0,
             joins_sent: 0,
             outcomes: BTreeMap::new(),
             redirected: BTreeSet::new(),
@@ -186,6 +191,7 @@
                 syncing: None,
                 disk_full: false,
                 wipes: 0,
+                compared: 0,
             });
             simulation.start(vm);
         }
@@ -217,6 +223,7 @@
             entries: disk.entries,
         };
         self.vms[vm].replica = Some(Replica::open(self.now, setup, recovered));
+        self.vms[vm].compared = 0;
     }
 
     /// The roster of a VM; with an open one only a VM with its first disk may bootstrap.
@@ -308,6 +315,7 @@
                 self.outcomes.insert(call, outcome);
             }
             Command::MembershipChanged { .. } => {}
+            Command::Reseated { .. } => self.reseats += 1,
             Command::LeaseLost {
                 unacknowledged_bytes,
                 ..
@@ -404,7 +412,9 @@
         self.feed(vm, Event::Synced { ticket });
     }
 
-    /// Asserts that a term has only one leader and that committed entries never change.
+    /// Asserts that a term has only one leader and that committed entries never change: the content
+    /// of each is compared once for each process, as an entry's content never changes in place, and
+    /// its term each time.
     fn check_invariants(&mut self, vm: usize) {
         let Some(replica) = &self.vms[vm].replica else {
             return;
@@ -420,6 +430,13 @@
             if index > replica.commit_index() {
                 break;
             }
+            if index <= self.vms[vm].compared
+                && let Some((term, _)) = self.committed.get(&index)
+            {
+                let seen = entry.position.term;
+                assert_eq!(*term, seen, "committed entry {index} changed its term");
+                continue;
+            }
             let seen = (entry.position.term, format!("{:?}", entry.content));
             let first = self.committed.entry(index).or_insert_with(|| seen.clone());
             assert_eq!(*first, seen, "committed entry {index} changed");
@@ -434,5 +451,6 @@
             replica.commit_index() <= last_committed,
             "the commit index is beyond the last entry seen as committed"
         );
+        self.vms[vm].compared = replica.commit_index();
     }
 }
--- a/crates/nutmegyoke-host/src/process/control/mod.rs
+++ b/crates/nutmegyoke-host/src/process/control/mod.rs
@@ -96,9 +96,11 @@
             | Self::AnswerConfiguration { call, .. }
             | Self::AnswerMembership { call }
             | Self::Redirect { call } => Some(*call),
-            Self::Send { .. } | Self::Persist { .. } | Self::Notify | Self::LeaseLost { .. } => {
-                None
-            }
+            Self::Send { .. }
+            | Self::Persist { .. }
+            | Self::Notify
+            | Self::Reseated { .. }
+            | Self::LeaseLost { .. } => None,
         }
     }
 }
--- a/crates/nutmegyoke-host/src/process/control/transport.rs
+++ b/crates/nutmegyoke-host/src/process/control/transport.rs
@@ -60,6 +60,7 @@
                 // A full channel already wakes the watcher.
                 let _ = change_sender.try_send(());
             }
+            Command::Reseated { name } => Event::VoterReseated { name: &name }.log(),
             Command::LeaseLost {
                 unacknowledged_bytes,
                 late,
--- a/crates/nutmegyoke-host/src/process/event.rs
+++ b/crates/nutmegyoke-host/src/process/event.rs
@@ -286,6 +286,9 @@
         /// How late this was noticed, in milliseconds: the process was paused or busy.
         late_ms: u64,
     },
+    /// The replica leads by the votes of half of the voters and gives the seat of one whose disk
+    /// was lost to the new replica of its VM, of this name.
+    VoterReseated { name: &'a str },
     /// A replica that votes has asked to leave the membership, because its process stops.
     VoterLeft { left: bool },
     /// The leader directed a steward to load a model, after unloading others for it.
@@ -391,6 +394,7 @@
             Self::VoterLeft => 421,
             Self::Voters => 422,
             Self::LeaseLost => 423,
+            Self::VoterReseated => 424,
             Self::QuotaExceeded => 430,
             Self::OwnerSilent => 431,
             Self::TenantUnnameable => 432,
@@ -430,6 +434,7 @@
             | Self::SignalMalformed { .. }
             | Self::EndpointHeldBack { .. }
             | Self::LeaseLost { .. }
+            | Self::VoterReseated { .. }
             | Self::OwnerSilent { .. }
             | Self::TenantUnnameable { .. }
             | Self::AdmissionUnanswered { .. }
