A reset that a write reports does not end an answer

An endpoint answered a long upload at once with a 200 without a length, sent part of the body and reset the connection. Clients of gateways got that part as the whole answer, buffered or as a stream.

A socket reports a reset to one call only. When the pending write of the upload got it, the read returned the end of the connection, which ends an answer without a length; the task reads before it looks at the write. The stream to an endpoint now reports its end only once what was written has reached the socket, and as an error if that fails.

--- a/crates/nutmegyoke-host/src/connection/stream.rs
+++ b/crates/nutmegyoke-host/src/connection/stream.rs
@@ -22,6 +22,18 @@
 /// has to write is copied at once, so that a body of 4 MB to a slow endpoint takes 8 MB.
 pub struct Bounded(Pin<Box<AsyncStream<TcpStream>>>);
 
+/// The stream of a connection to an endpoint. It ends only once what was written has reached the
+/// socket, and with an error if that fails.
+///
+/// A socket reports a reset once. If the write of the request gets it, the next read reports the
+/// end of the connection, by which an answer without a length would look complete.
+pub struct Dialled {
+    inner: Bounded,
+    /// Whether the endpoint has closed its side.
+    ended: bool,
+    write_failed: bool,
+}
+
 /// The stream of an accepted connection, which counts in the account what passes through it.
 pub struct Stream {
     inner: Bounded,
@@ -53,6 +65,66 @@
     }
 }
 
+impl Dialled {
+    /// Wraps a connected stream. `max_bytes` at most wait for the socket.
+    #[must_use]
+    pub fn open(stream: TcpStream, max_bytes: usize) -> Self {
+        Self {
+            inner: Bounded::open(stream, max_bytes),
+            ended: false,
+            write_failed: false,
+        }
+    }
+
+    /// Resolves once all that was written has reached the socket.
+    fn poll_written(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.write_failed {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        hyper::rt::Write::poll_flush(Pin::new(self), context)
+    }
+}
+
+impl hyper::rt::Read for Dialled {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        if !self.ended {
+            let space = buffer.remaining();
+            let bytes = ready!(self.inner.poll_receive(context, buffer))?;
+            self.ended = bytes == 0 && space > 0;
+        }
+        if self.ended {
+            ready!(self.poll_written(context))?;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl hyper::rt::Write for Dialled {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.write_failed |= matches!(written, Poll::Ready(Err(_)));
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.inner).poll_flush(context);
+        self.write_failed |= matches!(flushed, Poll::Ready(Err(_)));
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
+
 impl Stream {
     /// Wraps the stream of an accepted connection.
     #[must_use]
--- a/crates/nutmegyoke-host/src/connection/upstream.rs
+++ b/crates/nutmegyoke-host/src/connection/upstream.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response};
 
 use super::link;
-use super::stream::Bounded;
+use super::stream::Dialled;
 
 /// How long connecting to an endpoint may take. It usually takes about 1 ms. A lost SYN
 /// is retransmitted only after 1 s, so trying another endpoint is faster.
@@ -101,7 +101,7 @@
     /// Connecting failed or took longer than `CONNECT_TIMEOUT`. No request was sent.
     pub async fn dial(address: SocketAddr) -> io::Result<Self> {
         let stream = link::connect(address, CONNECT_TIMEOUT).await?;
-        let io = Bounded::open(stream, MAX_WRITE_BYTES);
+        let io = Dialled::open(stream, MAX_WRITE_BYTES);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(io);
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -38,6 +38,12 @@
         filler: &'static str,
         delay: Duration,
     },
+    /// Sends these bytes as soon as it has read the head of the request, and after a delay resets the
+    /// connection, with the rest of the body unread.
+    ResetDuringUpload(&'static str, Duration),
+    /// Sends these bytes as soon as it has read the head of the request, ends its side of the
+    /// connection, and then reads the body.
+    AnswerBeforeBody(&'static str),
     /// Closes the connection.
     Close,
     /// Sends nothing until the caller closes the connection.
@@ -92,6 +98,21 @@
     action: &Action,
     disconnects: &mpsc::Sender<Instant>,
 ) {
+    match action {
+        Action::ResetDuringUpload(text, delay) => {
+            answer_before_body(&mut stream, log, text);
+            // Closing with unread bytes resets the connection.
+            return std::thread::sleep(*delay);
+        }
+        Action::AnswerBeforeBody(text) => {
+            answer_before_body(&mut stream, log, text);
+            stream.shutdown(Shutdown::Write).unwrap();
+            let mut buffer = [0; 4096];
+            while matches!(stream.read(&mut buffer), Ok(1..)) {}
+            return;
+        }
+        _ => {}
+    }
     let mut first_id: Option<String> = None;
     while let Some(received) = read_request(&mut stream) {
         let id = header(&received.head, "x-nutmegyoke-request-id");
@@ -134,7 +155,7 @@
                 let _ = disconnects.send(Instant::now());
                 return;
             }
-            Action::Close => return,
+            Action::ResetDuringUpload(..) | Action::AnswerBeforeBody(_) | Action::Close => return,
             Action::Stall => {
                 let mut byte = [0];
                 while matches!(stream.read(&mut byte), Ok(1..)) {}
@@ -145,23 +166,37 @@
     }
 }
 
-/// Reads a request with a `Content-Length`, or one without a body. `None` if the
+/// Answers a request before its body has come.
+fn answer_before_body(stream: &mut TcpStream, log: &Mutex<Vec<Received>>, text: &str) {
+    if let Some((head, body)) = read_head(stream) {
+        let id = header(&head, "x-nutmegyoke-request-id");
+        log.lock().unwrap().push(Received { head, body });
+        let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+    }
+}
+
+/// Reads the head of a request, and the part of the body that comes with it. `None` if the
 /// connection closes first.
-pub fn read_request(stream: &mut TcpStream) -> Option<Received> {
+fn read_head(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
     let mut bytes = Vec::new();
-    let end = loop {
+    loop {
         if let Some(at) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
-            break at + 4;
+            let body = bytes.split_off(at + 4);
+            return Some((String::from_utf8(bytes).unwrap(), body));
         }
         let mut buffer = [0; 4096];
         match stream.read(&mut buffer) {
             Ok(0) | Err(_) => return None,
             Ok(count) => bytes.extend_from_slice(&buffer[..count]),
         }
-    };
-    let head = String::from_utf8(bytes[..end].to_vec()).unwrap();
+    }
+}
+
+/// Reads a request with a `Content-Length`, or one without a body. `None` if the
+/// connection closes first.
+pub fn read_request(stream: &mut TcpStream) -> Option<Received> {
+    let (head, mut body) = read_head(stream)?;
     let length: usize = header(&head, "content-length").parse().unwrap_or(0);
-    let mut body = bytes[end..].to_vec();
     while body.len() < length {
         let mut buffer = [0; 4096];
         match stream.read(&mut buffer) {
