--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -8,11 +8,15 @@
 
 use nutmegyoke_cases::cases;
 use support::gateway::Gateway;
+use support::raw::{RawFleet, request_bytes};
 use support::upstream::{Action, Answer, parse_answer};
 
 /// A body that the sockets' buffers between the gateway and the endpoint can't hold.
 const BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// The same for an agent's endpoint.
+const AGENT_BODY_BYTES: usize = 7 * 1024 * 1024;
+
 /// How often each case is played, since which side notices the reset first is a race.
 const PLAYS: usize = 16;
 
@@ -132,3 +136,53 @@
         )
     ),
 });
+
+/// An answer of an endpoint beside an agent, which needs no headers of the platform.
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\n\r\nbook";
+
+const UNFRAMED_EVENTS: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: 1\n\ndata: 2\n\n";
+
+/// Sends a caller's long upload to an entry and reads its answer until the connection closes.
+fn upload_to_entry(fleet: &RawFleet) -> Option<Answer> {
+    let body = "x".repeat(AGENT_BODY_BYTES);
+    let mut stream = TcpStream::connect(fleet.entry.callers).unwrap();
+    let request = request_bytes("POST", "Nutmegyoke-Repeatable: no\r\n", &body);
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut raw = Vec::new();
+    let ended = stream.read_to_end(&mut raw);
+    let mut answer = parse_answer(&raw, true)?;
+    answer.complete &= ended.is_ok();
+    Some(answer)
+}
+
+/// The same as at gateways, in an agent's connection to its endpoint.
+fn answer_reset_during_the_upload_to_an_agent_is_not_complete(
+    text: &'static str,
+    delay_ms: u64,
+    statuses: &[u16],
+) {
+    let action = Action::ResetDuringUpload(text, Duration::from_millis(delay_ms));
+    let fleet = RawFleet::spawn(action);
+    let before = fleet.upstream.received().len();
+    for _ in 0..PLAYS {
+        let received = fleet.upstream.received().len();
+        let answer = upload_to_entry(&fleet);
+        if fleet.upstream.received().len() == received {
+            std::thread::sleep(Duration::from_millis(500));
+            continue;
+        }
+        let answer = answer.expect("no answer");
+        assert!(statuses.contains(&answer.status), "{answer:?}");
+        let is_success = answer.status == 200;
+        assert!(!(is_success && answer.complete), "{answer:?}");
+    }
+    assert!(fleet.upstream.received().len() > before);
+}
+
+cases!(answer_reset_during_the_upload_to_an_agent_is_not_complete {
+    at_once: (UNFRAMED, 0, UNKNOWN),
+    after_some_time: (UNFRAMED, 100, UNKNOWN),
+    events_at_once: (UNFRAMED_EVENTS, 0, &[200, 502]),
+    events_after_some_time: (UNFRAMED_EVENTS, 100, &[200, 502]),
+});
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod fragile;
 pub mod gateway;
 pub mod gateways;
+pub mod raw;
 pub mod relay;
 pub mod replicas;
 pub mod scripted;
