Answers of an unknown class of status are none

Other operators saw an engine's answer with status 000 reach a client. Here 000 was refused by the library, but a client got 600, 999 or 101 with the endpoint's stamp, from gateways and entries.

Statuses were sorted into refusals, errors and successes, and all others were passed on. An answer that is not of the classes 2xx to 5xx now ends the attempt as one that may have run.

--- a/crates/nutmegyoke-host/src/request/call.rs
+++ b/crates/nutmegyoke-host/src/request/call.rs
@@ -13,6 +13,7 @@
 use nutmegyoke_wire::connection::link_capnp::answer;
 use nutmegyoke_wire::request::Payload;
 
+use super::status::is_final;
 use crate::process::cache::Answer;
 
 /// The most chunks sent to the entry that it has not acknowledged.
@@ -47,6 +48,9 @@
         Ok(response) => response,
         Err(error) => return failed(classify(&error), 0),
     };
+    if !is_final(response.status()) {
+        return failed(ENDPOINT_FAILED, 0);
+    }
     let status = response.status().as_u16();
     let content_type = response.headers().get(CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok());
--- a/crates/nutmegyoke-host/src/request/mod.rs
+++ b/crates/nutmegyoke-host/src/request/mod.rs
@@ -21,6 +21,7 @@
 pub mod passthrough;
 pub mod path;
 pub mod reply;
+pub mod status;
 pub mod stream;
 
 pub use body::Body;
--- a/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
@@ -21,6 +21,7 @@
 use crate::connection::upstream::{Upstream, Upstreams};
 use crate::process::Codec;
 use crate::process::codec::{Delivery, Outcome};
+use crate::request::status::is_final;
 
 /// The longest answer that is buffered before it is sent to the client, in bytes. An attempt
 /// whose buffered answer ends early can be retried. A longer answer is streamed if it states
@@ -119,6 +120,9 @@
             Verdict::not_run(Reason::Unreachable)
         }
     })?;
+    if !is_final(response.status()) {
+        return Err(Verdict::may_have_run(Reason::EndpointFailed));
+    }
     let reply = D::decode_reply(response.status(), response.headers());
     if may_be_repeated(template.id, reply.id, is_reused) {
         return Err(Verdict::may_have_run(Reason::Duplicate));
