Tests: a voter leaves while another one is silent

The leader sends entries to a removed voter until its removal is committed. Both cases fail without that. A case that waits for a replaced voter now ends with a message if there is none.

--- a/crates/nutmegyoke-core/tests/lost_disks.rs
+++ b/crates/nutmegyoke-core/tests/lost_disks.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nutmegyoke_cases::cases;
-use nutmegyoke_core::process::control::replica::Event;
+use nutmegyoke_core::process::control::replica::{Change as MembershipChange, Event};
 use nutmegyoke_core::process::control::store::{Change, Store};
 use nutmegyoke_core::version::Document;
 use support::{ELECTION_TIMEOUT, Link, Simulation};
@@ -181,8 +181,10 @@
         simulation.start(vm);
     }
     if beside == Beside::SecondLoss {
+        let end = simulation.now + JOIN_TIME;
         while simulation.reseats == 0 {
             simulation.run(Duration::from_millis(1));
+            assert!(simulation.now < end, "no voter is replaced");
         }
         simulation.wipe(first);
         simulation.run(ELECTION_TIMEOUT);
@@ -217,3 +219,25 @@
     two_of_six_with_a_follower: (5, Victim::Follower, Beside::Nothing, 19),
     two_of_six_and_the_others_restart: (5, Victim::Leader, Beside::PowerLoss, 20),
 });
+
+/// A removal needs a majority of the voters before it. The answer of the voter that leaves counts, so
+/// one that is silent at that moment does not delay changes.
+fn voter_leaves_while_another_is_silent(seed: u64) {
+    let mut simulation = open(4, Some(1), seed);
+    let leader = simulation.expect_leader();
+    let others: Vec<usize> = (0..4).filter(|&vm| vm != leader).collect();
+    simulation.frozen.insert(others[0]);
+    let name = format!("control-{}", others[1]);
+    let change = MembershipChange::Remove(&name);
+    simulation.feed(leader, Event::MembershipProposed { call: 1, change });
+    simulation.run(ELECTION_TIMEOUT / 4);
+    assert_eq!(simulation.membership.voters().count(), 3);
+    simulation.kill(others[1]);
+    publish(&mut simulation, 1);
+    assert!(simulation.replica(leader).is_leader(), "the leader changed");
+}
+
+cases!(voter_leaves_while_another_is_silent {
+    seed_21: (21),
+    seed_22: (22),
+});
