Entries count the answers that they buffer

A service sent a body without end. An entry with 96 MB of memory and 16 callers kept 153 to 161 MB of it, so its machine would have ended the process, and with it the requests of other callers.

An entry buffers an answer up to 16 MiB for each request, and the account of the process, which counts the bodies of requests, did not count it. The buffer now takes its room from the account before it grows, as that of gateways did, and the endpoint waits while there is none. Both share request::Buffer, which returns the room of an attempt that fails.

--- a/crates/nutmegyoke-host/src/request/assembly.rs
+++ b/crates/nutmegyoke-host/src/request/assembly.rs
@@ -2,8 +2,10 @@
 
 use nutmegyoke_core::request::{Reason, Verdict};
 
+use super::Buffer;
 use super::answer::Part;
 use super::attempt::{Attempt, Step};
+use crate::connection::account::Reservation;
 
 /// The longest answer that is buffered, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -26,21 +28,21 @@
 }
 
 /// Buffers an answer, or returns after its head if it is an event stream.
-pub async fn assemble(attempt: &mut Attempt) -> Assembly {
+pub async fn assemble(attempt: &mut Attempt, reservation: &Reservation) -> Assembly {
     match head(attempt).await {
         Ok((status, content_type)) if content_type.starts_with(EVENT_STREAM) => Assembly::Stream {
             status,
             content_type,
         },
-        Ok((status, content_type)) => body(attempt, status, content_type).await,
+        Ok((status, content_type)) => body(attempt, status, content_type, reservation).await,
         Err(verdict) => Assembly::Failed { verdict },
     }
 }
 
 /// Buffers an answer, whether or not it is an event stream.
-pub async fn buffer(attempt: &mut Attempt) -> Assembly {
+pub async fn buffer(attempt: &mut Attempt, reservation: &Reservation) -> Assembly {
     match head(attempt).await {
-        Ok((status, content_type)) => body(attempt, status, content_type).await,
+        Ok((status, content_type)) => body(attempt, status, content_type, reservation).await,
         Err(verdict) => Assembly::Failed { verdict },
     }
 }
@@ -61,17 +63,21 @@
     }
 }
 
-async fn body(attempt: &mut Attempt, status: u16, content_type: String) -> Assembly {
-    let mut body = Vec::new();
+async fn body(
+    attempt: &mut Attempt,
+    status: u16,
+    content_type: String,
+    reservation: &Reservation,
+) -> Assembly {
+    let mut body = Buffer::open(MAX_ANSWER_BYTES, reservation);
     loop {
         match attempt.next().await {
             Step::Part {
                 part: Part::Chunk { data },
             } => {
-                if body.len() + data.len() > MAX_ANSWER_BYTES {
+                if !body.push(&data).await {
                     return Assembly::Failed { verdict: TRUNCATED };
                 }
-                body.extend_from_slice(&data);
             }
             Step::Part { .. } => {}
             Step::End {
@@ -80,7 +86,7 @@
                 return Assembly::Buffered {
                     status,
                     content_type,
-                    body,
+                    body: body.finish(),
                 };
             }
             Step::End { verdict } => return Assembly::Failed { verdict },
--- a/crates/nutmegyoke-host/src/request/forward.rs
+++ b/crates/nutmegyoke-host/src/request/forward.rs
@@ -29,16 +29,16 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// An owned [`Payload`], for a request that goes on after its caller disconnected.
-struct Buffer {
+struct Owned {
     method: String,
     path: String,
     content_type: String,
     body: Vec<u8>,
     /// What the request holds in the account, also after its caller disconnected.
-    _reservation: Rc<Reservation>,
+    reservation: Rc<Reservation>,
 }
 
-impl Buffer {
+impl Owned {
     fn payload(&self) -> Payload<'_> {
         Payload {
             method: &self.method,
@@ -61,19 +61,20 @@
 ) -> Response<Body> {
     let handle = Handle::open(entry, arrival);
     if arrival.idempotency_key.is_none() {
-        return execute(handle, payload).await;
+        return execute(handle, payload, reservation).await;
     }
-    let buffer = Buffer {
+    let owned = Owned {
         method: payload.method.to_owned(),
         path: payload.path.to_owned(),
         content_type: payload.content_type.to_owned(),
         body: payload.body.to_vec(),
-        _reservation: Rc::clone(reservation),
+        reservation: Rc::clone(reservation),
     };
     let (sender, response) = oneshot::channel();
     compio::runtime::spawn(async move {
         // Fails if the caller disconnected. A resend fetches the answer from the agent's cache.
-        let _ = sender.send(execute(handle, buffer.payload()).await);
+        let response = execute(handle, owned.payload(), &owned.reservation).await;
+        let _ = sender.send(response);
     })
     .detach();
     match response.await {
@@ -86,6 +87,7 @@
 async fn execute<C: Clock + 'static>(
     mut handle: Handle<C>,
     payload: Payload<'_>,
+    reservation: &Reservation,
 ) -> Response<Body> {
     while let Some(command) = handle.next().await {
         match command {
@@ -99,13 +101,15 @@
                 let outcome = claimant.claim(&name, holder, digest).await;
                 handle.report_claim(outcome.as_ref());
             }
-            Command::FetchAnswer { agent, id, .. } => match fetch(&handle, agent, id).await {
-                Outcome::Buffered { response } => return response,
-                _ => handle.report_answer_gone(),
-            },
+            Command::FetchAnswer { agent, id, .. } => {
+                match fetch(&handle, agent, id, reservation).await {
+                    Outcome::Buffered { response } => return response,
+                    _ => handle.report_answer_gone(),
+                }
+            }
             Command::Dispatch {
                 agent, submission, ..
-            } => match dispatch(&handle, agent, &submission, &payload).await {
+            } => match dispatch(&handle, agent, &submission, &payload, reservation).await {
                 Outcome::Buffered { response } => {
                     if let Body::Buffered { bytes } = response.body() {
                         handle.record_body(bytes);
@@ -171,6 +175,7 @@
     agent: SocketAddr,
     submission: &Submission,
     payload: &Payload<'_>,
+    reservation: &Reservation,
 ) -> Outcome {
     let entry = handle.entry();
     let Ok(client) = entry.pool().get(agent).await else {
@@ -181,11 +186,16 @@
     let answer = Receiver::open(&entry.metrics().dropped_chunks);
     let attempt = Attempt::spawn(&client, submission, payload, answer);
     let deadline = entry.driver().clock().now() + submission.remaining;
-    receive(handle, attempt, deadline).await
+    receive(handle, attempt, deadline, reservation).await
 }
 
 /// Fetches the cached answer of request `id` from an agent.
-async fn fetch<C: Clock + 'static>(handle: &Handle<C>, agent: SocketAddr, id: Id) -> Outcome {
+async fn fetch<C: Clock + 'static>(
+    handle: &Handle<C>,
+    agent: SocketAddr,
+    id: Id,
+    reservation: &Reservation,
+) -> Outcome {
     let entry = handle.entry();
     let Ok(client) = entry.pool().get(agent).await else {
         return Outcome::Failed {
@@ -195,7 +205,7 @@
     let answer = Receiver::open(&entry.metrics().dropped_chunks);
     let mut attempt = Attempt::fetch(&client, id, answer);
     let deadline = entry.driver().clock().now() + FETCH_TIMEOUT;
-    let assembled = super::assembly::buffer(&mut attempt);
+    let assembled = super::assembly::buffer(&mut attempt, reservation);
     match compio::time::timeout_at(deadline, assembled).await {
         Ok(Assembly::Buffered {
             status,
@@ -213,9 +223,10 @@
     handle: &Handle<C>,
     mut attempt: Attempt,
     deadline: Instant,
+    reservation: &Reservation,
 ) -> Outcome {
-    let assembled =
-        compio::time::timeout_at(deadline + DEADLINE_GRACE, assemble(&mut attempt)).await;
+    let assembled = assemble(&mut attempt, reservation);
+    let assembled = compio::time::timeout_at(deadline + DEADLINE_GRACE, assembled).await;
     handle.report_load(attempt.load());
     handle.set_retry_after(attempt.retry_after());
     match assembled {
--- a/crates/nutmegyoke-host/src/request/mod.rs
+++ b/crates/nutmegyoke-host/src/request/mod.rs
@@ -13,6 +13,7 @@
 pub mod assembly;
 pub mod attempt;
 pub mod body;
+pub mod buffer;
 pub mod call;
 pub mod caller;
 pub mod claimant;
@@ -25,5 +26,6 @@
 pub mod stream;
 
 pub use body::Body;
+pub use buffer::Buffer;
 pub use claimant::Claimant;
 pub use path::Path;
--- a/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
+++ b/crates/nutmegyoke-host/src/request/passthrough/attempt.rs
@@ -21,6 +21,7 @@
 use crate::connection::upstream::{Upstream, Upstreams};
 use crate::process::Codec;
 use crate::process::codec::{Delivery, Outcome};
+use crate::request::Buffer;
 use crate::request::status::is_final;
 
 /// The longest answer that is buffered before it is sent to the client, in bytes. An attempt
@@ -230,23 +231,16 @@
 /// early. While no memory is free, the endpoint waits.
 async fn buffer(mut body: Incoming, connection: &Reservation) -> Option<Bytes> {
     let limit = usize::try_from(MAX_BUFFERED_BYTES).unwrap_or(usize::MAX);
-    let mut bytes = Vec::new();
+    let mut buffer = Buffer::open(limit, connection);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else {
             continue;
         };
-        let needed = bytes.len() + data.len();
-        if needed > limit {
+        if !buffer.push(&data).await {
             return None;
         }
-        if needed > bytes.capacity() {
-            let capacity = needed.max(bytes.capacity() * 2).min(limit);
-            connection.hold_when_free(capacity - bytes.capacity()).await;
-            bytes.reserve_exact(capacity - bytes.len());
-        }
-        bytes.extend_from_slice(&data);
     }
-    Some(bytes.into())
+    Some(buffer.finish().into())
 }
 
 /// Reads a body that is of no use, so that the connection can be reused. Returns false if the
--- a/tests/support/raw.rs
+++ b/tests/support/raw.rs
@@ -27,7 +27,7 @@
     /// Spawns the fleet and an endpoint with this action, and waits until requests reach it.
     pub fn spawn(action: Action) -> Self {
         let fleet = Fleet::spawn();
-        let entry = fleet.spawn_entry_with("entry-2", "", "body-bytes = 8000000\n");
+        let entry = fleet.spawn_entry_with("entry-2", "memory-mb = 96", "body-bytes = 8000000\n");
         assert!(fleet.apply_lists(1, PLANS, GRANTS).status.success());
         let upstream = Upstream::spawn(free_address(), action);
         announce(upstream.address, fleet.agent_operators);
@@ -71,7 +71,7 @@
             holding: Holding::Service {
                 service: "desk".into(),
             },
-            slots: 8,
+            slots: 64,
             phase: Phase::Ready,
         },
     };
