Placements end with their services

After a config that dropped a service of model engines the leading gateway used a whole core for good, without a request.

It keeps a placement for each service and advances those of the routing document, but waits for the earliest deadline of all. That of a dropped service stayed in the past. A new document now drops the placements of services without model engines.

dropped_service_leaves_no_deadline_in_the_past fails without the change.

--- a/crates/nutmegyoke-core/src/process/gateway/mod.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/mod.rs
@@ -300,6 +300,7 @@
             }
             Event::Configured { routing } => {
                 self.routing = Some(Rc::clone(routing));
+                self.drop_placements(routing);
                 if self.leader_term.is_some() {
                     // The leader has it first, so the others need not repeat it to each other.
                     self.gossip.expedite(now);
--- a/crates/nutmegyoke-core/src/process/gateway/place.rs
+++ b/crates/nutmegyoke-core/src/process/gateway/place.rs
@@ -12,8 +12,8 @@
 use crate::process::Placement;
 use crate::process::placement::{Fleet, Instance, Step};
 use crate::process::registry::Key;
-use crate::version::Model;
 use crate::version::routing::{Engine, Pool};
+use crate::version::{Model, Routing};
 
 /// How often the demand for models is recorded. A new leader lacks the demand since the
 /// last record, which matters little, because demand is averaged over 6 s.
@@ -58,6 +58,15 @@
         }
     }
 
+    /// Drops the placements of services that `routing` has no model engines for. Nothing would
+    /// advance them, and their deadlines would stay in the past.
+    pub(super) fn drop_placements(&mut self, routing: &Routing) {
+        self.placements.retain(|service, _| {
+            let mut pools = routing.pools();
+            pools.any(|pool| pool.service == *service && pool.engine.is_some())
+        });
+    }
+
     /// Drops the pending placement step of `endpoint` if its steward did not accept it.
     pub(super) fn placement_answered(&mut self, endpoint: &str, model: &Model, accepted: bool) {
         if !accepted {
--- a/crates/nutmegyoke-core/tests/gateway.rs
+++ b/crates/nutmegyoke-core/tests/gateway.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use fleet::{desk, engine, routing};
+use fleet::{ENGINES, desk, engine, routing};
 use nutmegyoke_cases::{cases, config};
 use nutmegyoke_core::process::endpoint::{Phase, Target};
 use nutmegyoke_core::process::gateway::{Bound, Command, Event, Options, Setup};
@@ -14,6 +14,7 @@
 use nutmegyoke_core::process::{Gateway, Machine};
 use nutmegyoke_core::request::passthrough::Part;
 use nutmegyoke_core::request::{Passthrough, Reason, Verdict};
+use nutmegyoke_core::version::Routing;
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -669,6 +670,29 @@
     nothing_when_there_is_no_demand: (0.0, SECOND * 6, None),
 });
 
+/// The placement of a service that a document dropped kept its deadline, which stayed in the past: the
+/// leader's timer fired again and again, and the process used a whole core.
+#[test]
+fn dropped_service_leaves_no_deadline_in_the_past() {
+    let mut harness = Harness::open(&[engine(1, &["price"])]);
+    harness.feed(Event::LeadershipChanged {
+        term: Some(1),
+        leader: None,
+        demand: &[],
+    });
+    harness.advance(SECOND);
+    let mut draft = fleet::draft();
+    draft.routes.retain(|route| route.prefix != "/chat/");
+    draft.pools.retain(|pool| pool.service != ENGINES.into());
+    let routing = &Routing::open(draft).unwrap();
+    harness.feed(Event::Configured { routing });
+    for _ in 0..20 {
+        harness.advance(SECOND);
+        let deadline = harness.gateway.deadline();
+        assert!(deadline.is_none_or(|deadline| deadline > harness.now));
+    }
+}
+
 /// An event of a request that may run once.
 #[derive(Clone, Copy, Debug)]
 enum Step {
