Orders to an engine's next start have a higher fencing number

An order to load an adapter was left unanswered.

All orders had the number 1, and the count in each bars a late order only within one start. The number now begins with the time of the steward's start and rises when the engine's count has gone back. If the engine has seen a higher one, the number rises until it is accepted. With `fences-checked = false`, from `require-fencing`, it stays 1 as before.

--- a/crates/nutmegyoke-core/src/process/steward/event.rs
+++ b/crates/nutmegyoke-core/src/process/steward/event.rs
@@ -65,6 +65,8 @@
     Accepted,
     /// The order is not executed.
     Refused,
+    /// The order is not executed, because the engine has seen a higher fencing number.
+    Fenced,
     /// No usable answer: the order may be executed, now or later.
     Lost,
 }
@@ -75,8 +77,13 @@
     /// Request the engine's contents and state, and feed [`Event::Inspected`].
     Inspect,
     /// Send an order to the engine, and feed [`Event::Ordered`]. The engine executes the
-    /// order only if it has accepted exactly `expected` orders before.
-    Order { order: Order, expected: u64 },
+    /// order only if it has accepted exactly `expected` orders before and, if it checks fences,
+    /// has seen no number higher than `fence`.
+    Order {
+        order: Order,
+        expected: u64,
+        fence: u64,
+    },
     /// Answer a gateway whether its directive has been or is being executed.
     AnswerDirective { call: u64, accepted: bool },
     /// Request the engine's load, and feed [`Event::Reported`]. At most one is requested at a
--- a/crates/nutmegyoke-core/src/process/steward/mod.rs
+++ b/crates/nutmegyoke-core/src/process/steward/mod.rs
@@ -5,7 +5,7 @@
 //! for models. Every order is based on one view of the engine and states how many orders
 //! the engine had accepted by then. The engine executes the order only if that number
 //! still matches. A lost order that arrives late thus has no effect, and the engine is
-//! never ordered to hold more than fits.
+//! never ordered to hold more than fits. A [`fence`] bars orders to earlier starts of the engine.
 //!
 //! Gateways also ask whether a request may be sent to the engine, see [`admission`].
 
@@ -14,6 +14,7 @@
 mod ask;
 pub mod directive;
 pub mod event;
+mod fence;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -23,6 +24,7 @@
 use ask::{Question, Subject};
 pub use directive::{Directive, View};
 pub use event::{Action, Command, Event, Order, Outcome, Unanswered};
+use fence::Fence;
 
 use super::{Machine, Sink};
 
@@ -42,6 +44,8 @@
 #[derive(Debug, Default)]
 pub struct Steward {
     activity: Activity,
+    /// The fencing number of the orders to the engine's current start.
+    fence: Fence,
     directives: VecDeque<Pending>,
     /// Adapters whose unload was accepted and that the engine still holds.
     unloading: BTreeSet<String>,
@@ -86,6 +90,15 @@
 }
 
 impl Steward {
+    /// Opens the steward of an engine that checks fencing numbers, of which the first is `first`.
+    #[must_use]
+    pub fn open(first: u64) -> Self {
+        Self {
+            fence: Fence::open(first),
+            ..Self::default()
+        }
+    }
+
     fn request_adapter<S>(&mut self, now: Instant, request: Request, out: &mut S)
     where
         S: Sink<Command = Command>,
@@ -124,8 +137,7 @@
         if let Some(order) = order {
             let is_unload = order.action == Action::Unload;
             let unloading = order.adapter_name().filter(|_| is_unload);
-            let expected = view.accepted;
-            out.push(Command::Order { order, expected });
+            out.push(self.order(view, order));
             self.activity = Activity::Ordering { unloading };
             return;
         }
@@ -153,7 +165,7 @@
         else {
             return false;
         };
-        let (call, expected) = (*call, view.accepted);
+        let call = *call;
         if view.busy {
             self.activity = Activity::Pausing(now + RETRY_DELAY);
             return true;
@@ -172,10 +184,19 @@
             });
             self.directives.pop_front();
         }
-        out.push(Command::Order { order, expected });
+        out.push(self.order(view, order));
         self.activity = Activity::Ordering { unloading: None };
         true
     }
+
+    /// The command to send an order that is based on `view`.
+    fn order(&mut self, view: &View, order: Order) -> Command {
+        Command::Order {
+            order,
+            expected: view.accepted,
+            fence: self.fence.next(view.accepted),
+        }
+    }
 }
 
 impl Machine for Steward {
@@ -235,7 +256,10 @@
                 ask,
             } => return self.ask(now, call, endpoint, started_ms, &ask, out),
             Event::Reported { load } => return self.report(now, load, out),
-            Event::Inspected { view: Some(view) } => self.advance(now, view, out),
+            Event::Inspected { view: Some(view) } => {
+                self.fence.next(view.accepted);
+                self.advance(now, view, out);
+            }
             Event::Inspected { view: None } => self.activity = Activity::Pausing(now + RETRY_DELAY),
             Event::Ordered { outcome } => match outcome {
                 Outcome::Accepted => {
@@ -244,6 +268,10 @@
                     }
                     self.inspect(out);
                 }
+                Outcome::Fenced => {
+                    self.fence.raise();
+                    self.activity = Activity::Pausing(now + RETRY_DELAY);
+                }
                 Outcome::Refused | Outcome::Lost => {
                     self.activity = Activity::Pausing(now + RETRY_DELAY);
                 }
--- a/crates/nutmegyoke-core/tests/steward.rs
+++ b/crates/nutmegyoke-core/tests/steward.rs
@@ -15,9 +15,11 @@
 #[derive(Debug, Default)]
 struct Engine {
     view: View,
+    /// The highest fencing number of this start.
+    fence: u64,
     /// Orders that got no answer and may be carried out at any time, each with the
-    /// number of accepted orders that it expects.
-    lost: Vec<(Order, u64)>,
+    /// number of accepted orders that it expects and its fencing number.
+    lost: Vec<(Order, u64, u64)>,
     /// Adapters that requests use. Their unload takes effect when the requests end.
     in_use: Vec<String>,
     /// Adapters in use whose unload was accepted.
@@ -37,10 +39,25 @@
         }
     }
 
-    fn execute(&mut self, order: &Order, expected: u64) -> Outcome {
+    /// Starts again under the same id, and holds nothing but its models.
+    fn restart(&mut self) {
+        self.view = View {
+            models: std::mem::take(&mut self.view.models),
+            ..View::default()
+        };
+        self.fence = 0;
+        self.in_use.clear();
+        self.unloading.clear();
+    }
+
+    fn execute(&mut self, order: &Order, expected: u64, fence: u64) -> Outcome {
+        if fence < self.fence {
+            return Outcome::Fenced;
+        }
         if expected != self.view.accepted || self.view.busy {
             return Outcome::Refused;
         }
+        self.fence = fence;
         if self.defer_unload(order) {
             return Outcome::Accepted;
         }
@@ -131,13 +148,17 @@
                 self.steward
                     .handle(self.now, Event::Inspected { view }, out);
             }
-            Command::Order { order, expected } => {
+            Command::Order {
+                order,
+                expected,
+                fence,
+            } => {
                 self.orders.push(order.clone());
                 let outcome = if lose() {
-                    self.engine.lost.push((order, expected));
+                    self.engine.lost.push((order, expected, fence));
                     Outcome::Lost
                 } else {
-                    self.engine.execute(&order, expected)
+                    self.engine.execute(&order, expected, fence)
                 };
                 self.steward
                     .handle(self.now, Event::Ordered { outcome }, out);
@@ -294,6 +315,75 @@
     assert!(harness.directive_answers[&2]);
 }
 
+/// An order for an earlier start of the engine, which got no answer, fitted the count of a later one
+/// under the same id. It made more adapters than there are slots, and the engine crashed.
+fn late_order_of_an_earlier_start_is_refused(steward: Option<u64>) {
+    const FIRST: u64 = 1_700_000_000_000;
+    let mut harness = Harness::open(&["price"]);
+    harness.steward = Steward::open(FIRST);
+    for (call, adapter) in (1..).zip(["a1", "a2", "a3"]) {
+        harness.request_adapter(call, "price", adapter);
+        harness.now += Duration::from_secs(2);
+    }
+    let request = Event::Requested {
+        call: 4,
+        endpoint: "engine-1",
+        model: "price",
+        adapter: "a4",
+        adapter_capacity: SLOTS,
+    };
+    harness.feed(request, || true);
+    let (order, expected, fence) = harness.engine.lost.pop().expect("no order is lost");
+    harness.feed(Event::Cancelled { call: 4 }, || false);
+    harness.engine.restart();
+    if let Some(first) = steward {
+        harness.steward = Steward::open(first);
+    }
+    for (call, adapter) in (5..).zip(["a5", "a6"]) {
+        harness.request_adapter(call, "price", adapter);
+        for _ in 0..100 {
+            harness.advance(Duration::from_millis(50));
+        }
+    }
+    assert_eq!(harness.request_answers[&6], ["price/a5", "price/a6"]);
+    // The new start has accepted as many orders as the lost one expects.
+    harness.engine.view.accepted = expected;
+    let outcome = harness.engine.execute(&order, expected, fence);
+    assert_eq!(outcome, Outcome::Fenced);
+}
+
+cases!(late_order_of_an_earlier_start_is_refused {
+    by_the_same_run_of_the_steward: (None),
+    by_a_later_run_of_the_steward: (Some(1_700_000_060_000)),
+});
+
+/// A steward whose clock was set back while it restarted has a lower number than the engine has seen,
+/// and must not be refused for good.
+#[test]
+fn restarted_steward_passes_the_number_that_the_engine_has_seen() {
+    let mut harness = Harness::open(&["price"]);
+    harness.steward = Steward::open(1_700_000_000_000);
+    harness.request_adapter(1, "price", "a1");
+    harness.steward = Steward::open(1_699_999_990_000);
+    harness.request_adapter(2, "price", "a2");
+    for _ in 0..100 {
+        harness.advance(Duration::from_millis(50));
+    }
+    assert_eq!(harness.request_answers[&2], ["price/a1", "price/a2"]);
+}
+
+/// An engine that doesn't check fences must not get a lower number after a higher one.
+#[test]
+fn number_is_constant_where_it_is_not_checked() {
+    let mut harness = Harness::open(&["price"]);
+    harness.request_adapter(1, "price", "a1");
+    let first = harness.engine.fence;
+    harness.engine.restart();
+    harness.steward = Steward::default();
+    harness.request_adapter(2, "price", "a1");
+    assert_eq!(harness.engine.fence, first);
+}
+
 /// Checks whether a directive is accepted, and which models the engine holds after it.
 fn directive_outcome(unload: &[&str], load: &str, accepted: bool, models: &[&str]) {
     let mut harness = Harness::open(&["grade", "price"]);
@@ -348,8 +438,8 @@
                 adapter_capacity: SLOTS,
             };
             harness.feed(request, || lose);
-            if delayed && let Some((order, expected)) = harness.engine.lost.pop() {
-                harness.engine.execute(&order, expected);
+            if delayed && let Some((order, expected, fence)) = harness.engine.lost.pop() {
+                harness.engine.execute(&order, expected, fence);
             }
             harness.now += Duration::from_millis(50);
             harness.feed(Event::Ticked, || lose);
--- a/crates/nutmegyoke-host/src/process/steward.rs
+++ b/crates/nutmegyoke-host/src/process/steward.rs
@@ -22,7 +22,7 @@
 use nutmegyoke_core::process::{Clock, Member};
 use nutmegyoke_wire::connection::convert::{length, milliseconds, set_texts, text};
 use nutmegyoke_wire::connection::mesh_capnp::steward;
-use nutmegyoke_wire::process::{Settings, work};
+use nutmegyoke_wire::process::{Settings, settings, work};
 use prometheus::Registry;
 
 use super::driver::Addressed;
@@ -60,7 +60,8 @@
     fn load(&self) -> impl Future<Output = Result<Load, Self::Failure>>;
 
     /// Sends an order that takes effect only if the engine has accepted exactly
-    /// `expected` orders before. Returns whether the engine accepted it.
+    /// `expected` orders before and has seen no fencing number above `fence`. Returns whether
+    /// the engine accepted it; never [`Outcome::Lost`].
     ///
     /// # Errors
     ///
@@ -70,7 +71,8 @@
         &self,
         order: &Order,
         expected: u64,
-    ) -> impl Future<Output = Result<bool, Self::Failure>>;
+        fence: u64,
+    ) -> impl Future<Output = Result<Outcome, Self::Failure>>;
 }
 
 /// A running steward.
@@ -101,6 +103,7 @@
     /// An address can't be bound, or the metrics can't be registered.
     pub async fn spawn<E: Engine>(
         settings: &Settings,
+        role_settings: &settings::Steward,
         engine: E,
         clock: C,
         registry: &Registry,
@@ -110,7 +113,12 @@
     {
         let member: Member = super::member(settings, &clock, Role::Steward);
         let account = Account::spawn(settings, clock.clone(), registry, &member)?;
-        let (driver, background) = Driver::spawn(decision::Steward::default(), clock);
+        let machine = if role_settings.fences_checked {
+            decision::Steward::open(member.vm.incarnation)
+        } else {
+            decision::Steward::default()
+        };
+        let (driver, background) = Driver::spawn(machine, clock);
         let this = Rc::new(Self {
             driver,
             metrics: Metrics::open(registry, &member)?,
@@ -170,10 +178,14 @@
                 let inspection = inspect(Rc::clone(&driver), Rc::clone(&engine));
                 compio::runtime::spawn(inspection).detach();
             }
-            Command::Order { order, expected } => {
+            Command::Order {
+                order,
+                expected,
+                fence,
+            } => {
                 let (driver, engine) = (Rc::clone(&driver), Rc::clone(&engine));
                 compio::runtime::spawn(async move {
-                    let sent = engine.order(&order, expected).await;
+                    let sent = engine.order(&order, expected, fence).await;
                     let outcome = log_order(&order, expected, sent);
                     driver.feed(Input::Ordered { outcome });
                 })
@@ -230,10 +242,13 @@
 }
 
 /// Logs an order with its outcome and returns the outcome.
-fn log_order<F: std::fmt::Display>(order: &Order, expected: u64, sent: Result<bool, F>) -> Outcome {
+fn log_order<F: std::fmt::Display>(
+    order: &Order,
+    expected: u64,
+    sent: Result<Outcome, F>,
+) -> Outcome {
     let (outcome, why) = match sent {
-        Ok(true) => (Outcome::Accepted, String::new()),
-        Ok(false) => (Outcome::Refused, String::new()),
+        Ok(outcome) => (outcome, String::new()),
         Err(failure) => (Outcome::Lost, failure.to_string()),
     };
     Event::EngineOrdered {
--- a/crates/nutmegyoke-wire/src/process/settings.rs
+++ b/crates/nutmegyoke-wire/src/process/settings.rs
@@ -43,6 +43,8 @@
 /// Describes a valid address in faults.
 const ADDRESS_FORMAT: &str = "an IP address and port, such as 127.0.0.1:8470";
 
+const BOOLEAN_FORMAT: &str = "true or false";
+
 /// The checked settings of one process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
--- a/crates/nutmegyoke-wire/src/process/settings/gateway.rs
+++ b/crates/nutmegyoke-wire/src/process/settings/gateway.rs
@@ -20,11 +20,9 @@
 use nutmegyoke_core::process::allotment::Tolerance;
 use nutmegyoke_core::process::gateway::{Bound, Options};
 
-use super::{ADDRESS_FORMAT, read_addresses, read_election_timeout};
+use super::{ADDRESS_FORMAT, BOOLEAN_FORMAT, read_addresses, read_election_timeout};
 use crate::process::ini::{Fault, Section};
 
-const BOOLEAN_FORMAT: &str = "true or false";
-
 /// The settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Gateway {
--- a/src/bin/nutmegyoked/run.rs
+++ b/src/bin/nutmegyoked/run.rs
@@ -107,8 +107,14 @@
         RoleSettings::Steward(role_settings) => {
             let engine = Engine::open(role_settings.engine, &settings.name);
             let engine = engine.map_err(|source| process::Failure::Client { source })?;
-            let steward =
-                Steward::spawn(&settings, engine, System::open(Kernel), &registry).await?;
+            let steward = Steward::spawn(
+                &settings,
+                role_settings,
+                engine,
+                System::open(Kernel),
+                &registry,
+            )
+            .await?;
             let running = async {
                 let stopping = shutdown::run(drain_limit, || steward.in_flight(), steward.drain());
                 stop_result(stopping.await?)
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -77,6 +77,13 @@
         ("/bounds.quota-overage", ""),
         ("#bounds.quota-slack", ""),
         ("/bounds.quota-slack", ""),
+        ("#tolerate.machines", ""),
+        ("/tolerate.machines", ""),
+        ("#tolerate.zones", ""),
+        ("/tolerate.zones", ""),
+        ("#tolerate.regions", ""),
+        ("/tolerate.regions", ""),
+        ("bounds.require-fencing", "true"),
         ("listen.front", "10.1.0.38:8149"),
         ("listen.ready", "10.1.0.38:8141"),
         ("listen.control", "10.1.0.38:8144"),
@@ -125,6 +132,55 @@
     assert!(matches!(steward.role_settings, RoleSettings::Steward(_)));
 }
 
+/// The number of voters must not follow a tolerance that is meant for whole data centres.
+fn tolerated_losses(lines: &str, expected: Option<usize>) {
+    let text = render(GATEWAY);
+    let text = text
+        .lines()
+        .filter(|line| !line.starts_with("tolerated-"))
+        .collect::<Vec<_>>()
+        .join("\n");
+    let text = text.replace("[gateway]", &format!("[gateway]\n{lines}"));
+    let settings = Settings::parse("gateway.ini", &text).unwrap();
+    let RoleSettings::Gateway(gateway) = settings.role_settings else {
+        panic!("{:?}", settings.role_settings);
+    };
+    assert_eq!(gateway.tolerated_losses, expected);
+}
+
+cases!(tolerated_losses {
+    not_stated: ("", None),
+    stated: ("tolerated-losses = 2", Some(2)),
+    of_no_data_centre: (
+        "tolerated-losses = 2\ntolerated-data-centre-losses = 0\ntolerated-region-losses = 0",
+        Some(2)
+    ),
+    of_a_data_centre: (
+        "tolerated-losses = 2\ntolerated-data-centre-losses = 1",
+        None
+    ),
+    of_a_region: ("tolerated-losses = 2\ntolerated-region-losses = 1", None),
+});
+
+/// A deployment that doesn't say whether engines check fences is one that does.
+fn fences_checked(value: &str, expected: Option<bool>) {
+    let text = render(STEWARD).replace("fences-checked = true", value);
+    let settings = Settings::parse("steward.ini", &text);
+    let checked = settings.ok().map(|settings| match settings.role_settings {
+        RoleSettings::Steward(steward) => steward.fences_checked,
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(checked, expected);
+}
+
+cases!(fences_checked {
+    not_stated: ("", Some(true)),
+    empty: ("fences-checked =", Some(true)),
+    checked: ("fences-checked = true", Some(true)),
+    ignored: ("fences-checked = false", Some(false)),
+    malformed: ("fences-checked = perhaps", None),
+});
+
 fn rejects_gateway_settings(from: &str, to: &str, expected: &str) {
     let text = render(GATEWAY).replace(from, to);
     let fault = Settings::parse("gateway.ini", &text).unwrap_err();
