Changes wait for a second seed in a system's first run

The founder of a new system acknowledged the first config with its own vote, 0.2 s after the start, and lost its disk right after that.

A founder was its own majority until others had joined. In a process that may found a system, changes are now accepted once another seed votes, and with `tolerated-losses` of f a change needs f + 1 disks as far as there are as many voters. The second of two voters gives the founder its seat back. A second log is founded only if all seeds but one are in their first run, in which case nothing was acknowledged.

--- a/crates/nutmegyoke-core/src/process/control/replica/bootstrap.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/bootstrap.rs
@@ -4,6 +4,11 @@
 //! named in the settings have answered that they hold no state. If the settings list
 //! all control VMs, the founder is the first by name. If they name only a few
 //! contacts, it is the first by address of those that may bootstrap the fleet.
+//!
+//! The founder is the only voter until others have joined. With contacts, changes are accepted only
+//! once another contact votes, so that none is acknowledged that is on the founder's disk alone, and
+//! that a founder whose disk is lost leaves a voter among the contacts. A second
+//! founder needs all contacts without state, and all but one of them in their first run.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -46,14 +51,41 @@
                 .all(|seed| self.probes.fresh.contains(&seed.name)),
             Roster::Open { contacts, .. } => {
                 let mut others = contacts.iter().filter(|&&address| address != own);
-                others.all(|address| match self.probes.founders.get(address) {
-                    Some(founder) => !founder || own < *address,
-                    None => false,
-                })
+                // This replica counts as well. One that lost its disk may not bootstrap; if two did,
+                // both may have voted.
+                let founders = self.probes.founders.values().filter(|&&founder| founder);
+                let first_runs = 1 + founders.count();
+                first_runs + 1 >= contacts.len()
+                    && others.all(|address| match self.probes.founders.get(address) {
+                        Some(founder) => !founder || own < *address,
+                        None => false,
+                    })
             }
         }
     }
 
+    /// Whether another contact votes, or did, so that changes may be accepted; see the module's
+    /// description. Later runs need not ask: the fleet was founded before.
+    pub(super) fn is_founded(&self) -> bool {
+        let Roster::Open {
+            contacts,
+            bootstrap,
+        } = &self.setup.roster
+        else {
+            return true;
+        };
+        let voters = self.membership.voters();
+        let voting_contacts = voters.filter(|peer| contacts.contains(&peer.seed.address));
+        let is_alone = contacts.len() <= 1 || self.setup.tolerated_losses == Some(0);
+        !*bootstrap || is_alone || self.founded || voting_contacts.count() > 1
+    }
+
+    /// The number of disks that hold a change before it is acknowledged, as far as there are as
+    /// many voters.
+    pub(super) fn min_disks(&self) -> usize {
+        self.setup.tolerated_losses.map_or(1, |losses| losses + 1)
+    }
+
     /// Appends the first membership, with this replica as its only voter, and lets it
     /// campaign at once.
     pub(super) fn bootstrap(&mut self, now: Instant) {
--- a/crates/nutmegyoke-core/src/process/control/replica/mod.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/mod.rs
@@ -138,6 +138,8 @@
     addresses: BTreeMap<Id, SocketAddr>,
     /// The answers to this replica's probes.
     probes: Probes,
+    /// Whether a membership was found to have another contact as a voter.
+    founded: bool,
 }
 
 impl<S: State> Replica<S> {
@@ -184,6 +186,7 @@
             pending_calls: BTreeMap::new(),
             addresses: BTreeMap::new(),
             probes: Probes::default(),
+            founded: false,
             setup,
         };
         replica.reload_membership();
--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -100,13 +100,13 @@
     }
 
     /// Appends a change, whose outcome answers `call`; redirects the call if this replica
-    /// does not lead or its disk is full. A change that an uncommitted entry already makes is not
+    /// does not lead, its disk is full, or too few others vote yet. A change that an uncommitted entry already makes is not
     /// appended again.
     pub(super) fn propose<K>(&mut self, now: Instant, call: u64, change: &S::Change, out: &mut K)
     where
         K: Sink<Command = Command<S>>,
     {
-        if !self.is_leader() || self.disk.full {
+        if !self.is_leader() || self.disk.full || !self.is_founded() {
             out.push(Command::Redirect { call });
             return;
         }
@@ -466,7 +466,7 @@
             Some(peer) => peer.matched,
             None => 0,
         };
-        let index = self.quorum.reached(matched);
+        let index = self.quorum.reached(self.min_disks(), matched);
         // Entries of earlier terms are committed only through a later one of this term.
         let committed = index > self.commit_index && self.log.term(index) == Some(self.vote.term);
         if committed {
--- a/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/snapshot.rs
@@ -115,5 +115,7 @@
         self.membership = membership;
         self.membership_index = index;
         self.refresh_quorum();
+        // The settings may name other contacts later.
+        self.founded = self.is_founded();
     }
 }
--- a/crates/nutmegyoke-core/tests/lost_disks.rs
+++ b/crates/nutmegyoke-core/tests/lost_disks.rs
@@ -241,3 +241,41 @@
     seed_21: (21),
     seed_22: (22),
 });
+
+/// The founder of a fleet acknowledged a document with its own vote alone. If it lost its disk right
+/// after that, the document was gone, or the lost disk had half of the votes and control was gone.
+fn founder_may_lose_its_disk_after_the_first_document(voters: usize, seed: u64) {
+    let mut simulation = Simulation::open_with_contacts(voters, seed, RELIABLE, |_| false);
+    let document = Rc::new(Document {
+        number: 1,
+        source: b"routes".as_slice().into(),
+    });
+    let change = Change::Publish { document };
+    let end = simulation.now + JOIN_TIME;
+    for call in 0.. {
+        if let Some(leader) = simulation.leader() {
+            let change = &change;
+            simulation.feed(leader, Event::Proposed { call, change });
+        }
+        simulation.run(Duration::from_millis(1));
+        if !simulation.outcomes.is_empty() {
+            break;
+        }
+        assert!(simulation.now < end, "the first document is not committed");
+    }
+    simulation.wipe(0);
+    simulation.run(ELECTION_TIMEOUT * 4);
+    simulation.start(0);
+    simulation.run(JOIN_TIME);
+    check_document(&simulation, 1);
+    assert_eq!(simulation.membership.voters().count(), voters);
+}
+
+cases!(founder_may_lose_its_disk_after_the_first_document {
+    three_voters_seed_41: (3, 41),
+    three_voters_seed_42: (3, 42),
+    three_voters_seed_43: (3, 43),
+    four_voters_seed_44: (4, 44),
+    five_voters_seed_45: (5, 45),
+    five_voters_seed_46: (5, 46),
+});
