Founding waits for voters, not for more disks of each commit

With `tolerated-losses` of 2, three voters right after the founding needed all three for each commit, also for memberships. Had one of them gone for good then, no other could have joined.

Commits need a majority again. Changes are refused in a system's first run until 2f voters vote, of which a majority is f + 1. A seed that never votes, as its probe says, is not waited for.

The founder's cases and 4,000 series of membership_series pass.

--- a/crates/nutmegyoke-core/src/process/control/replica/bootstrap.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/bootstrap.rs
@@ -7,8 +7,9 @@
 //!
 //! The founder is the only voter until others have joined. With contacts, changes are accepted only
 //! once another contact votes, so that none is acknowledged that is on the founder's disk alone, and
-//! that a founder whose disk is lost leaves a voter among the contacts. A second
-//! founder needs all contacts without state, and all but one of them in their first run.
+//! that a founder whose disk is lost leaves a voter among the contacts; and once as many replicas
+//! vote that a majority of them outlives the tolerated losses. A second founder needs all contacts
+//! without state, and all but one of them in their first run.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -64,26 +65,30 @@
         }
     }
 
-    /// Whether another contact votes, or did, so that changes may be accepted; see the module's
-    /// description. Later runs need not ask: the fleet was founded before.
+    /// Whether enough replicas vote, or did, to accept changes; see the module's description. Later
+    /// runs need not ask: the fleet was founded before.
     pub(super) fn is_founded(&self) -> bool {
         let Roster::Open {
             contacts,
-            bootstrap,
+            bootstrap: true,
         } = &self.setup.roster
         else {
             return true;
         };
+        if self.founded || contacts.len() <= 1 {
+            return true;
+        }
+        // Contacts that never vote answered the founder's probe as no founders.
+        let founders = self.probes.founders.values().filter(|&&founder| founder);
+        let needed_contacts = (1 + founders.count()).min(2);
+        let needed_voters = self
+            .setup
+            .tolerated_losses
+            .map_or(needed_contacts, |losses| 2 * losses);
+        let is_contact = |peer: &&Peer| contacts.contains(&peer.seed.address);
         let voters = self.membership.voters();
-        let voting_contacts = voters.filter(|peer| contacts.contains(&peer.seed.address));
-        let is_alone = contacts.len() <= 1 || self.setup.tolerated_losses == Some(0);
-        !*bootstrap || is_alone || self.founded || voting_contacts.count() > 1
-    }
-
-    /// The number of disks that hold a change before it is acknowledged, as far as there are as
-    /// many voters.
-    pub(super) fn min_disks(&self) -> usize {
-        self.setup.tolerated_losses.map_or(1, |losses| losses + 1)
+        voters.clone().count() >= needed_voters
+            && voters.filter(is_contact).count() >= needed_contacts
     }
 
     /// Appends the first membership, with this replica as its only voter, and lets it
--- a/crates/nutmegyoke-core/src/process/control/replica/membership.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/membership.rs
@@ -90,7 +90,7 @@
     }
 
     /// The replicas that vote.
-    pub fn voters(&self) -> impl Iterator<Item = &Peer> {
+    pub fn voters(&self) -> impl Iterator<Item = &Peer> + Clone {
         self.peers.iter().filter(|peer| peer.voter)
     }
 
--- a/crates/nutmegyoke-core/src/process/control/replica/quorum.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/quorum.rs
@@ -116,14 +116,12 @@
         !self.sets.is_empty() && self.sets.iter().all(is_half)
     }
 
-    /// The highest value that a majority of each set has reached, and at least `disks` replicas of
-    /// a set that has as many.
-    pub fn reached(&self, disks: usize, value: impl Fn(Id) -> u64) -> u64 {
+    /// The highest value that a majority of each set has reached.
+    pub fn reached(&self, value: impl Fn(Id) -> u64) -> u64 {
         let reached = |set: &BTreeSet<Id>| {
             let mut values: Vec<u64> = set.iter().map(|&id| value(id)).collect();
             values.sort_unstable_by(|one, other| other.cmp(one));
-            let needed = (set.len() / 2 + 1).max(disks.min(set.len()));
-            values.get(needed - 1).copied().unwrap_or(0)
+            values.get(set.len() / 2).copied().unwrap_or(0)
         };
         self.sets.iter().map(reached).min().unwrap_or(0)
     }
--- a/crates/nutmegyoke-core/src/process/control/replica/replication.rs
+++ b/crates/nutmegyoke-core/src/process/control/replica/replication.rs
@@ -466,7 +466,7 @@
             Some(peer) => peer.matched,
             None => 0,
         };
-        let index = self.quorum.reached(self.min_disks(), matched);
+        let index = self.quorum.reached(matched);
         // Entries of earlier terms are committed only through a later one of this term.
         let committed = index > self.commit_index && self.log.term(index) == Some(self.vote.term);
         if committed {
