--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use nutmegyoke_cases::cases;
@@ -33,16 +33,10 @@
     };
 }
 
-/// Sends a request with a long body and reads its answer until the connection closes.
-fn upload(gateway: &Gateway, path: &str, id: &str) -> Option<Answer> {
-    let head = format!(
-        "POST {path} HTTP/1.1\r\nHost: desk.example\r\nX-Nutmegyoke-Request-Id: {id}\r\n\
-         X-Nutmegyoke-Deadline-Ms: 4000\r\nContent-Length: {BODY_BYTES}\r\n\
-         Connection: close\r\n\r\n"
-    );
-    let mut stream = TcpStream::connect(gateway.clients).unwrap();
-    stream.write_all(head.as_bytes()).unwrap();
-    stream.write_all(&vec![b'x'; BODY_BYTES]).unwrap();
+/// Sends a request and reads its answer until the connection closes.
+fn exchange_until_closed(address: SocketAddr, request: &[u8]) -> Option<Answer> {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(request).unwrap();
     let mut raw = Vec::new();
     let ended = stream.read_to_end(&mut raw);
     let mut answer = parse_answer(&raw, true)?;
@@ -51,6 +45,17 @@
     Some(answer)
 }
 
+/// Sends a request with a long body to a gateway.
+fn upload(gateway: &Gateway, path: &str, id: &str) -> Option<Answer> {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: desk.example\r\nX-Nutmegyoke-Request-Id: {id}\r\n\
+         X-Nutmegyoke-Deadline-Ms: 4000\r\nContent-Length: {BODY_BYTES}\r\n\
+         Connection: close\r\n\r\n"
+    );
+    let request = [head.as_bytes(), &vec![b'x'; BODY_BYTES]].concat();
+    exchange_until_closed(gateway.clients, &request)
+}
+
 /// The client got the part of the answer that came before the reset as a complete answer: once the
 /// write of the upload has reported the reset, a read reports the end of the connection.
 fn answer_reset_during_the_upload_is_not_complete(
@@ -143,17 +148,11 @@
 const UNFRAMED_EVENTS: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: 1\n\ndata: 2\n\n";
 
-/// Sends a caller's long upload to an entry and reads its answer until the connection closes.
+/// Sends a request with a long body to an entry.
 fn upload_to_entry(fleet: &RawFleet) -> Option<Answer> {
     let body = "x".repeat(AGENT_BODY_BYTES);
-    let mut stream = TcpStream::connect(fleet.entry.callers).unwrap();
     let request = request_bytes("POST", "Nutmegyoke-Repeatable: no\r\n", &body);
-    stream.write_all(request.as_bytes()).unwrap();
-    let mut raw = Vec::new();
-    let ended = stream.read_to_end(&mut raw);
-    let mut answer = parse_answer(&raw, true)?;
-    answer.complete &= ended.is_ok();
-    Some(answer)
+    exchange_until_closed(fleet.entry.callers, request.as_bytes())
 }
 
 /// The same as at gateways, in an agent's connection to its endpoint.
