--- a/review/14/case.rs
+++ b/review/14/case.rs
@@ -1,4 +1,5 @@
-//! A request crashes each server that begins to run it, and comes again, at each gateway in turn.
+//! A part of prompts crashes each model engine that begins to answer a request with it. The prompts
+//! have twenty parts.
 
 #[path = "../harness-3/mod.rs"]
 mod harness;
@@ -10,73 +11,97 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::harness::fleet::Fleet;
-use crate::harness::http::{self, Listening};
-use crate::harness::server::{self, Server};
-use crate::harness::{Outcome, Record};
+use harness::fleet::Fleet;
+use harness::http::{self, Listening};
+use harness::server::{self, Server};
+use harness::{Outcome, Record};
 
 /// `contact-ms`.
 const CONTACT: Duration = Duration::from_secs(3);
 
-/// The most arrivals that the rule allows later than `contact-ms` after the third crash.
-const ALLOWED: usize = 3;
-
-/// How long a server that crashed is away.
+/// How long an engine that crashed is away.
 const AWAY: Duration = Duration::from_secs(2);
 
-/// The time between two rounds, in each of which the request comes at each gateway once, and their
-/// number.
-const PERIOD: Duration = Duration::from_secs(4);
-const ROUNDS: usize = 5;
+/// The engines, and how long each takes to begin an answer.
+const ENGINES: u8 = 6;
+const WORK: Duration = Duration::from_millis(40);
+
+/// The parts of a prompt, the last of which is its own, and which of them crashes engines.
+const PARTS: usize = 20;
+const PLACE: usize = 18;
+const TAINTED: u64 = 0xbad;
+
+/// For how long sound requests come alone, and then others with the part beside them.
+const CALM: Duration = Duration::from_secs(5);
+const TROUBLED: Duration = Duration::from_secs(45);
+
+/// The time between two requests.
+const SOUND_INTERVAL: Duration = Duration::from_millis(100);
+const TAINTED_INTERVAL: Duration = Duration::from_secs(2);
 
-const GATEWAYS: usize = 4;
+const MODELS: &str = r#","stage":"colocated","models":[{"name":"m1","version":1,"adapters":[]}]"#;
 
-const SERVERS: u8 = 5;
-const WORK: Duration = Duration::from_millis(60);
-const BODY: &[u8] = b"deadly";
+const REPORT: &str = r#"{"stage":"colocated","models":[{"name":"m1","version":1,"adapters":[]}],"busy":false,"seq":0,"waiting":0,"running":0,"kv-used":0,"kv-total":232000,"handles":0}"#;
 
-const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r-look","hostname":"desk.example","path-prefix":"/look/","route-type":"idempotent","timeout-ms":2000,"target-latency-ms":300,"priority":2,"backend":"desk","max-attempts":2},{"name":"r-book","hostname":"desk.example","path-prefix":"/book/","route-type":"non_idempotent","timeout-ms":2000,"target-latency-ms":300,"priority":2,"backend":"desk","max-attempts":1}],"services":[{"name":"desk","health-path":"/health","max-conns":120,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
+const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r-draft","hostname":"desk.example","path-prefix":"/draft/","route-type":"stream","timeout-ms":6000,"target-latency-ms":1000,"priority":1,"backend":"llm","max-attempts":1,"sticky":true,"resumable":false,"target-gap-ms":600}],"services":[{"name":"llm","health-path":"/health","max-conns":380,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":232000,"kv-token-bytes":327680,"link-mbps":260000.0,"moves":true,"backups":true,"stride":4,"cap":12,"host-mb":130000.0,"disk-mb":380000.0,"pin-ms":4000.0,"hold-ms":2000.0,"handle_s":5.0,"models":[{"name":"m1","weights-mb":72700.0,"load-s":4.2,"adapters":0,"adapter-mb":66.0,"warm-s":0.4,"disk-s":0.84}],"weights-mb":200000.0,"adapter-slots":8,"loads-per-s":2.1}}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
 
-/// The servers and what they saw.
-struct Desk {
+/// The engines and what they saw.
+struct Pool {
     record: Record,
     fleet: Arc<Fleet>,
     trouble: bool,
-    /// When the request reached a server, and which.
-    arrivals: Mutex<Vec<(Instant, String)>>,
+    place: usize,
+    /// When requests with the part reached an engine.
+    arrivals: Mutex<Vec<Instant>>,
     starts: AtomicU64,
 }
 
-impl Desk {
-    /// Starts a server, with a new id. It crashes on the deadly request and starts again.
+/// The prompt of a request: shared parts, the tainted one among them or a sound one, and its own.
+fn prompt(tainted: bool, place: usize, own: usize) -> String {
+    let parts = (1..=PARTS).map(|number| match number {
+        PARTS => format!("{:x}:40", 0x10_0000 + own),
+        _ if number == place && tainted => format!("{TAINTED:x}:120"),
+        _ => format!("{:x}:120", 0x100 + number),
+    });
+    parts.collect::<Vec<_>>().join(",")
+}
+
+impl Pool {
+    /// Starts an engine, with a new id. It crashes on the tainted part and starts again.
     fn start(self: &Arc<Self>, number: u8) -> std::io::Result<()> {
         let start = self.starts.fetch_add(1, Ordering::SeqCst);
-        let id = format!("i-desk-{number}-{start}");
+        let id = format!("i-llm-{number}-{start}");
         let address = self.fleet.server(100 + number);
-        let nodes: Vec<_> = (0..GATEWAYS).map(|node| self.fleet.control(node)).collect();
+        let nodes: Vec<_> = (0..4).map(|node| self.fleet.control(node)).collect();
         let this = Arc::clone(self);
         let process: Arc<Mutex<Option<(Listening, Arc<Server>)>>> = Arc::default();
         let own = Arc::clone(&process);
         let name = id.clone();
+        let marker = format!("{TAINTED:x}:120");
         let handler: http::Handler = Arc::new(move |request| {
+            if request.word() == "/report" {
+                return http::encode("HTTP/1.1 200 OK", &[], REPORT.as_bytes());
+            }
             let request_id = request.header("x-nutmegyoke-request-id");
-            if request.body == BODY {
+            thread::sleep(WORK);
+            let mut parts = request.header("x-nutmegyoke-prompt-prefix").split(',');
+            if parts.any(|part| part == marker) {
                 this.record
-                    .note(&format!("{name} begins to run {request_id}"));
-                let mut arrivals = this.arrivals.lock().unwrap();
-                arrivals.push((Instant::now(), name.clone()));
-                drop(arrivals);
+                    .note(&format!("{name} begins to answer {request_id}"));
+                this.arrivals.lock().unwrap().push(Instant::now());
                 if this.trouble {
                     this.crash(number, own.lock().unwrap().take());
                     return Vec::new();
                 }
             }
-            thread::sleep(WORK);
-            server::answer(request, "200 OK", &[], b"done")
+            let headers = [("Content-Type", "text/event-stream")];
+            let body = "id: 1\ndata: draft\n\n";
+            server::answer_in_chunks(request, &headers, body)
         });
         let mut process = process.lock().unwrap();
         let listening = http::serve(address, handler)?;
-        *process = Some((listening, Server::register(&id, "desk", address, &nodes)));
+        let server = Server::register_with(&id, "llm", address, &nodes, MODELS);
+        *process = Some((listening, server));
         Ok(())
     }
 
@@ -92,41 +117,76 @@
             thread::sleep(AWAY);
             if let Err(error) = this.start(number) {
                 this.record
-                    .note(&format!("a server could not start again: {error}"));
+                    .note(&format!("an engine could not start again: {error}"));
             }
         });
     }
+
+    /// Sends requests for `length`, to one gateway after the other.
+    fn send(self: &Arc<Self>, tainted: bool, length: Duration, interval: Duration) -> Vec<u16> {
+        let sent: Arc<Mutex<Vec<u16>>> = Arc::default();
+        let begin = Instant::now();
+        let mut number = 0;
+        while begin.elapsed() < length {
+            number += 1;
+            let (pool, sent) = (Arc::clone(self), Arc::clone(&sent));
+            thread::spawn(move || {
+                let letter = if tainted { 'd' } else { 'a' };
+                let id = format!("{letter}{number:015x}");
+                let prompt = prompt(tainted, pool.place, number * 2 + usize::from(tainted));
+                let headers = [
+                    ("Host", "desk.example"),
+                    ("X-Nutmegyoke-Request-Id", id.as_str()),
+                    ("X-Nutmegyoke-Model", "m1"),
+                    ("X-Nutmegyoke-Token-Usage", "2320,52"),
+                    ("X-Nutmegyoke-Prompt-Prefix", &prompt),
+                    ("X-Nutmegyoke-Deadline-Ms", "6000"),
+                ];
+                let front = pool.fleet.front(number % 4);
+                let body = format!("draft {number}");
+                let timeout = Duration::from_secs(6);
+                let answer = http::call(front, "POST /draft/1", &headers, body.as_bytes(), timeout);
+                let status = answer.map_or(0, |answer| answer.status());
+                if tainted || status != 200 {
+                    pool.record
+                        .note(&format!("{id} sent to {front} ended with {status}"));
+                }
+                sent.lock().unwrap().push(status);
+            });
+            thread::sleep(interval);
+        }
+        thread::sleep(Duration::from_secs(7));
+        let mut sent = sent.lock().unwrap();
+        std::mem::take(&mut *sent)
+    }
 }
 
-fn send(fleet: &Fleet, gateway: usize, path: &str, id: &str, body: &[u8]) -> u16 {
-    let headers = [
-        ("Host", "desk.example"),
-        ("X-Nutmegyoke-Request-Id", id),
-        ("X-Nutmegyoke-Deadline-Ms", "4000"),
-        ("Connection", "close"),
-    ];
-    let line = format!("POST {path}");
-    let answer = http::call(
-        fleet.front(gateway % GATEWAYS),
-        &line,
-        &headers,
-        body,
-        Duration::from_secs(4),
-    );
-    answer.map_or(0, |answer| answer.status())
+/// How the requests with the part ended, and when they reached engines.
+struct Play {
+    tainted: Vec<u16>,
+    arrivals: Vec<Instant>,
 }
 
-fn run(record: &Record, folder: &Path, trouble: bool) -> Outcome {
-    let fleet = Arc::new(Fleet::start(folder, GATEWAYS)?);
-    let desk = Arc::new(Desk {
+/// Plays it.
+///
+/// # Errors
+///
+/// The case can't run.
+fn play(record: &Record, folder: &Path, trouble: bool) -> Result<Play, Box<dyn std::error::Error>> {
+    let place = std::env::var("PLACE").ok();
+    let place = place.and_then(|place| place.parse().ok()).unwrap_or(PLACE);
+    let fleet = Arc::new(Fleet::start(folder, 4)?);
+    let pool = Arc::new(Pool {
         record: record.clone(),
         fleet: Arc::clone(&fleet),
         trouble,
+        place,
         arrivals: Mutex::default(),
         starts: AtomicU64::new(0),
     });
-    for number in 1..=SERVERS {
-        desk.start(number)?;
+    for number in 1..=ENGINES {
+        pool.start(number)?;
+        fleet.start_steward(100 + number)?;
     }
     let patience = Duration::from_secs(15);
     fleet
@@ -135,64 +195,43 @@
     if !fleet.wait_ready(patience) {
         return Err("the gateways did not become ready".into());
     }
-    // All machines are in touch then, and know all servers.
+    // All machines are in touch then, and know all engines.
     thread::sleep(Duration::from_secs(4));
-    let begin = Instant::now();
-    let end = begin + PERIOD * u32::try_from(ROUNDS)?;
-    let bookings: Arc<Mutex<Vec<u16>>> = Arc::default();
-    let (sound_fleet, sound_bookings, log) =
-        (Arc::clone(&fleet), Arc::clone(&bookings), record.clone());
-    let sound = thread::spawn(move || {
-        let mut number = 0;
-        while Instant::now() < end {
-            number += 1;
-            let (fleet, bookings) = (Arc::clone(&sound_fleet), Arc::clone(&sound_bookings));
-            let log = log.clone();
-            thread::spawn(move || {
-                let id = format!("b{number:015x}");
-                let status = send(&fleet, number, "/book/1", &id, b"sound");
-                if status != 200 {
-                    log.note(&format!("the sound booking {id} ended with {status}"));
-                }
-                bookings.lock().unwrap().push(status);
-            });
-            thread::sleep(Duration::from_millis(65));
-        }
-    });
-    let mut number = 0;
-    for round in 0..ROUNDS {
-        let due = begin + PERIOD * u32::try_from(round)?;
-        thread::sleep(due.saturating_duration_since(Instant::now()));
-        for gateway in 0..GATEWAYS {
-            number += 1;
-            let id = format!("d{number:015x}");
-            let status = send(&fleet, gateway, "/look/1", &id, BODY);
-            record.note(&format!("round {round}: {id} ended with {status}"));
-        }
-    }
-    let _ = sound.join();
-    thread::sleep(Duration::from_secs(3));
-    let arrivals = desk.arrivals.lock().unwrap();
-    let bookings = bookings.lock().unwrap();
-    let lost = bookings.iter().filter(|&&status| status != 200).count();
-    let unknown = bookings
-        .iter()
-        .filter(|&&status| matches!(status, 0 | 502 | 504))
-        .count();
     record.note(&format!(
-        "{} sound bookings, {lost} not served, {unknown} of these passed on and never answered",
-        bookings.len()
+        "part {place} of {PARTS} is the one that crashes engines"
     ));
-    let late = match arrivals.get(2) {
-        Some(&(third, _)) if trouble => {
-            let late = arrivals.iter().filter(|(at, _)| *at > third + CONTACT);
+    let sound_pool = Arc::clone(&pool);
+    let sound = thread::spawn(move || sound_pool.send(false, CALM + TROUBLED, SOUND_INTERVAL));
+    thread::sleep(CALM);
+    let tainted = pool.send(true, TROUBLED, TAINTED_INTERVAL);
+    let sound = sound.join().map_err(|_| "the clients ended")?;
+    let lost = sound.iter().filter(|&&status| status != 200).count();
+    record.note(&format!(
+        "{} sound requests, {lost} not served",
+        sound.len()
+    ));
+    let arrivals = pool.arrivals.lock().unwrap().clone();
+    Ok(Play { tainted, arrivals })
+}
+
+/// The most requests with the part that may reach engines later than `contact-ms` after the fifth
+/// crash.
+const ALLOWED: usize = 3;
+
+fn run(record: &Record, folder: &Path, trouble: bool) -> Outcome {
+    let play = play(record, folder, trouble)?;
+    let refused = play.tainted.iter().filter(|&&status| status == 503).count();
+    let late = match play.arrivals.get(4) {
+        Some(&fifth) if trouble => {
+            let late = play.arrivals.iter().filter(|&&at| at > fifth + CONTACT);
             late.count()
         }
         _ => 0,
     };
     record.note(&format!(
-        "the request reached servers {} times, {late} of these later than contact-ms after the third crash; {ALLOWED} are allowed",
-        arrivals.len()
+        "{} requests with the part, {refused} refused; {} reached engines, {late} of these later than contact-ms after the fifth crash; {ALLOWED} are allowed",
+        play.tainted.len(),
+        play.arrivals.len()
     ));
     Ok(late > ALLOWED)
 }
--- a/review/harness-3/server.rs
+++ b/review/harness-3/server.rs
@@ -18,6 +18,8 @@
     address: SocketAddr,
     /// More fields of the status reports, each with a comma before it.
     fields: &'static str,
+    /// The version of its software.
+    version: &'static str,
     born: u128,
     seq: AtomicU64,
     nodes: Vec<SocketAddr>,
@@ -36,6 +38,17 @@
         Self::register_with(id, backend, address, nodes, "")
     }
 
+    /// Starts the status reports of a server with this version of its software.
+    pub fn register_version(
+        id: &str,
+        backend: &str,
+        address: SocketAddr,
+        nodes: &[SocketAddr],
+        version: &'static str,
+    ) -> Arc<Self> {
+        Self::spawn(id, backend, address, nodes, "", version)
+    }
+
     /// Starts the status reports of a server, with more fields in them.
     pub fn register_with(
         id: &str,
@@ -43,6 +56,17 @@
         address: SocketAddr,
         nodes: &[SocketAddr],
         fields: &'static str,
+    ) -> Arc<Self> {
+        Self::spawn(id, backend, address, nodes, fields, "v1")
+    }
+
+    fn spawn(
+        id: &str,
+        backend: &str,
+        address: SocketAddr,
+        nodes: &[SocketAddr],
+        fields: &'static str,
+        version: &'static str,
     ) -> Arc<Self> {
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
         let server = Arc::new(Self {
@@ -50,6 +74,7 @@
             backend: backend.to_owned(),
             address,
             fields,
+            version,
             born: now.map_or(0, |now| now.as_millis()),
             seq: AtomicU64::new(0),
             nodes: nodes.to_vec(),
@@ -74,8 +99,8 @@
     fn report(&self, node: SocketAddr) -> bool {
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
         let body = format!(
-            r#"{{"backend":"{}","address":"{}","zone":"alp-a","version":"v1","slots":6,"state":"ready","cold-left-ms":0,"seq":{seq},"born":{}{}}}"#,
-            self.backend, self.address, self.born, self.fields
+            r#"{{"backend":"{}","address":"{}","zone":"alp-a","version":"{}","slots":6,"state":"ready","cold-left-ms":0,"seq":{seq},"born":{}{}}}"#,
+            self.backend, self.address, self.version, self.born, self.fields
         );
         let headers = [("Host", "control"), ("Content-Type", "application/json")];
         let line = format!("PUT /instances/{}", self.id);
