--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -107,7 +107,8 @@
     bytes
 }
 
-/// What a server does with one request: the bytes of its response. No bytes close the connection.
+/// What a server does with one request: the bytes of its response. No bytes, and a response with
+/// `Connection: close`, close the connection.
 pub type Handler = Arc<dyn Fn(&Message) -> Vec<u8> + Send + Sync>;
 
 /// A server whose process can end.
@@ -166,6 +167,10 @@
             return Ok(());
         }
         stream.write_all(&response)?;
+        let closes = b"\r\nConnection: close\r\n";
+        if response.windows(closes.len()).any(|part| part == closes) {
+            return stream.shutdown(Shutdown::Both);
+        }
     }
     Ok(())
 }
--- a/review/harness-3/mod.rs
+++ b/review/harness-3/mod.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod record;
 pub mod server;
+pub mod tainted;
 
 use std::path::Path;
 use std::process::ExitCode;
--- a/review/harness-3/server.rs
+++ b/review/harness-3/server.rs
@@ -170,3 +170,14 @@
     text.push_str(&format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len()));
     text.into_bytes()
 }
+
+/// A response of a server, a stream of events with neither a length nor chunks. If it is `last`, the
+/// connection closes after it.
+pub fn answer_unframed(request: &http::Message, body: &str, last: bool) -> Vec<u8> {
+    let close = if last { "Connection: close\r\n" } else { "" };
+    let id = request.header("x-nutmegyoke-request-id");
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nX-Nutmegyoke-Request-Id: {id}\r\nX-Nutmegyoke-Server-Stamp: s1.07.5a2\r\n{close}Content-Type: text/event-stream\r\n\r\n{body}"
+    );
+    text.into_bytes()
+}
